Serve the whole path: sales and feeds through sprayed packets

Cause: nothing existed. A flow's packets reach any instance, so instances have to agree on its target without a record of each flow on each instance.

Weighed: full address translation (needs port state that instances share), ending TCP at the instance (impossible when packets are sprayed), direct return (needs software on targets).

Change: a flow's owner, first by rendezvous rank, binds it at the first packet; one placer for each service advises on load; all others learn bindings from answers. Stand-ins for platform, fabric, targets and callers run as separate processes with a real TCP stack.

--- /dev/null
+++ b/lab/src/fabric/server.rs
@@ -0,0 +1,145 @@
+//! Sockets of the fabric.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use etherparse::Ipv4HeaderSlice;
+use limpetdeck::http::{self, HandlerFuture, Request, Response, StatusCode};
+use limpetdeck::signals::StopSignals;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use smol::net::TcpListener;
+use smol::{Async, LocalExecutor};
+
+use super::health::{self, Healthy};
+use super::{Destination, FabricConfig, FabricFaults, Routes};
+
+/// Largest datagram that is read, in bytes.
+const LARGEST_DATAGRAM: usize = 65_536;
+
+struct Fabric {
+    socket: Arc<Async<UdpSocket>>,
+    routes: Routes,
+    healthy: Healthy,
+    faults: RefCell<FabricFaults>,
+    rng: RefCell<SmallRng>,
+    ex: Rc<LocalExecutor<'static>>,
+}
+
+pub(super) async fn run(ex: Rc<LocalExecutor<'static>>, cfg: FabricConfig) -> io::Result<()> {
+    let healthy = Healthy::default();
+    let fabric = Rc::new(Fabric {
+        socket: Arc::new(Async::<UdpSocket>::bind(cfg.listen)?),
+        routes: Routes::new(cfg.callers, cfg.targets),
+        healthy: Rc::clone(&healthy),
+        faults: RefCell::default(),
+        rng: RefCell::new(SmallRng::seed_from_u64(cfg.seed)),
+        ex: Rc::clone(&ex),
+    });
+    for entry in cfg.entries {
+        ex.spawn(health::check(entry, Rc::clone(&healthy))).detach();
+    }
+    for relay in cfg.relays {
+        let socket = Arc::new(Async::<UdpSocket>::bind(relay.key)?);
+        ex.spawn(pass_on(Rc::clone(&fabric), socket, relay.address)).detach();
+    }
+    let listener = TcpListener::bind(cfg.control).await?;
+    let controlled = Rc::clone(&fabric);
+    let handler = move |req: Request| -> HandlerFuture {
+        let response = controlled.control(&req);
+        Box::pin(async move { response })
+    };
+    ex.spawn(http::serve(Rc::clone(&ex), listener, Rc::new(handler))).detach();
+    ex.spawn(forward(fabric)).detach();
+    log::info!("fabric_started");
+    StopSignals::catch()?.next().await;
+    Ok(())
+}
+
+/// Forwards packets until the future is dropped.
+async fn forward(fabric: Rc<Fabric>) {
+    let mut buf = vec![0; LARGEST_DATAGRAM];
+    loop {
+        if let Ok((len, _)) = fabric.socket.recv_from(&mut buf).await {
+            fabric.packet(&buf[..len]);
+        }
+    }
+}
+
+/// Passes peer messages on to one instance until the future is dropped.
+async fn pass_on(fabric: Rc<Fabric>, socket: Arc<Async<UdpSocket>>, to: SocketAddr) {
+    let mut buf = vec![0; LARGEST_DATAGRAM];
+    loop {
+        let Ok((len, from)) = socket.recv_from(&mut buf).await else { continue };
+        if fabric.faults.borrow().reachable(from, to) {
+            fabric.send(&socket, &buf[..len], to);
+        }
+    }
+}
+
+impl Fabric {
+    fn packet(&self, packet: &[u8]) {
+        let Ok(header) = Ipv4HeaderSlice::from_slice(packet) else { return };
+        match self.routes.of(header.source(), header.destination()) {
+            Destination::Process(to) => self.send(&self.socket, packet, to),
+            Destination::Spray => {
+                if let Some(to) = self.any_instance() {
+                    self.send(&self.socket, packet, to);
+                }
+            }
+        }
+    }
+
+    fn any_instance(&self) -> Option<SocketAddr> {
+        let healthy = self.healthy.borrow();
+        if healthy.is_empty() {
+            return None;
+        }
+        let i = self.rng.borrow_mut().random_range(0..healthy.len());
+        Some(healthy[i])
+    }
+
+    fn send(&self, socket: &Arc<Async<UdpSocket>>, packet: &[u8], to: SocketAddr) {
+        let copies = self.faults.borrow().copies(&mut self.rng.borrow_mut());
+        for delay in copies {
+            if delay.is_zero() {
+                let _ = socket.get_ref().send_to(packet, to);
+            } else {
+                let socket = Arc::clone(socket);
+                self.ex.spawn(send_later(socket, packet.to_vec(), to, delay)).detach();
+            }
+        }
+    }
+
+    fn control(&self, req: &Request) -> Response {
+        let mut faults = self.faults.borrow_mut();
+        let done = match req.route() {
+            "/faults" => faults.set(req),
+            "/cut" => faults.cut(req),
+            "/heal" => {
+                faults.heal();
+                Ok(())
+            }
+            _ => return Response::text(StatusCode::NOT_FOUND, "no such call\n"),
+        };
+        log::info!(call = req.path.as_str(), ok = done.is_ok(); "fault");
+        match done {
+            Ok(()) => Response::text(StatusCode::OK, "ok\n"),
+            Err(problem) => Response::text(StatusCode::BAD_REQUEST, problem),
+        }
+    }
+}
+
+async fn send_later(
+    socket: Arc<Async<UdpSocket>>,
+    packet: Vec<u8>,
+    to: SocketAddr,
+    delay: Duration,
+) {
+    smol::Timer::after(delay).await;
+    let _ = socket.get_ref().send_to(&packet, to);
+}
--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,10 @@
+//! Stand-ins for what surrounds limpetdeck, and tools that measure it.
+
+pub mod arguments;
+pub mod caller;
+pub mod fabric;
+pub mod platform;
+pub mod protocol;
+pub mod result;
+pub mod stack;
+pub mod target;
--- /dev/null
+++ b/src/bin/limpetctl.rs
@@ -0,0 +1,7 @@
+//! The operators' command.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    limpetdeck::ctl::main(std::env::args_os().skip(1).collect())
+}
--- /dev/null
+++ b/src/instance.rs
@@ -0,0 +1,8 @@
+//! One instance without its sockets: events in, actions out.
+
+mod event;
+mod registry;
+mod run;
+
+pub use event::{Action, Event};
+pub use run::{Instance, InstanceConfig};
--- /dev/null
+++ b/src/instance/event.rs
@@ -0,0 +1,33 @@
+//! What happens to an instance, and what it wants done.
+
+use std::net::SocketAddr;
+
+use crate::platform::{Call, PlatformError, Reply};
+
+/// Something that happens to an instance.
+#[derive(Debug)]
+pub enum Event {
+    /// A packet has come from the fabric.
+    Packet(Vec<u8>),
+    /// A message has come from another instance.
+    Peer(Vec<u8>),
+    /// The platform has answered a call, or the call has failed.
+    Platform(Call, Result<Reply, PlatformError>),
+    /// Time has passed; due about ten times a second.
+    Tick,
+    /// The instance is asked to stop gracefully.
+    Stop,
+}
+
+/// Something that an instance wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send a packet to the fabric.
+    Fabric(Vec<u8>),
+    /// Send a message to another instance.
+    Peer(SocketAddr, Vec<u8>),
+    /// Make a call of the platform.
+    Platform(Call),
+    /// End the process: the graceful stop is complete.
+    Exit,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,24 @@
+//! Coordination parts of a layer-4 load balancer for long-lived connections.
+//!
+//! The decision parts take the time and an event and answer with actions. They own no
+//! socket, read no clock and draw random numbers only from a source that the embedder
+//! seeds, so that the same code runs in the daemon, in tests and in the measuring driver.
+
+pub mod budget;
+pub mod ctl;
+pub mod entry;
+pub mod flow;
+pub mod hash;
+pub mod http;
+pub mod ids;
+pub mod instance;
+pub mod membership;
+pub mod packet;
+pub mod peer;
+pub mod pipeline;
+pub mod placement;
+pub mod platform;
+pub mod services;
+pub mod settings;
+pub mod signals;
+pub mod telemetry;
--- /dev/null
+++ b/src/packet.rs
@@ -0,0 +1,9 @@
+//! Reading and rewriting of IPv4/TCP packets.
+
+mod decode;
+mod reset;
+mod rewrite;
+
+pub use decode::{DecodeError, Flags, Segment, decode};
+pub use reset::reset_answer;
+pub use rewrite::{RewriteError, rewrite_destination, rewrite_source};
--- /dev/null
+++ b/src/pipeline/run.rs
@@ -0,0 +1,165 @@
+//! The filters joined to one pipeline.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+use fastrace::Span;
+
+use super::admit::{Admission, Refusal};
+use super::{answer, forward};
+use crate::flow::Classified;
+use crate::ids::{InstanceId, ServiceId};
+use crate::packet::{DecodeError, Segment, decode};
+use crate::placement::{DropReason, Placement, Route, Stage, Verdict};
+use crate::services::Services;
+use crate::telemetry::Tracer;
+
+/// Why a packet ends inside the instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Discard {
+    /// The packet cannot be read.
+    #[display("{_0}")]
+    Undecodable(DecodeError),
+    /// Placement dropped the packet.
+    #[display("{_0}")]
+    Placement(DropReason),
+    /// Placement named a target that is no longer listed.
+    #[display("unknown_target")]
+    UnknownTarget,
+    /// The packet could not be rewritten.
+    #[display("rewrite")]
+    Rewrite,
+}
+
+/// What becomes of a packet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// Goes out through the fabric.
+    Fabric(Vec<u8>),
+    /// Goes to another instance for a decision.
+    Instance(InstanceId, Route, Vec<u8>),
+    /// A new flow is refused; the reset goes to the caller.
+    Refused(ServiceId, Refusal, Vec<u8>),
+    /// The flow's target is gone; the reset goes to the caller.
+    Reset(ServiceId, Vec<u8>),
+    /// Ends here.
+    Discarded(Discard),
+}
+
+/// The way of a packet through one instance.
+#[derive(Debug)]
+pub struct Pipeline {
+    /// Decides which target a packet goes to.
+    pub placement: Placement,
+    /// Decides which new flows are let in.
+    pub admission: Box<dyn Admission>,
+    tracer: Tracer,
+}
+
+impl Pipeline {
+    /// Joins the filters.
+    pub fn new(placement: Placement, admission: Box<dyn Admission>, tracer: Tracer) -> Self {
+        Self { placement, admission, tracer }
+    }
+
+    /// Takes a packet through all filters.
+    ///
+    /// `parent` is the span of the instance that passed the packet on, or 0. The second
+    /// value is the span of this instance for the next one.
+    pub fn run(
+        &mut self,
+        now: Duration,
+        packet: Vec<u8>,
+        route: Route,
+        parent: u64,
+    ) -> (Outcome, u64) {
+        let segment = match decode(&packet) {
+            Ok(segment) => segment,
+            Err(reason) => return (Outcome::Discarded(Discard::Undecodable(reason)), 0),
+        };
+        let services = Arc::clone(self.placement.services());
+        let Some(class) = Classified::new(&services, &segment) else {
+            let reason = Discard::Placement(DropReason::UnknownAddress);
+            return (Outcome::Discarded(reason), 0);
+        };
+        let root = self.tracer.root(class.flow, parent, route.hops);
+        drop(Span::enter_with_parent("decode", &root));
+        drop(Span::enter_with_parent("classify", &root));
+        let outcome = match self.admit(now, &class, &segment, route, &root) {
+            Ok(()) => self.place(now, &services, (&class, &segment), packet, route, &root),
+            Err(refusal) => refuse(&class, &segment, refusal),
+        };
+        (outcome, self.tracer.span_id(&root))
+    }
+
+    /// Asks the admission on the instance that places the service's new flows.
+    fn admit(
+        &mut self,
+        now: Duration,
+        class: &Classified<'_>,
+        segment: &Segment,
+        route: Route,
+        root: &Span,
+    ) -> Result<(), Refusal> {
+        let placing = match route.stage {
+            Stage::Placer => true,
+            Stage::Entry => self.placement.places(class.service.id),
+            _ => false,
+        };
+        if !placing {
+            return Ok(());
+        }
+        if segment.flags.ends() {
+            self.admission.closed(now, class.flow);
+        }
+        if class.from.is_some() || !segment.flags.opens() {
+            return Ok(());
+        }
+        let _span = Span::enter_with_parent("admit", root);
+        self.admission.admit(now, class)
+    }
+
+    fn place(
+        &mut self,
+        now: Duration,
+        services: &Services,
+        (class, segment): (&Classified<'_>, &Segment),
+        packet: Vec<u8>,
+        route: Route,
+        root: &Span,
+    ) -> Outcome {
+        let place = Span::enter_with_parent("place", root);
+        let verdict = self.placement.decide(now, class, segment, route);
+        drop(place);
+        match verdict {
+            Verdict::ToTarget(target) => {
+                let _span = Span::enter_with_parent("forward", root);
+                forward::forward(services, target, packet)
+            }
+            Verdict::ToCaller => {
+                let _span = Span::enter_with_parent("answer", root);
+                answer::answer(class.service, packet)
+            }
+            Verdict::ToInstance(to, route) => {
+                let _span = Span::enter_with_parent("forward", root);
+                Outcome::Instance(to, route, packet)
+            }
+            Verdict::Refuse(reason, retry_after) => {
+                refuse(class, segment, Refusal { reason, retry_after })
+            }
+            Verdict::Reset => match answer::reset(segment) {
+                Some(reset) => Outcome::Reset(class.service.id, reset),
+                None => Outcome::Discarded(Discard::Placement(DropReason::UnknownFlow)),
+            },
+            Verdict::Drop(reason) => Outcome::Discarded(Discard::Placement(reason)),
+        }
+    }
+}
+
+fn refuse(class: &Classified<'_>, segment: &Segment, refusal: Refusal) -> Outcome {
+    match answer::reset(segment) {
+        Some(reset) => Outcome::Refused(class.service.id, refusal, reset),
+        None => Outcome::Discarded(Discard::Placement(DropReason::UnknownFlow)),
+    }
+}
--- /dev/null
+++ b/src/placement.rs
@@ -0,0 +1,22 @@
+//! Which target a packet goes to, and which instance decides it.
+//!
+//! Every flow has an owner: the live instance that ranks first for the flow. The owner
+//! binds the flow to a target at its first packet and keeps the record. The placer of a
+//! service, one instance that sees all new flows of it, advises owners on load. Any other
+//! instance learns bindings from the answers that pass through it.
+
+mod choice;
+mod core;
+mod flow_table;
+mod load;
+mod ranks;
+mod route;
+mod target_view;
+
+pub use self::core::{Placement, PlacementConfig};
+pub use choice::{choose, preferred};
+pub use flow_table::{Binding, FlowTable, Role};
+pub use load::{Load, LoadTable};
+pub use ranks::Ranks;
+pub use route::{DropReason, RefuseReason, Route, Stage, Verdict};
+pub use target_view::{TargetState, TargetView, TargetViews};
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,7 @@
+//! The platform's object API: objects with versions, conditional updates and watches.
+
+mod api;
+mod client;
+
+pub use api::{Call, Changes, Object, Platform, PlatformError, PlatformFuture, Reply, Revision};
+pub use client::HttpPlatform;
--- /dev/null
+++ b/src/telemetry/trace.rs
@@ -0,0 +1,68 @@
+//! Traces: a span for each step of a sampled packet, joined over instances by the flow.
+
+use fastrace::Span;
+use fastrace::collector::{Config, Reporter, SpanContext, SpanId, SpanRecord, TraceId};
+
+use crate::ids::{FlowId, InstanceId};
+
+/// Starts the spans of one instance.
+#[derive(Debug, Clone, Copy)]
+pub struct Tracer {
+    instance: InstanceId,
+    one_in: u32,
+}
+
+impl Tracer {
+    /// Makes a tracer that samples one flow in so many; 0 samples none.
+    pub fn new(instance: InstanceId, one_in: u32) -> Self {
+        Self { instance, one_in }
+    }
+
+    /// Starts the span of a packet at this instance. All instances sample the same flows,
+    /// since the choice depends on the fingerprint alone.
+    pub fn root(&self, flow: FlowId, parent: u64, hops: u8) -> Span {
+        if self.one_in == 0 || !flow.is_multiple_of(u64::from(self.one_in)) {
+            return Span::noop();
+        }
+        let cx = SpanContext::new(TraceId(u128::from(flow)), SpanId(parent));
+        Span::root("packet", cx).with_properties(|| {
+            [("instance", self.instance.to_string()), ("hops", hops.to_string())]
+        })
+    }
+
+    /// Returns the number under which the next instance joins its span; 0 if not sampled.
+    pub fn span_id(&self, span: &Span) -> u64 {
+        SpanContext::from_span(span).map_or(0, |cx| cx.span_id.0)
+    }
+}
+
+/// Writes spans to the log.
+#[derive(Debug)]
+struct LogReporter;
+
+impl Reporter for LogReporter {
+    fn report(&mut self, spans: Vec<SpanRecord>) {
+        for span in spans {
+            let property = |name: &str| {
+                let found = span.properties.iter().find(|(key, _)| key == name);
+                found.map_or(String::new(), |(_, value)| value.to_string())
+            };
+            log::info!(
+                trace = format!("{:016x}", span.trace_id.0).as_str(),
+                span = format!("{:016x}", span.span_id.0).as_str(),
+                parent = format!("{:016x}", span.parent_id.0).as_str(),
+                step = span.name.as_ref(),
+                instance = property("instance").as_str(),
+                hops = property("hops").as_str(),
+                begin_ns = span.begin_time_unix_ns,
+                duration_ns = span.duration_ns;
+                "span"
+            );
+        }
+    }
+}
+
+/// Sends the spans of this process to its log.
+pub fn report_spans() {
+    fastrace::set_reporter(LogReporter, Config::default());
+}
