Track the target stand-in's files

Cause: the ignore pattern for build output matched lab/src/target/ too, so a fresh clone did not build. Ruled out: a missing module declaration.

--- /dev/null
+++ b/lab/src/target/process.rs
@@ -0,0 +1,120 @@
+//! All targets of one process.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::Ipv4Addr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_lite::FutureExt;
+use limpetdeck::hash::HashMap;
+use limpetdeck::http::{self, HandlerFuture, Request, Response, StatusCode};
+use limpetdeck::services::{RawServices, Services};
+use limpetdeck::signals::StopSignals;
+use smol::LocalExecutor;
+use smol::net::TcpListener;
+
+use super::journal::Journal;
+use super::{TargetConfig, TargetMode, TargetServer};
+use crate::stack::{Host, Port};
+
+/// Longest time between two steps of the targets.
+const STEP: Duration = Duration::from_millis(5);
+
+type Servers = Rc<RefCell<Vec<TargetServer>>>;
+
+pub(super) async fn run(ex: Rc<LocalExecutor<'static>>, cfg: TargetConfig) -> io::Result<()> {
+    let services = load_services(&cfg.services)?;
+    let servers: Servers = Rc::new(RefCell::new(make_servers(&cfg, &services)));
+    let listener = TcpListener::bind(cfg.control).await?;
+    let controlled = Rc::clone(&servers);
+    let handler = move |req: Request| -> HandlerFuture {
+        let response = control(&controlled, &req);
+        Box::pin(async move { response })
+    };
+    ex.spawn(http::serve(Rc::clone(&ex), listener, Rc::new(handler))).detach();
+    let mut journal = Journal::create(&cfg.journal)?;
+    let mut signals = StopSignals::catch()?;
+    log::info!(targets = servers.borrow().len(); "targets_started");
+    let stopped = async {
+        signals.next().await;
+        Ok(())
+    };
+    let result = work(&cfg, &servers, &mut journal).or(stopped).await;
+    journal.flush();
+    result
+}
+
+/// Reads and checks a services file in TOML.
+///
+/// # Errors
+///
+/// Fails if the file cannot be read or has findings.
+pub(crate) fn load_services(path: &Path) -> io::Result<Services> {
+    let text = std::fs::read_to_string(path)?;
+    let raw: RawServices = toml::from_str(&text).map_err(io::Error::other)?;
+    Services::try_from(raw).map_err(io::Error::other)
+}
+
+fn make_servers(cfg: &TargetConfig, services: &Services) -> Vec<TargetServer> {
+    let work = Duration::from_millis(cfg.work_ms);
+    let feed = Duration::from_millis(cfg.feed_ms);
+    let targets = services
+        .list()
+        .iter()
+        .flat_map(|service| service.targets.iter().map(|target| (service.id, target.clone())));
+    targets.map(|(service, target)| TargetServer::new(target, service, work, feed)).collect()
+}
+
+async fn work(cfg: &TargetConfig, servers: &Servers, journal: &mut Journal) -> io::Result<()> {
+    let started = Instant::now();
+    let mut port = Port::open(cfg.listen, cfg.fabric)?;
+    let mut hosts: HashMap<Ipv4Addr, Host> = HashMap::default();
+    for server in servers.borrow().iter() {
+        let ip = *server.target().address.ip();
+        hosts.insert(ip, Host::new(ip, cfg.seed ^ u64::from(u32::from(ip))));
+    }
+    loop {
+        port.receive(STEP, &mut hosts).await;
+        let now = started.elapsed();
+        for server in servers.borrow_mut().iter_mut() {
+            let Some(host) = hosts.get_mut(server.target().address.ip()) else { continue };
+            let before = host.poll(now);
+            server.step(now, host, journal);
+            let after = host.poll(now);
+            if server.mode() != TargetMode::Dead {
+                before.iter().chain(&after).for_each(|packet| port.send(packet));
+            }
+        }
+    }
+}
+
+fn control(servers: &Servers, req: &Request) -> Response {
+    let id = req.query("target").and_then(|text| text.parse().ok());
+    let mut servers = servers.borrow_mut();
+    let Some(server) = servers.iter_mut().find(|server| Some(server.target().id) == id) else {
+        return Response::text(StatusCode::NOT_FOUND, "no such target\n");
+    };
+    match req.route() {
+        "/report" if server.mode() == TargetMode::Dead => {
+            Response::text(StatusCode::SERVICE_UNAVAILABLE, "dead\n")
+        }
+        "/report" => Response::json(StatusCode::OK, &server.report()),
+        "/set" => match set(server, req) {
+            Ok(()) => Response::text(StatusCode::OK, "ok\n"),
+            Err(problem) => Response::text(StatusCode::BAD_REQUEST, problem),
+        },
+        _ => Response::text(StatusCode::NOT_FOUND, "no such call\n"),
+    }
+}
+
+fn set(server: &mut TargetServer, req: &Request) -> Result<(), String> {
+    if let Some(mode) = req.query("state") {
+        server.set_mode(mode.parse()?);
+    }
+    if let Some(honesty) = req.query("report") {
+        server.set_honesty(honesty.parse()?);
+    }
+    Ok(())
+}
