Part the instance along its messages and its control budget

Cause: all wiring of control traffic stood in one file, and heartbeats alone were charged to the budget, so parts could not grow beside each other. Ruled out: a queue inside the budget, which would send old news late; the sender keeps what it still wants told and sends what is true when it may. Change: Link and Outbox charge every control message, datagram overhead included, by class; membership, lists, targets and placement each have messages, a tick and news of their own. Conclusion: the parts can be built side by side.

--- a/src/budget.rs
+++ b/src/budget.rs
@@ -21,6 +21,17 @@
 }
 
 impl Class {
+    /// Returns the name under which metrics show the class.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Liveness => "liveness",
+            Self::Lists => "lists",
+            Self::Epochs => "epochs",
+            Self::Replicas => "replicas",
+            Self::Bulk => "bulk",
+        }
+    }
+
     /// Part of the bucket, in percent, that is kept for more urgent classes.
     fn reserve_percent(self) -> u64 {
         match self {
--- a/src/instance/registry.rs
+++ b/src/instance/registry.rs
@@ -79,11 +79,6 @@
         calls
     }
 
-    /// Makes the registration due at once.
-    pub(super) fn renew_now(&mut self) {
-        self.renewal.next = Duration::ZERO;
-    }
-
     /// Returns the call that ends the registration.
     pub(super) fn deregister(&self) -> Call {
         Call::Delete { name: self.name.clone() }
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -5,18 +5,19 @@
 use std::time::Duration;
 
 use metrics::{counter, gauge};
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 use super::registry::{INSTANCES, Registry};
 use super::{Action, Event};
-use crate::budget::{Budget, Class};
-use crate::ids::Version;
+use crate::link::Link;
+use crate::lists::Lists;
 use crate::membership::Membership;
-use crate::peer::{Body, Hop, MemberInfo, Sealer};
+use crate::peer::{Body, Hop, MemberInfo};
 use crate::pipeline::{AdmitAll, Discard, Outcome, Pipeline};
-use crate::placement::{Placement, PlacementConfig, Route};
+use crate::placement::{Placement, PlacementConfig, Route, TargetView};
 use crate::platform::{Call, Object, PlatformError, Reply};
-use crate::services::{self, RawServices, Services};
+use crate::targets::Targets;
 use crate::telemetry::Tracer;
 
 /// Time for which a leaving instance keeps forwarding what still reaches it.
@@ -49,9 +50,9 @@
     pipeline: Pipeline,
     membership: Membership,
     registry: Registry,
-    sealer: Sealer,
-    budget: Budget,
-    services_version: Version,
+    lists: Lists,
+    targets: Targets,
+    link: Link,
     last_tick: Duration,
     stale_until: Option<Duration>,
     leaving_since: Option<Duration>,
@@ -59,18 +60,19 @@
 
 impl Instance {
     /// Makes an instance that starts now; all its randomness comes from `rng`.
-    pub fn new(now: Duration, cfg: InstanceConfig, rng: SmallRng) -> Self {
+    pub fn new(now: Duration, cfg: InstanceConfig, mut rng: SmallRng) -> Self {
         let id = cfg.me.id;
         let placement_cfg = PlacementConfig { me: id, flow_capacity: cfg.flow_capacity };
         let placement = Placement::new(&placement_cfg);
         let tracer = Tracer::new(id, cfg.trace_one_in);
+        let link = Link::new(cfg.peer_key, id, cfg.me.incarnation, cfg.control_budget, now);
         Self {
             pipeline: Pipeline::new(placement, Box::new(AdmitAll), tracer),
-            sealer: Sealer::new(cfg.peer_key, id, cfg.me.incarnation),
-            membership: Membership::new(now, cfg.me, cfg.seeds),
+            link,
+            membership: Membership::new(now, cfg.me, cfg.seeds, SmallRng::from_rng(&mut rng)),
+            lists: Lists::new(SmallRng::from_rng(&mut rng)),
+            targets: Targets::new(id, SmallRng::from_rng(&mut rng)),
             registry: Registry::new(id, rng),
-            budget: Budget::new(cfg.control_budget, now),
-            services_version: 0,
             last_tick: now,
             stale_until: None,
             leaving_since: None,
@@ -82,7 +84,7 @@
         match event {
             Event::Packet(packet) => self.packet(now, packet, Route::ENTRY, 0, out),
             Event::Peer(buf) => self.peer(now, &buf, out),
-            Event::Platform(call, result) => self.platform(now, &call, &result),
+            Event::Platform(call, result) => self.platform(now, &call, &result, out),
             Event::Tick => self.tick(now, out),
             Event::Stop => self.stop(now),
         }
@@ -90,7 +92,7 @@
 
     /// Tells whether the fabric should send packets here.
     pub fn healthy(&self) -> bool {
-        self.leaving_since.is_none() && self.services_version > 0
+        self.leaving_since.is_none() && self.lists.ready()
     }
 
     /// Returns the filters, for their state.
@@ -119,13 +121,11 @@
             }
             Outcome::Instance(to, route, packet) => {
                 counter!("limpetdeck_packets_passed_total").increment(1);
-                let Some(address) = self.membership.address(to) else {
+                let hop = Body::Hop(Hop { route, span, packet });
+                if !self.link.outbox(now, out).pass_on(to, &hop) {
                     counter!("limpetdeck_packets_dropped_total", "reason" => "no_address")
                         .increment(1);
-                    return;
-                };
-                let hop = Body::Hop(Hop { route, span, packet });
-                out.push(Action::Peer(address, self.sealer.seal(&hop)));
+                }
             }
             Outcome::Refused(service, refusal, reset) => {
                 let reason = refusal.reason.to_string();
@@ -148,33 +148,44 @@
     }
 
     fn peer(&mut self, now: Duration, buf: &[u8], out: &mut Vec<Action>) {
-        match self.sealer.open(buf) {
-            Ok((_, Body::Hop(hop))) => self.packet(now, hop.packet, hop.route, hop.span, out),
-            Ok((_, Body::Heartbeat(info))) => {
-                if self.membership.heard(now, info) {
-                    self.members_changed(now);
-                }
-            }
+        let (from, body) = match self.link.open(buf) {
+            Ok(opened) => opened,
             Err(reason) => {
                 let reason = reason.to_string();
                 counter!("limpetdeck_peer_messages_dropped_total", "reason" => reason).increment(1);
+                return;
+            }
+        };
+        if let Body::Hop(hop) = body {
+            return self.packet(now, hop.packet, hop.route, hop.span, out);
+        }
+        let mut outbox = self.link.outbox(now, out);
+        match body {
+            Body::Hop(_) => {}
+            Body::Membership(message) => {
+                self.membership.on_message(now, from, message, &mut outbox);
+            }
+            Body::Lists(message) => self.lists.on_message(now, from, message, &mut outbox),
+            Body::Targets(message) => self.targets.on_message(now, from, message, &mut outbox),
+            Body::Flows(message) => {
+                self.pipeline.placement.on_message(now, from, message, &mut outbox);
             }
         }
+        self.join_parts(now);
     }
 
     fn tick(&mut self, now: Duration, out: &mut Vec<Action>) {
         self.notice_pause(now);
-        if self.membership.tick(now) {
-            self.members_changed(now);
-        }
-        for flow in self.pipeline.placement.tick(now) {
+        let mut outbox = self.link.outbox(now, out);
+        self.membership.tick(now, &mut outbox);
+        let live = self.membership.live();
+        self.lists.tick(now, &live, &mut outbox);
+        self.targets.tick(now, &live, &mut outbox);
+        for flow in self.pipeline.placement.tick(now, &mut outbox) {
             self.pipeline.admission.closed(now, flow);
         }
-        self.send_heartbeats(now, out);
-        let me = serde_json::to_value(self.membership.me()).unwrap_or_default();
-        if self.leaving_since.is_none() {
-            out.extend(self.registry.due(now, &me).into_iter().map(Action::Platform));
-        }
+        self.join_parts(now);
+        self.call_platform(now, out);
         gauge!("limpetdeck_flows_known").set(self.pipeline.placement.flows().len() as f64);
         if self.leaving_since.is_some_and(|since| now >= since + LINGER) {
             out.push(Action::Platform(self.registry.deregister()));
@@ -197,22 +208,30 @@
         }
     }
 
-    fn send_heartbeats(&mut self, now: Duration, out: &mut Vec<Action>) {
-        for to in self.membership.heartbeats(now) {
-            let body = Body::Heartbeat(self.membership.me().clone());
-            let buf = self.sealer.seal(&body);
-            self.budget.spend(now, Class::Liveness, buf.len());
-            counter!("limpetdeck_control_bytes_total", "class" => "liveness")
-                .increment(buf.len() as u64);
-            out.push(Action::Peer(to, buf));
+    /// Hands what one part has found to the parts that need it.
+    fn join_parts(&mut self, now: Duration) {
+        if self.membership.take_changed() {
+            let (owners, live) = (self.membership.owners(), self.membership.live());
+            log::info!(live = live.len(), owners = owners.len(); "members");
+            gauge!("limpetdeck_instances_live").set(live.len() as f64);
+            self.link.set_addresses(self.membership.addresses());
+            self.pipeline.placement.set_members(now, owners, live);
+        }
+        if let Some((version, services)) = self.lists.take_services() {
+            self.targets.set_services(Arc::clone(&services));
+            self.pipeline.placement.set_services(now, version, services);
+        }
+        for change in self.targets.take_news() {
+            let view = TargetView { state: change.state, version: change.version, since: now };
+            self.pipeline.placement.set_target(change.target, view);
         }
     }
 
-    fn members_changed(&mut self, now: Duration) {
-        let live = self.membership.live();
-        log::info!(live = live.len(), owners = self.membership.owners().len(); "members");
-        gauge!("limpetdeck_instances_live").set(live.len() as f64);
-        self.pipeline.placement.set_members(now, self.membership.owners(), live);
+    fn call_platform(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if self.leaving_since.is_none() {
+            let me = serde_json::to_value(self.membership.me()).unwrap_or_default();
+            out.extend(self.registry.due(now, &me).into_iter().map(Action::Platform));
+        }
     }
 
     fn stop(&mut self, now: Duration) {
@@ -220,18 +239,24 @@
             log::info!(instance = self.membership.me().id; "leaving");
             self.leaving_since = Some(now);
             self.membership.leave();
-            self.registry.renew_now();
-            self.members_changed(now);
+            self.join_parts(now);
         }
     }
 
-    fn platform(&mut self, now: Duration, call: &Call, result: &Result<Reply, PlatformError>) {
+    fn platform(
+        &mut self,
+        now: Duration,
+        call: &Call,
+        result: &Result<Reply, PlatformError>,
+        out: &mut Vec<Action>,
+    ) {
         self.registry.done(now, call, result);
         match result {
             Ok(Reply::Changes(changes)) => {
                 for object in &changes.objects {
-                    self.object(now, object);
+                    self.object(now, object, out);
                 }
+                self.join_parts(now);
             }
             Ok(_) => {}
             Err(e) => {
@@ -241,49 +266,23 @@
         }
     }
 
-    fn object(&mut self, now: Duration, object: &Object) {
-        if object.name == services::OBJECT_NAME {
-            self.adopt_services(object);
-        } else if object.name.starts_with(INSTANCES) && !object.value.is_null() {
+    fn object(&mut self, now: Duration, object: &Object, out: &mut Vec<Action>) {
+        let mut outbox = self.link.outbox(now, out);
+        self.lists.on_object(now, object, &mut outbox);
+        self.targets.on_object(now, object, &mut outbox);
+        if object.name.starts_with(INSTANCES) && !object.value.is_null() {
             match serde_json::from_value::<MemberInfo>(object.value.clone()) {
-                Ok(info) => {
-                    if self.membership.listed(now, info) {
-                        self.members_changed(now);
-                    }
+                Ok(info) => self.membership.listed(now, info),
+                Err(e) => {
+                    log::warn!(
+                        object = object.name.as_str(),
+                        problem = e.to_string().as_str();
+                        "object_refused"
+                    );
                 }
-                Err(e) => refuse_object(object, &e.to_string()),
             }
         }
     }
-
-    /// Takes the services if they are newer and valid; else the last good ones stay.
-    fn adopt_services(&mut self, object: &Object) {
-        if object.version <= self.services_version {
-            return;
-        }
-        let checked = match serde_json::from_value::<RawServices>(object.value.clone()) {
-            Ok(raw) => Services::try_from(raw),
-            Err(e) => return refuse_object(object, &e.to_string()),
-        };
-        match checked {
-            Ok(services) => {
-                self.services_version = object.version;
-                log::info!(version = object.version, services = services.list().len(); "services");
-                self.pipeline.placement.set_services(Arc::new(services));
-            }
-            Err(findings) => refuse_object(object, &findings.to_string()),
-        }
-    }
-}
-
-fn refuse_object(object: &Object, problem: &str) {
-    counter!("limpetdeck_objects_refused_total").increment(1);
-    log::warn!(
-        object = object.name.as_str(),
-        version = object.version,
-        problem = problem;
-        "object_refused"
-    );
 }
 
 fn dropped(reason: Discard) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! socket, read no clock and draw random numbers only from a source that the embedder
 //! seeds, so that the same code runs in the daemon, in tests and in the measuring driver.
 
+pub mod admission;
 pub mod budget;
 pub mod ctl;
 pub mod entry;
@@ -12,6 +13,8 @@
 pub mod http;
 pub mod ids;
 pub mod instance;
+pub mod link;
+pub mod lists;
 pub mod membership;
 pub mod packet;
 pub mod peer;
@@ -21,4 +24,5 @@
 pub mod services;
 pub mod settings;
 pub mod signals;
+pub mod targets;
 pub mod telemetry;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -1,11 +1,19 @@
 //! Which instances are live, as far as this one knows.
 
+mod message;
+
+pub use message::Message;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand::rngs::SmallRng;
+
+use crate::budget::Class;
 use crate::hash::HashMap;
 use crate::ids::{Incarnation, InstanceId};
-use crate::peer::{MemberInfo, MemberState};
+use crate::link::Outbox;
+use crate::peer::{Body, MemberInfo, MemberState};
 
 /// Time between two heartbeats to each peer.
 const HEARTBEAT_EVERY: Duration = Duration::from_millis(500);
@@ -29,12 +37,20 @@
     next_heartbeat: Duration,
     peers: HashMap<InstanceId, Peer>,
     seeds: Vec<SocketAddr>,
+    changed: bool,
 }
 
 impl Membership {
     /// Makes a membership of this instance alone.
-    pub fn new(now: Duration, me: MemberInfo, seeds: Vec<SocketAddr>) -> Self {
-        Self { me, started: now, next_heartbeat: now, peers: HashMap::default(), seeds }
+    pub fn new(now: Duration, me: MemberInfo, seeds: Vec<SocketAddr>, _rng: SmallRng) -> Self {
+        Self {
+            me,
+            started: now,
+            next_heartbeat: now,
+            peers: HashMap::default(),
+            seeds,
+            changed: true,
+        }
     }
 
     /// Returns this instance as others see it.
@@ -42,62 +58,54 @@
         &self.me
     }
 
-    /// Takes a heartbeat of a peer; answers whether the membership changed.
-    pub fn heard(&mut self, now: Duration, info: MemberInfo) -> bool {
-        if info.id == self.me.id {
-            return false;
+    /// Takes a message of a peer.
+    pub fn on_message(
+        &mut self,
+        now: Duration,
+        _from: InstanceId,
+        message: Message,
+        _out: &mut Outbox<'_>,
+    ) {
+        match message {
+            Message::Heartbeat(info) => self.heard(now, info),
         }
-        let known = self.peers.get(&info.id);
-        if known.is_some_and(|peer| peer.info.incarnation > info.incarnation) {
-            return false;
-        }
-        let changed = known.is_none_or(|peer| peer.info != info);
-        self.peers.insert(info.id, Peer { info, heard: now });
-        changed
     }
 
     /// Takes a peer from the platform's list, which lags: a known one stays as it is.
-    pub fn listed(&mut self, now: Duration, info: MemberInfo) -> bool {
+    pub fn listed(&mut self, now: Duration, info: MemberInfo) {
         let known = self.peers.get(&info.id).map(|peer| peer.info.incarnation);
-        if known.is_some_and(|known: Incarnation| known >= info.incarnation) {
-            return false;
+        if known.is_none_or(|known: Incarnation| known < info.incarnation) {
+            self.heard(now, info);
         }
-        self.heard(now, info)
     }
 
     /// Announces that this instance will stop.
     pub fn leave(&mut self) {
         self.me.state = MemberState::Leaving;
         self.next_heartbeat = Duration::ZERO;
+        self.changed = true;
     }
 
-    /// Advances time; answers whether the membership changed.
-    pub fn tick(&mut self, now: Duration) -> bool {
+    /// Advances time; due about ten times a second.
+    pub fn tick(&mut self, now: Duration, out: &mut Outbox<'_>) {
         let before = self.peers.len();
         self.peers.retain(|_, peer| now.saturating_sub(peer.heard) < DEAD_AFTER);
-        let joined = self.me.state == MemberState::Joining && now >= self.started + JOIN_TIME;
-        if joined {
+        self.changed |= self.peers.len() != before;
+        if self.me.state == MemberState::Joining && now >= self.started + JOIN_TIME {
             self.me.state = MemberState::Live;
             self.next_heartbeat = now;
+            self.changed = true;
         }
-        joined || self.peers.len() != before
+        self.send_heartbeats(now, out);
     }
 
-    /// Returns the addresses that a heartbeat is due to now.
-    pub fn heartbeats(&mut self, now: Duration) -> Vec<SocketAddr> {
-        if now < self.next_heartbeat {
-            return Vec::new();
-        }
-        self.next_heartbeat = now + HEARTBEAT_EVERY;
-        let mut to: Vec<_> = self.peers.values().map(|peer| peer.info.peer_address).collect();
-        let me = self.me.peer_address;
-        to.extend(self.seeds.iter().copied().filter(|&seed| seed != me));
-        to.sort_unstable();
-        to.dedup();
-        to
+    /// Tells whether the live instances, their states or addresses have changed since the
+    /// last call.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
     }
 
-    /// Returns the live instances that may own flows.
+    /// Returns the live instances that may own flows, this one among them if it may.
     pub fn owners(&self) -> Vec<InstanceId> {
         let all = self.all();
         let live: Vec<_> =
@@ -113,9 +121,37 @@
         self.all().map(|info| info.id).collect()
     }
 
-    /// Returns the address of a peer.
-    pub fn address(&self, id: InstanceId) -> Option<SocketAddr> {
-        self.peers.get(&id).map(|peer| peer.info.peer_address)
+    /// Returns the addresses of all live peers.
+    pub fn addresses(&self) -> HashMap<InstanceId, SocketAddr> {
+        self.peers.iter().map(|(&id, peer)| (id, peer.info.peer_address)).collect()
+    }
+
+    fn heard(&mut self, now: Duration, info: MemberInfo) {
+        if info.id == self.me.id {
+            return;
+        }
+        let known = self.peers.get(&info.id);
+        if known.is_some_and(|peer| peer.info.incarnation > info.incarnation) {
+            return;
+        }
+        self.changed |= known.is_none_or(|peer| peer.info != info);
+        self.peers.insert(info.id, Peer { info, heard: now });
+    }
+
+    fn send_heartbeats(&mut self, now: Duration, out: &mut Outbox<'_>) {
+        if now < self.next_heartbeat {
+            return;
+        }
+        self.next_heartbeat = now + HEARTBEAT_EVERY;
+        let me = self.me.peer_address;
+        let mut to: Vec<_> = self.peers.values().map(|peer| peer.info.peer_address).collect();
+        to.extend(self.seeds.iter().copied().filter(|&seed| seed != me));
+        to.sort_unstable();
+        to.dedup();
+        let body = Body::Membership(Message::Heartbeat(self.me.clone()));
+        for address in to {
+            out.send_to(address, Class::Liveness, &body);
+        }
     }
 
     fn all(&self) -> impl Iterator<Item = &MemberInfo> {
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{FailureDomain, Incarnation, InstanceId};
-use crate::placement::Route;
+use crate::placement::{self, Route};
+use crate::{lists, membership, targets};
 
 /// What an instance says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -46,11 +47,17 @@
     pub packet: Vec<u8>,
 }
 
-/// A message between instances.
+/// A message between instances. Each part of an instance has messages of its own.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
     /// A packet that is passed on.
     Hop(Hop),
-    /// A sign of life.
-    Heartbeat(MemberInfo),
+    /// Who is live.
+    Membership(membership::Message),
+    /// Which versions of the lists there are, and their contents.
+    Lists(lists::Message),
+    /// In which state targets are.
+    Targets(targets::Message),
+    /// To which targets flows are bound.
+    Flows(placement::Message),
 }
--- a/src/placement/core.rs
+++ b/src/placement/core.rs
@@ -6,11 +6,12 @@
 
 use super::route::MAX_HOPS;
 use super::{
-    Binding, DropReason, FlowTable, LoadTable, Ranks, RefuseReason, Role, Route, Stage,
+    Binding, DropReason, FlowTable, LoadTable, Message, Ranks, RefuseReason, Role, Route, Stage,
     TargetState, TargetView, TargetViews, Verdict, choose,
 };
 use crate::flow::Classified;
-use crate::ids::{FlowId, InstanceId, ServiceId, TargetId};
+use crate::ids::{FlowId, InstanceId, ServiceId, TargetId, Version};
+use crate::link::Outbox;
 use crate::packet::Segment;
 use crate::services::{Service, Services};
 
@@ -77,7 +78,7 @@
     }
 
     /// Takes the services that are in force.
-    pub fn set_services(&mut self, services: Arc<Services>) {
+    pub fn set_services(&mut self, _now: Duration, _version: Version, services: Arc<Services>) {
         self.services = services;
     }
 
@@ -129,7 +130,7 @@
 
     /// Ages records and loads; to be called about ten times a second. Returns the flows
     /// that have ended without a packet that says so.
-    pub fn tick(&mut self, now: Duration) -> Vec<FlowId> {
+    pub fn tick(&mut self, now: Duration, _out: &mut Outbox<'_>) -> Vec<FlowId> {
         if self.previous.as_ref().is_some_and(|previous| previous.until <= now) {
             self.previous = None;
         }
@@ -144,6 +145,16 @@
         ended
     }
 
+    /// Takes a message of another instance.
+    pub fn on_message(
+        &mut self,
+        _now: Duration,
+        _from: InstanceId,
+        _message: Message,
+        _out: &mut Outbox<'_>,
+    ) {
+    }
+
     /// Tells whether this instance places the new flows of a service.
     pub fn places(&self, service: ServiceId) -> bool {
         self.ranks.placer(service).is_none_or(|placer| placer == self.me)
--- a/tests/flow_trace.rs
+++ b/tests/flow_trace.rs
@@ -7,6 +7,7 @@
 use fastrace::collector::{Config, TestReporter};
 use limpetdeck::hash::HashSet;
 use limpetdeck::ids::InstanceId;
+use limpetdeck::link::Link;
 use limpetdeck::pipeline::{AdmitAll, Outcome, Pipeline};
 use limpetdeck::placement::{Placement, PlacementConfig, Route};
 use limpetdeck::services::{RawServices, Services};
@@ -22,9 +23,10 @@
 
 fn pipeline(me: InstanceId) -> Pipeline {
     let mut placement = Placement::new(&PlacementConfig { me, flow_capacity: 1_000 });
-    placement.set_services(services());
+    placement.set_services(Duration::ZERO, 1, services());
     placement.set_members(Duration::ZERO, 1..=6, 1..=6);
-    placement.tick(NOW);
+    let mut link = Link::new([0; 32], me, 1, 3_000, Duration::ZERO);
+    placement.tick(NOW, &mut link.outbox(NOW, &mut Vec::new()));
     Pipeline::new(placement, Box::new(AdmitAll), Tracer::new(me, 1))
 }
 
--- a/tests/peer_seal.rs
+++ b/tests/peer_seal.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use limpetdeck::membership::Message;
 use limpetdeck::peer::{Body, MemberInfo, MemberState, OpenError, Sealer};
 use quickcheck::TestResult;
 use support::checker;
@@ -16,14 +17,14 @@
 
 fn body() -> Body {
     let address: SocketAddr = "127.0.0.1:7201".parse().expect("an address");
-    Body::Heartbeat(MemberInfo {
+    Body::Membership(Message::Heartbeat(MemberInfo {
         id: 1,
         incarnation: 5,
         failure_domain: "gt-centro-a".to_owned(),
         peer_address: address,
         metrics_address: address,
         state: MemberState::Live,
-    })
+    }))
 }
 
 #[test]
