Name the placement policies that are measured against each other

Cause: the driver needs a baseline in which every packet goes through the flow's owner. Change: Policy in PlacementConfig and InstanceConfig; the daemon uses Epochs. Conclusion: one switch, one place.

--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -19,6 +19,7 @@
 use crate::http::{self, HandlerFuture, Request, Response};
 use crate::instance::{Action, Event, Instance, InstanceConfig};
 use crate::peer::{MemberInfo, MemberState};
+use crate::placement::Policy;
 use crate::platform::{Call, HttpPlatform, Platform};
 use crate::settings::Settings;
 use crate::signals::StopSignals;
@@ -132,6 +133,7 @@
         control_budget: settings.control_budget,
         flow_capacity: FLOW_CAPACITY,
         trace_one_in: settings.trace_one_in,
+        policy: Policy::Epochs,
     };
     Instance::new(Duration::ZERO, cfg, rng)
 }
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -15,7 +15,7 @@
 use crate::membership::Membership;
 use crate::peer::{Body, Hop, MemberInfo};
 use crate::pipeline::{AdmitAll, Discard, Outcome, Pipeline};
-use crate::placement::{Placement, PlacementConfig, Route, TargetView};
+use crate::placement::{Placement, PlacementConfig, Policy, Route, TargetView};
 use crate::platform::{Call, Object, PlatformError, Reply};
 use crate::targets::Targets;
 use crate::telemetry::Tracer;
@@ -42,6 +42,8 @@
     pub flow_capacity: usize,
     /// One flow in this many is traced; 0 traces none.
     pub trace_one_in: u32,
+    /// Which records are replicated, and who may forward a packet.
+    pub policy: Policy,
 }
 
 /// One instance: all decisions, no sockets.
@@ -62,7 +64,8 @@
     /// Makes an instance that starts now; all its randomness comes from `rng`.
     pub fn new(now: Duration, cfg: InstanceConfig, mut rng: SmallRng) -> Self {
         let id = cfg.me.id;
-        let placement_cfg = PlacementConfig { me: id, flow_capacity: cfg.flow_capacity };
+        let placement_cfg =
+            PlacementConfig { me: id, flow_capacity: cfg.flow_capacity, policy: cfg.policy };
         let placement = Placement::new(&placement_cfg);
         let tracer = Tracer::new(id, cfg.trace_one_in);
         let link = Link::new(cfg.peer_key, id, cfg.me.incarnation, cfg.control_budget, now);
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -14,7 +14,7 @@
 mod route;
 mod target_view;
 
-pub use self::core::{Placement, PlacementConfig};
+pub use self::core::{Placement, PlacementConfig, Policy};
 pub use choice::{choose, preferred};
 pub use flow_table::{Binding, FlowTable, Role};
 pub use load::{Load, LoadTable};
--- a/src/placement/core.rs
+++ b/src/placement/core.rs
@@ -20,6 +20,18 @@
 /// Time after which a caller that was refused may come back.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Which records are replicated, and who may forward a packet.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Policy {
+    /// Only exceptions that outlive short flows are replicated, and every instance learns
+    /// bindings from answers.
+    #[default]
+    Epochs,
+    /// Every record is replicated at once, and every packet goes through the flow's owner.
+    /// A baseline to measure against.
+    Owner,
+}
+
 /// What placement needs to know of its instance.
 #[derive(Debug, Clone)]
 pub struct PlacementConfig {
@@ -27,6 +39,8 @@
     pub me: InstanceId,
     /// Flows that the table holds at most.
     pub flow_capacity: usize,
+    /// Which records are replicated, and who may forward a packet.
+    pub policy: Policy,
 }
 
 /// The ranks before the last change of membership, while the change spreads.
@@ -40,6 +54,7 @@
 #[derive(Debug)]
 pub struct Placement {
     me: InstanceId,
+    policy: Policy,
     services: Arc<Services>,
     ranks: Ranks,
     previous: Option<Previous>,
@@ -66,6 +81,7 @@
     pub fn new(cfg: &PlacementConfig) -> Self {
         Self {
             me: cfg.me,
+            policy: cfg.policy,
             services: Arc::default(),
             ranks: Ranks::new([cfg.me]),
             previous: None,
@@ -199,7 +215,8 @@
         if flags.opens() || flags.ends() {
             return self.pass_to_placer(now, packet);
         }
-        if let Some(binding) = self.flows.get_mut(packet.flow) {
+        let direct = self.policy == Policy::Epochs;
+        if let (true, Some(binding)) = (direct, self.flows.get_mut(packet.flow)) {
             if !binding.needs_touch(now) {
                 let target = binding.target;
                 return self.to_target(target);
--- a/tests/flow_trace.rs
+++ b/tests/flow_trace.rs
@@ -9,7 +9,7 @@
 use limpetdeck::ids::InstanceId;
 use limpetdeck::link::Link;
 use limpetdeck::pipeline::{AdmitAll, Outcome, Pipeline};
-use limpetdeck::placement::{Placement, PlacementConfig, Route};
+use limpetdeck::placement::{Placement, PlacementConfig, Policy, Route};
 use limpetdeck::services::{RawServices, Services};
 use limpetdeck::telemetry::Tracer;
 
@@ -22,7 +22,8 @@
 }
 
 fn pipeline(me: InstanceId) -> Pipeline {
-    let mut placement = Placement::new(&PlacementConfig { me, flow_capacity: 1_000 });
+    let mut placement =
+        Placement::new(&PlacementConfig { me, flow_capacity: 1_000, policy: Policy::Epochs });
     placement.set_services(Duration::ZERO, 1, services());
     placement.set_members(Duration::ZERO, 1..=6, 1..=6);
     let mut link = Link::new([0; 32], me, 1, 3_000, Duration::ZERO);
