Replicate, hand over and look up flow records; retire epochs

Cause: a record lived on its owner alone, so a change of instances lost flows that no other instance had learned, and a removed target's open flows lost their way at once.

Ruled out: one record for each flow to each instance (tens of KB/s); records of all flows to one replica holder at once (2,000 new flows a second are 20 KB/s at 10 bytes each).

Change: epochs of a service's targets, prepared, active and retired, give every flow a choice that needs no record; only exceptions that outlive 2 s are replicated, in batches under the budget. After a change of ranks each instance reviews its table shard by shard, hands over what others own, counts what it places, and makes callers of dead targets show themselves so that they get a matching reset. An unknown flow is asked for among all live instances before its fallback is used.

--- a/lab/src/stack/host.rs
+++ b/lab/src/stack/host.rs
@@ -3,8 +3,9 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use limpetdeck::packet::decode;
 use smoltcp::iface::{Config, Interface, SocketHandle, SocketSet};
-use smoltcp::socket::tcp::{Socket, SocketBuffer};
+use smoltcp::socket::tcp::{Socket, SocketBuffer, State};
 use smoltcp::time::Instant;
 use smoltcp::wire::{HardwareAddress, IpAddress, IpCidr};
 
@@ -65,8 +66,27 @@
     }
 
     /// Takes a packet in at the next poll.
+    ///
+    /// The stack offers a SYN to the first socket that takes it, which may be a listening
+    /// one although the connection exists. A repeated SYN is therefore left out, as the
+    /// connection's socket repeats its answer by itself.
     pub fn receive(&mut self, packet: Vec<u8>) {
-        self.device.received.push_back(packet);
+        if !self.repeats_opening(&packet) {
+            self.device.received.push_back(packet);
+        }
+    }
+
+    fn repeats_opening(&self, packet: &[u8]) -> bool {
+        let Ok(segment) = decode(packet) else { return false };
+        if !segment.flags.opens() {
+            return false;
+        }
+        let remote = (IpAddress::Ipv4(*segment.source.ip()), segment.source.port()).into();
+        self.sockets.iter().any(|(_, socket)| {
+            let smoltcp::socket::Socket::Tcp(socket) = socket;
+            let ended = matches!(socket.state(), State::Closed | State::TimeWait);
+            !ended && socket.remote_endpoint() == Some(remote)
+        })
     }
 
     /// Lets the stack work and returns the packets that it sends.
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -22,6 +22,8 @@
 
 /// Time for which a leaving instance keeps forwarding what still reaches it.
 const LINGER: Duration = Duration::from_secs(4);
+/// Longest time that a leaving instance takes to hand over its records.
+const LONGEST_LINGER: Duration = Duration::from_secs(15);
 /// Gap between two ticks after which the instance was paused.
 const PAUSED_AFTER: Duration = Duration::from_secs(1);
 /// Time after a pause until the instance has heard of all changes again.
@@ -189,13 +191,22 @@
         }
         self.join_parts(now);
         self.call_platform(now, out);
+        gauge!("limpetdeck_replicas_waiting")
+            .set(self.pipeline.placement.replicas_waiting() as f64);
         gauge!("limpetdeck_flows_known").set(self.pipeline.placement.flows().len() as f64);
-        if self.leaving_since.is_some_and(|since| now >= since + LINGER) {
+        if self.leaving_since.is_some_and(|since| self.may_exit(now, since)) {
             out.push(Action::Platform(self.registry.deregister()));
             out.push(Action::Exit);
         }
     }
 
+    /// A leaving instance goes when nothing reaches it any more and its records are handed
+    /// over, or when the longest time for that is up.
+    fn may_exit(&self, now: Duration, since: Duration) -> bool {
+        let handed_over = self.pipeline.placement.handed_over();
+        now >= since + LONGEST_LINGER || (now >= since + LINGER && handed_over)
+    }
+
     /// A gap between ticks means that this instance was paused and may have missed changes.
     fn notice_pause(&mut self, now: Duration) {
         let gap = now.saturating_sub(self.last_tick);
--- a/src/packet/reset.rs
+++ b/src/packet/reset.rs
@@ -1,5 +1,7 @@
 //! Building of the TCP reset that ends a flow visibly.
 
+use std::net::SocketAddrV4;
+
 use etherparse::PacketBuilder;
 
 use super::Segment;
@@ -32,3 +34,16 @@
     builder.write(&mut buf, &[]).ok()?;
     Some(buf)
 }
+
+/// Builds a packet that makes a caller tell where it stands.
+///
+/// A TCP endpoint answers an unexpected acknowledgment by one of its own, from which a
+/// matching reset can be built.
+pub fn keepalive_probe(service: SocketAddrV4, caller: SocketAddrV4) -> Option<Vec<u8>> {
+    let builder = PacketBuilder::ipv4(service.ip().octets(), caller.ip().octets(), TIME_TO_LIVE)
+        .tcp(service.port(), caller.port(), 0, 0)
+        .ack(0);
+    let mut buf = Vec::with_capacity(builder.size(0));
+    builder.write(&mut buf, &[]).ok()?;
+    Some(buf)
+}
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -7,15 +7,22 @@
 
 mod choice;
 mod core;
+mod epochs;
 mod flow_table;
 mod load;
+mod lookup;
 mod message;
 mod ranks;
+mod records;
+mod replication;
 mod route;
 mod target_view;
+mod towards_caller;
+mod towards_target;
 
 pub use self::core::{Placement, PlacementConfig, Policy};
-pub use choice::{choose, preferred};
+pub use choice::choose;
+pub use epochs::{Epoch, Epochs, Phase};
 pub use flow_table::{Binding, FlowTable, Role};
 pub use load::{Load, LoadTable};
 pub use message::{Message, Record};
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -14,16 +14,6 @@
 /// Share of its weight with which a cold target starts.
 const COLD_SHARE: f64 = 0.1;
 
-/// Returns the target that the hash prefers for a flow among all targets given.
-pub fn preferred<'a>(
-    flow: FlowId,
-    targets: impl IntoIterator<Item = &'a Target>,
-) -> Option<TargetId> {
-    let score = |target: &Target| hash_score(flow, target.id, f64::from(target.weight));
-    let best = targets.into_iter().max_by(|a, b| compare(score(a), score(b)));
-    best.map(|target| target.id)
-}
-
 /// Chooses the target of a new flow, or none if no target takes new flows.
 pub fn choose(
     now: Duration,
@@ -35,6 +25,7 @@
     let open: Vec<_> = service
         .targets
         .iter()
+        .filter(|target| !target.former)
         .map(|target| (target, share(now, views.get(target.id))))
         .filter(|(_, share)| *share > 0.0)
         .map(|(target, share)| Candidate::new(flow, target, share, loads.get(target.id)))
@@ -90,7 +81,7 @@
 }
 
 /// Weighted rendezvous: each target wins a share of flows equal to its share of weight.
-fn hash_score(flow: FlowId, target: TargetId, weight: f64) -> f64 {
+pub(super) fn hash_score(flow: FlowId, target: TargetId, weight: f64) -> f64 {
     let hash = stable_pair(flow, u64::from(target)) >> 11;
     let uniform = (hash as f64 + 0.5) / (1u64 << 53) as f64;
     -weight / uniform.ln()
--- a/src/placement/core.rs
+++ b/src/placement/core.rs
@@ -1,13 +1,16 @@
-//! The decisions about packets, as one instance takes them.
+//! Placement as one instance takes part in it: what it knows, and where a packet is sent.
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::lookup::Lookups;
+use super::records::Review;
+use super::replication::Replicator;
 use super::route::MAX_HOPS;
 use super::{
-    Binding, DropReason, FlowTable, LoadTable, Message, Ranks, RefuseReason, Role, Route, Stage,
-    TargetState, TargetView, TargetViews, Verdict, choose,
+    DropReason, Epochs, FlowTable, LoadTable, Ranks, Route, TargetState, TargetView, TargetViews,
+    Verdict,
 };
 use crate::flow::Classified;
 use crate::ids::{FlowId, InstanceId, ServiceId, TargetId, Version};
@@ -17,8 +20,6 @@
 
 /// Time in which a change of membership reaches every live instance.
 const SPREAD: Duration = Duration::from_secs(5);
-/// Time after which a caller that was refused may come back.
-const RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// Which records are replicated, and who may forward a packet.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -27,8 +28,8 @@
     /// bindings from answers.
     #[default]
     Epochs,
-    /// Every record is replicated at once, and every packet goes through the flow's owner.
-    /// A baseline to measure against.
+    /// Every record is replicated, and every packet goes through the flow's owner. A
+    /// baseline to measure against.
     Owner,
 }
 
@@ -45,35 +46,39 @@
 
 /// The ranks before the last change of membership, while the change spreads.
 #[derive(Debug)]
-struct Previous {
-    ranks: Ranks,
+pub(super) struct Previous {
+    pub(super) ranks: Ranks,
     until: Duration,
 }
 
 /// Placement as one instance takes part in it.
 #[derive(Debug)]
 pub struct Placement {
-    me: InstanceId,
-    policy: Policy,
-    services: Arc<Services>,
-    ranks: Ranks,
-    previous: Option<Previous>,
+    pub(super) me: InstanceId,
+    pub(super) policy: Policy,
+    pub(super) services: Arc<Services>,
+    pub(super) epochs: Epochs,
+    pub(super) ranks: Ranks,
+    pub(super) previous: Option<Previous>,
     /// Live instances, ranked or not: a leaving one still answers for its flows.
-    live: Vec<InstanceId>,
-    views: TargetViews,
-    loads: LoadTable,
-    flows: FlowTable,
-    stale: bool,
+    pub(super) live: Vec<InstanceId>,
+    pub(super) views: TargetViews,
+    pub(super) loads: LoadTable,
+    pub(super) flows: FlowTable,
+    pub(super) replicator: Replicator,
+    pub(super) lookups: Lookups,
+    pub(super) review: Review,
+    pub(super) stale: bool,
 }
 
 /// A packet of a flow, towards its service or back.
 #[derive(Debug, Clone, Copy)]
-struct Packet<'a> {
-    flow: FlowId,
-    caller: SocketAddrV4,
-    service: &'a Service,
-    segment: &'a Segment,
-    route: Route,
+pub(super) struct Packet<'a> {
+    pub(super) flow: FlowId,
+    pub(super) caller: SocketAddrV4,
+    pub(super) service: &'a Service,
+    pub(super) segment: &'a Segment,
+    pub(super) route: Route,
 }
 
 impl Placement {
@@ -83,22 +88,31 @@
             me: cfg.me,
             policy: cfg.policy,
             services: Arc::default(),
+            epochs: Epochs::default(),
             ranks: Ranks::new([cfg.me]),
             previous: None,
             live: vec![cfg.me],
             views: TargetViews::default(),
             loads: LoadTable::default(),
             flows: FlowTable::new(cfg.flow_capacity),
+            replicator: Replicator::default(),
+            lookups: Lookups::default(),
+            review: Review::default(),
             stale: false,
         }
     }
 
-    /// Takes the services that are in force.
-    pub fn set_services(&mut self, _now: Duration, _version: Version, services: Arc<Services>) {
-        self.services = services;
+    /// Takes the services that are in force. Targets that they lack keep their open flows.
+    pub fn set_services(&mut self, now: Duration, version: Version, services: Arc<Services>) {
+        self.services = Arc::new(services.with_former(&self.services));
+        for service in self.services.list() {
+            if self.epochs.adopt(now, version, service) {
+                self.review.restart();
+            }
+        }
     }
 
-    /// Returns the services that are in force.
+    /// Returns the services that are in force, with the targets that were removed.
     pub fn services(&self) -> &Arc<Services> {
         &self.services
     }
@@ -111,12 +125,15 @@
         live: impl IntoIterator<Item = InstanceId>,
     ) {
         self.live = live.into_iter().collect();
+        self.live.sort_unstable();
+        self.replicator.keep(&self.live);
         let ranks = Ranks::new(owners);
         if ranks.members() == self.ranks.members() {
             return;
         }
         let ranks = std::mem::replace(&mut self.ranks, ranks);
         self.previous = Some(Previous { ranks, until: now + SPREAD });
+        self.review.restart();
     }
 
     /// Notes whether this instance may have missed changes.
@@ -126,7 +143,11 @@
 
     /// Takes the state of a target; answers whether it was news.
     pub fn set_target(&mut self, target: TargetId, view: TargetView) -> bool {
-        self.views.adopt(target, view)
+        let news = self.views.adopt(target, view);
+        if news && view.state == TargetState::Dead {
+            self.review.restart();
+        }
+        news
     }
 
     /// Returns what is known of the targets' states.
@@ -144,33 +165,30 @@
         &self.loads
     }
 
-    /// Ages records and loads; to be called about ten times a second. Returns the flows
-    /// that have ended without a packet that says so.
-    pub fn tick(&mut self, now: Duration, _out: &mut Outbox<'_>) -> Vec<FlowId> {
+    /// Returns the open epochs.
+    pub fn epochs(&self) -> &Epochs {
+        &self.epochs
+    }
+
+    /// Ages records and loads and sends what is due; to be called about ten times a second.
+    /// Returns the flows that have ended without a packet that says so.
+    pub fn tick(&mut self, now: Duration, out: &mut Outbox<'_>) -> Vec<FlowId> {
         if self.previous.as_ref().is_some_and(|previous| previous.until <= now) {
             self.previous = None;
         }
         self.loads.age(now);
+        self.keep_records(now, out);
         let services = &self.services;
         let idle = |target| services.target(target).map_or(SPREAD, |(s, _)| s.idle_timeout);
         let mut ended = Vec::new();
         self.flows.sweep(now, idle, |flow, _| ended.push(flow));
+        ended.sort_unstable();
         for &flow in &ended {
-            self.loads.closed(flow);
+            self.loads.closed(now, flow);
         }
         ended
     }
 
-    /// Takes a message of another instance.
-    pub fn on_message(
-        &mut self,
-        _now: Duration,
-        _from: InstanceId,
-        _message: Message,
-        _out: &mut Outbox<'_>,
-    ) {
-    }
-
     /// Tells whether this instance places the new flows of a service.
     pub fn places(&self, service: ServiceId) -> bool {
         self.ranks.placer(service).is_none_or(|placer| placer == self.me)
@@ -199,281 +217,4 @@
             Some(target) => self.towards_caller(now, packet, target.id),
         }
     }
-
-    fn towards_target(&mut self, now: Duration, packet: Packet<'_>) -> Verdict {
-        match packet.route.stage {
-            Stage::Entry => self.enter(now, packet),
-            Stage::Placer => self.advise(now, packet),
-            Stage::Owner => self.decide_as_owner(now, packet),
-            Stage::Previous => self.decide_as_previous(now, packet),
-            Stage::Replica | Stage::LastResort => self.look_up(now, packet),
-        }
-    }
-
-    fn enter(&mut self, now: Duration, packet: Packet<'_>) -> Verdict {
-        let flags = packet.segment.flags;
-        if flags.opens() || flags.ends() {
-            return self.pass_to_placer(now, packet);
-        }
-        let direct = self.policy == Policy::Epochs;
-        if let (true, Some(binding)) = (direct, self.flows.get_mut(packet.flow)) {
-            if !binding.needs_touch(now) {
-                let target = binding.target;
-                return self.to_target(target);
-            }
-            binding.touch(now);
-        }
-        self.pass_to_owner(now, packet)
-    }
-
-    fn pass_to_placer(&mut self, now: Duration, packet: Packet<'_>) -> Verdict {
-        match self.ranks.placer(packet.service.id) {
-            Some(placer) if placer != self.me => {
-                Verdict::ToInstance(placer, packet.route.next(Stage::Placer))
-            }
-            _ => self.advise(now, packet),
-        }
-    }
-
-    /// Counts the opening or the end of a flow, and advises the owner of a new one.
-    fn advise(&mut self, now: Duration, mut packet: Packet<'_>) -> Verdict {
-        if packet.segment.flags.opens() {
-            packet.route.advice = self.advice(now, packet);
-        } else {
-            self.loads.closed(packet.flow);
-        }
-        self.pass_to_owner(now, packet)
-    }
-
-    fn advice(&mut self, now: Duration, packet: Packet<'_>) -> Option<TargetId> {
-        if let Some(target) = self.loads.counted_on(packet.flow)
-            && self.takes_new(target)
-        {
-            return Some(target);
-        }
-        let target = choose(now, packet.service, packet.flow, &self.views, &self.loads)?;
-        self.loads.opened(now, packet.flow, target);
-        Some(target)
-    }
-
-    fn pass_to_owner(&mut self, now: Duration, packet: Packet<'_>) -> Verdict {
-        match self.ranks.of(packet.flow, 0) {
-            Some(owner) if owner != self.me => {
-                Verdict::ToInstance(owner, packet.route.next(Stage::Owner))
-            }
-            Some(_) => self.decide_as_owner(now, packet),
-            None => Verdict::Drop(DropReason::NoOwner),
-        }
-    }
-
-    fn decide_as_owner(&mut self, now: Duration, packet: Packet<'_>) -> Verdict {
-        if let Some(verdict) = self.known(now, packet) {
-            return verdict;
-        }
-        let owner = self.ranks.of(packet.flow, 0);
-        if owner.is_some_and(|owner| owner != self.me) {
-            return self.pass_to_owner(now, packet);
-        }
-        if let Some(previous) = self.previous_owner(packet.flow) {
-            return Verdict::ToInstance(previous, packet.route.next(Stage::Previous));
-        }
-        if packet.segment.flags.opens() {
-            return self.bind(now, packet);
-        }
-        self.pass_to_replica(packet)
-    }
-
-    fn decide_as_previous(&mut self, now: Duration, packet: Packet<'_>) -> Verdict {
-        if let Some(verdict) = self.known(now, packet) {
-            return verdict;
-        }
-        if packet.segment.flags.opens() {
-            return self.bind(now, packet);
-        }
-        self.pass_to_replica(packet)
-    }
-
-    fn look_up(&mut self, now: Duration, packet: Packet<'_>) -> Verdict {
-        if let Some(verdict) = self.known(now, packet) {
-            return verdict;
-        }
-        if let Some(target) = self.loads.counted_on(packet.flow) {
-            return self.to_target(target);
-        }
-        if packet.route.stage == Stage::LastResort {
-            return Verdict::Drop(DropReason::UnknownFlow);
-        }
-        match self.ranks.placer(packet.service.id) {
-            Some(placer) if placer != self.me => {
-                Verdict::ToInstance(placer, packet.route.next(Stage::LastResort))
-            }
-            _ => Verdict::Drop(DropReason::UnknownFlow),
-        }
-    }
-
-    fn pass_to_replica(&mut self, packet: Packet<'_>) -> Verdict {
-        let others = (0..2).filter_map(|rank| self.ranks.of(packet.flow, rank));
-        match others.into_iter().find(|&other| other != self.me) {
-            Some(holder) => Verdict::ToInstance(holder, packet.route.next(Stage::Replica)),
-            None => Verdict::Drop(DropReason::UnknownFlow),
-        }
-    }
-
-    /// The live instance that owned a flow before the last change of membership.
-    fn previous_owner(&self, flow: FlowId) -> Option<InstanceId> {
-        let owner = self.previous.as_ref()?.ranks.of(flow, 0)?;
-        (owner != self.me && self.live.contains(&owner)).then_some(owner)
-    }
-
-    /// Decides by the binding of a flow, if there is one.
-    fn known(&mut self, now: Duration, packet: Packet<'_>) -> Option<Verdict> {
-        let segment = packet.segment;
-        let binding = self.flows.get_mut(packet.flow)?;
-        if segment.flags.opens() && binding.opening != segment.sequence {
-            return self.reopen(now, packet);
-        }
-        binding.confirm(now);
-        if segment.flags.ends() {
-            binding.mark_closing();
-        }
-        let target = binding.target;
-        Some(self.to_target(target))
-    }
-
-    /// Decides about a new flow that uses the port of an older one.
-    ///
-    /// Other instances may have learned the older binding, so the new flow keeps to its
-    /// target, or is refused if that target takes no new flows.
-    fn reopen(&mut self, now: Duration, packet: Packet<'_>) -> Option<Verdict> {
-        let binding = *self.flows.get(packet.flow)?;
-        if self.views.get(binding.target).state == TargetState::Dead {
-            self.flows.remove(packet.flow);
-            return None;
-        }
-        if !self.takes_new(binding.target) {
-            return Some(Verdict::Refuse(RefuseReason::TargetLeaving, RETRY_AFTER));
-        }
-        let fresh = Binding::new(now, binding.target, Role::Owner, Some(packet.caller))
-            .opened_with(packet.segment.sequence);
-        self.flows.insert(packet.flow, fresh);
-        Some(Verdict::ToTarget(binding.target))
-    }
-
-    /// Binds a new flow to a target.
-    fn bind(&mut self, now: Duration, packet: Packet<'_>) -> Verdict {
-        if self.stale {
-            return Verdict::Refuse(RefuseReason::Stale, RETRY_AFTER);
-        }
-        let advised = packet.route.advice.filter(|&target| self.takes_new(target));
-        let chosen =
-            advised.or_else(|| choose(now, packet.service, packet.flow, &self.views, &self.loads));
-        let Some(target) = chosen else {
-            return Verdict::Refuse(RefuseReason::NoTarget, RETRY_AFTER);
-        };
-        let binding = Binding::new(now, target, Role::Owner, Some(packet.caller))
-            .opened_with(packet.segment.sequence);
-        if !self.flows.insert(packet.flow, binding) {
-            return Verdict::Refuse(RefuseReason::TableFull, RETRY_AFTER);
-        }
-        Verdict::ToTarget(target)
-    }
-
-    fn takes_new(&self, target: TargetId) -> bool {
-        let state = self.views.get(target).state;
-        matches!(state, TargetState::Serving | TargetState::Cold)
-    }
-
-    fn to_target(&self, target: TargetId) -> Verdict {
-        if self.views.get(target).state == TargetState::Dead {
-            return Verdict::Reset;
-        }
-        Verdict::ToTarget(target)
-    }
-
-    fn towards_caller(&mut self, now: Duration, packet: Packet<'_>, from: TargetId) -> Verdict {
-        match packet.route.stage {
-            Stage::Entry => self.answer_enters(now, packet, from),
-            Stage::Placer => self.answer_at_placer(now, packet, from),
-            _ => self.answer_at_owner(now, packet, from),
-        }
-    }
-
-    fn answer_enters(&mut self, now: Duration, packet: Packet<'_>, from: TargetId) -> Verdict {
-        if packet.segment.flags.ends() {
-            return match self.ranks.placer(packet.service.id) {
-                Some(placer) if placer != self.me => {
-                    Verdict::ToInstance(placer, packet.route.next(Stage::Placer))
-                }
-                _ => self.answer_at_placer(now, packet, from),
-            };
-        }
-        if packet.segment.flags.syn {
-            return self.answer_to_owner(now, packet, from);
-        }
-        match self.flows.get_mut(packet.flow) {
-            Some(binding) if binding.target == from => {
-                binding.confirm(now);
-                binding.mark_answered();
-                if binding.needs_touch(now) {
-                    binding.touch(now);
-                    return self.answer_to_owner(now, packet, from);
-                }
-                Verdict::ToCaller
-            }
-            Some(_) => self.answer_to_owner(now, packet, from),
-            None => {
-                self.learn(now, packet, from);
-                Verdict::ToCaller
-            }
-        }
-    }
-
-    fn answer_at_placer(&mut self, now: Duration, packet: Packet<'_>, from: TargetId) -> Verdict {
-        if self.loads.counted_on(packet.flow) == Some(from) {
-            self.loads.closed(packet.flow);
-        }
-        self.answer_to_owner(now, packet, from)
-    }
-
-    fn answer_to_owner(&mut self, now: Duration, packet: Packet<'_>, from: TargetId) -> Verdict {
-        match self.ranks.of(packet.flow, 0) {
-            Some(owner) if owner != self.me => {
-                Verdict::ToInstance(owner, packet.route.next(Stage::Owner))
-            }
-            _ => self.answer_at_owner(now, packet, from),
-        }
-    }
-
-    /// Lets an answer pass only if the flow is bound to the target that it comes from.
-    fn answer_at_owner(&mut self, now: Duration, packet: Packet<'_>, from: TargetId) -> Verdict {
-        match self.flows.get_mut(packet.flow) {
-            Some(binding) if binding.target == from => {
-                binding.confirm(now);
-                binding.mark_answered();
-                if packet.segment.flags.rst {
-                    binding.mark_closing();
-                }
-                Verdict::ToCaller
-            }
-            Some(binding) if binding.role != Role::Learned => {
-                Verdict::Drop(DropReason::WrongTarget)
-            }
-            _ => {
-                self.learn(now, packet, from);
-                Verdict::ToCaller
-            }
-        }
-    }
-
-    fn learn(&mut self, now: Duration, packet: Packet<'_>, from: TargetId) {
-        if packet.segment.flags.rst {
-            return;
-        }
-        let mine = self.ranks.of(packet.flow, 0) == Some(self.me);
-        let role = if mine { Role::Owner } else { Role::Learned };
-        let mut binding = Binding::new(now, from, role, Some(packet.caller));
-        binding.mark_answered();
-        // A full table is no fault here: the owner still knows the flow.
-        let _ = self.flows.insert(packet.flow, binding);
-    }
 }
--- a/src/placement/flow_table.rs
+++ b/src/placement/flow_table.rs
@@ -78,6 +78,14 @@
         (self.caller_port != 0).then(|| SocketAddrV4::new(ip, self.caller_port))
     }
 
+    /// Notes the caller, if it was not known.
+    pub fn show_caller(&mut self, caller: SocketAddrV4) {
+        if self.caller_port == 0 {
+            self.caller_ip = caller.ip().octets();
+            self.caller_port = caller.port();
+        }
+    }
+
     /// Notes that the binding was confirmed now.
     pub fn confirm(&mut self, now: Duration) {
         self.confirmed = millis(now);
@@ -189,6 +197,11 @@
         self.shards[shard(flow)].get(&flow)
     }
 
+    /// Tells whether a flow is known.
+    pub fn contains(&self, flow: FlowId) -> bool {
+        self.get(flow).is_some()
+    }
+
     /// Finds the binding of a flow for a change.
     pub fn get_mut(&mut self, flow: FlowId) -> Option<&mut Binding> {
         self.shards[shard(flow)].get_mut(&flow)
@@ -229,15 +242,29 @@
         });
     }
 
+    /// Returns the number of shards.
+    pub fn shards(&self) -> usize {
+        SHARDS
+    }
+
+    /// Returns the flows of a shard in a fixed order.
+    pub fn sorted_shard(&self, shard: usize) -> Vec<FlowId> {
+        let mut flows: Vec<_> = self.shards[shard].keys().copied().collect();
+        flows.sort_unstable();
+        flows
+    }
+
+    /// Returns the memory that the bindings take, in bytes.
+    pub fn bytes(&self) -> usize {
+        // One byte of control for each place, as in the standard library's table.
+        let place = size_of::<(FlowId, Binding)>() + 1;
+        self.shards.iter().map(|shard| shard.capacity() * 8 / 7 * place).sum()
+    }
+
     /// Returns all bindings, in no order.
     pub fn iter(&self) -> impl Iterator<Item = (FlowId, &Binding)> {
         self.shards.iter().flatten().map(|(&flow, binding)| (flow, binding))
     }
-
-    /// Returns all bindings for a change, in no order.
-    pub fn iter_mut(&mut self) -> impl Iterator<Item = (FlowId, &mut Binding)> {
-        self.shards.iter_mut().flatten().map(|(&flow, binding)| (flow, binding))
-    }
 }
 
 fn shard(flow: FlowId) -> usize {
--- a/src/placement/message.rs
+++ b/src/placement/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{FlowId, TargetId};
+use crate::ids::{EpochId, FlowId, ServiceId, TargetId};
 
 /// The binding of one flow, as it travels between instances.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,8 +17,12 @@
 /// A message about flows.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
-    /// Records for the receiver to hold.
+    /// Records for the receiver to hold, as the flows' owner or its replica.
     Records(Vec<Record>),
+    /// Flows that have ended: their replicas are not needed any more.
+    Ended(Vec<FlowId>),
     /// Flows whose records the sender lacks.
     Lookup(Vec<FlowId>),
+    /// The sender has replicated all exceptions up to these epochs.
+    Settled(Vec<(ServiceId, EpochId)>),
 }
--- a/src/services/checked.rs
+++ b/src/services/checked.rs
@@ -49,6 +49,8 @@
     pub slots: u32,
     /// Share of new flows relative to the service's other targets.
     pub weight: u32,
+    /// Whether operators have removed the target while flows may still be open on it.
+    pub former: bool,
 }
 
 /// One service.
@@ -100,6 +102,27 @@
         Some((&self.list[service], &self.list[service].targets[target]))
     }
 
+    /// Returns these services with the targets that only the older ones have, marked as
+    /// former: open flows on them go on, and they get no new ones.
+    pub fn with_former(&self, older: &Self) -> Self {
+        let mut list = self.list.clone();
+        for service in &mut list {
+            let Some(before) = older.list.iter().find(|other| other.id == service.id) else {
+                continue;
+            };
+            let gone = before.targets.iter().filter(|target| !self.has(target));
+            service.targets.extend(gone.map(|target| Target { former: true, ..target.clone() }));
+        }
+        Self::index(list)
+    }
+
+    /// Tells whether a target's number or address is in use.
+    fn has(&self, target: &Target) -> bool {
+        self.by_target.contains_key(&target.id)
+            || self.by_target_address.contains_key(&target.address)
+            || self.by_address.contains_key(&target.address)
+    }
+
     fn index(mut list: Vec<Service>) -> Self {
         list.sort_by_key(|service| service.id);
         let mut services = Self::default();
@@ -158,6 +181,7 @@
         failure_domain: raw.failure_domain.clone(),
         slots: raw.slots,
         weight: raw.weight,
+        former: false,
     })
 }
 
