Measure the decision parts under load and faults in virtual time

Placement could be judged only by running processes, which gives no verdict that repeats.

Packets passed between instances are now Action::PassOn, apart from Action::Peer, so that control bytes can be counted from outside.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod arguments;
 pub mod caller;
 pub mod fabric;
+pub mod measure;
 pub mod platform;
 pub mod protocol;
 pub mod result;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use limpetdeck_lab::arguments::{Args, Usage};
-use limpetdeck_lab::{caller, fabric, platform, result, target};
+use limpetdeck_lab::{caller, fabric, measure, platform, result, target};
 
 /// Text for `--help`.
 const HELP: &str = "\
@@ -16,6 +16,7 @@
   target     TCP targets that execute work and keep a journal
   caller     TCP callers that hold feeds and send sales
   result     compares the journals of callers and targets
+  measure    steps the decision parts under load and faults, in virtual time
 
   COMMAND --help    arguments of a command
   --version         print the version
@@ -29,6 +30,7 @@
         Some("target") => target::main(args),
         Some("caller") => caller::main(args),
         Some("result") => result::main(args),
+        Some("measure") => measure::main(args),
         _ if args.flag("--version") => {
             println!("limpetdeck-lab {}", env!("CARGO_PKG_VERSION"));
             Ok(ExitCode::SUCCESS)
--- /dev/null
+++ b/lab/src/measure/faults.rs
@@ -0,0 +1,241 @@
+//! What goes wrong in a run: each fault is a small function that schedules its steps.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use limpetdeck::placement::TargetState;
+use rand::Rng;
+
+use super::node::takes_new;
+use super::platform::Mode;
+use super::settings::Settings;
+use super::world::{Cut, WARM, World};
+
+/// Length of a run that is not given one.
+const LENGTH: Duration = Duration::from_secs(40);
+/// When the first fault begins.
+const FIRST: Duration = Duration::from_secs(12);
+/// Time between the beginnings of two faults.
+const GAP: Duration = Duration::from_secs(4);
+/// Time for which passing faults last.
+const LASTS: Duration = Duration::from_secs(10);
+/// Time between two steps of a rolling restart.
+const RESTART_GAP: Duration = Duration::from_secs(2);
+/// Time that a graceful stop takes at most, with the start after it.
+const RESTART: Duration = Duration::from_secs(6);
+/// Time after a fault from which the balance counts.
+const SETTLE: Duration = Duration::from_secs(10);
+
+/// One fault.
+#[derive(Debug, Clone, Copy)]
+pub struct Fault {
+    /// Name on the command line.
+    pub name: &'static str,
+    /// What it does, for the help.
+    pub about: &'static str,
+    /// Whether it is a planned change, which breaks no flow.
+    pub planned: bool,
+    begin: fn(&mut World),
+}
+
+/// All faults.
+pub const FAULTS: &[Fault] = &[
+    fault("instance-killed", "an instance ends without notice", instance_killed),
+    fault("instance-paused", "an instance stops for 10 s and gets what waited", instance_paused),
+    planned("instance-leaves", "an instance stops gracefully", instance_leaves),
+    planned("instance-joins", "an instance starts", instance_joins),
+    planned("rolling-restart", "all instances are restarted, 2 s apart", rolling_restart),
+    planned("target-leaves", "a target drains", target_leaves),
+    fault("target-killed", "a target ends without notice", target_killed),
+    planned("target-returns", "a target drains and serves again 10 s later", target_returns),
+    planned("target-cold", "a target that was away from the start comes cold", target_cold),
+    fault("target-sheds", "a target refuses new work for 10 s", target_sheds),
+    fault("platform-down", "the platform closes all calls for 10 s", platform_down),
+    fault("platform-slow", "the platform answers after 2 s for 10 s", platform_slow),
+    fault("answer-lost", "writes take effect unanswered for 10 s", answer_lost),
+    fault("platform-stale", "reads give the state of when it began for 10 s", platform_stale),
+    fault("domain-cut", "a failure domain is cut off for 10 s", domain_cut),
+    fault("domain-and-platform-cut", "the same, from the platform too", domain_and_platform_cut),
+    fault("uneven-updates", "news reaches instances up to 4 s apart", uneven_updates),
+    fault("port-reused", "callers use the ports of ended flows", port_reused),
+];
+
+const fn fault(name: &'static str, about: &'static str, begin: fn(&mut World)) -> Fault {
+    Fault { name, about, planned: false, begin }
+}
+
+const fn planned(name: &'static str, about: &'static str, begin: fn(&mut World)) -> Fault {
+    Fault { name, about, planned: true, begin }
+}
+
+impl FromStr for Fault {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let found = FAULTS.iter().find(|fault| fault.name == text);
+        found.copied().ok_or_else(|| format!("no fault {text:?}"))
+    }
+}
+
+/// Returns how long a run has to be for its faults.
+pub fn length(settings: &Settings) -> Duration {
+    let last = GAP * settings.faults.0.len() as u32;
+    let rolling = settings.faults.0.iter().any(|fault| fault.name == "rolling-restart");
+    let restarts = if rolling { RESTART_GAP * settings.instances } else { Duration::ZERO };
+    (FIRST + last + restarts + SETTLE * 2).max(LENGTH)
+}
+
+/// Schedules all faults of a run.
+pub fn schedule(world: &mut World) {
+    let faults = world.settings.faults.0.clone();
+    world.planned = faults.iter().any(|fault| fault.planned);
+    let conditions =
+        |fault: &&Fault| matches!(fault.name, "uneven-updates" | "port-reused" | "target-cold");
+    // What holds from the start has to meet the first change.
+    faults.iter().filter(conditions).for_each(|fault| (fault.begin)(world));
+    if faults.iter().any(|fault| conditions(&fault)) {
+        world.balance_from = FIRST + SETTLE;
+    }
+    let events = faults.iter().filter(|fault| !conditions(fault));
+    for (i, fault) in events.enumerate() {
+        let (at, begin) = (FIRST + GAP * i as u32, fault.begin);
+        world.balance_from = WARM.max(at + SETTLE);
+        world.later(at, begin);
+    }
+}
+
+fn any<T: Copy>(world: &mut World, all: &[T]) -> Option<T> {
+    (!all.is_empty()).then(|| all[world.rng.random_range(0..all.len())])
+}
+
+fn any_instance(world: &mut World) -> Option<usize> {
+    let running = world.running();
+    any(world, &running)
+}
+
+/// A target of the first service that serves.
+fn any_host(world: &mut World) -> Option<usize> {
+    let service = world.hosts.first()?.service;
+    let fits = |&i: &usize| {
+        let host = &world.hosts[i];
+        host.service == service && takes_new(host.state)
+    };
+    let hosts: Vec<_> = (0..world.hosts.len()).filter(fits).collect();
+    any(world, &hosts)
+}
+
+fn instance_killed(world: &mut World) {
+    if let Some(index) = any_instance(world) {
+        world.kill_member(index);
+    }
+}
+
+fn instance_paused(world: &mut World) {
+    if let Some(index) = any_instance(world) {
+        world.members[index].paused = true;
+        world.later(LASTS, move |world| world.resume_member(index));
+    }
+}
+
+fn instance_leaves(world: &mut World) {
+    if let Some(index) = any_instance(world) {
+        world.stop_member(index);
+    }
+}
+
+fn instance_joins(world: &mut World) {
+    world.add_member();
+}
+
+fn rolling_restart(world: &mut World) {
+    for (i, index) in world.running().into_iter().enumerate() {
+        let at = RESTART_GAP * i as u32;
+        world.later(at, move |world| world.stop_member(index));
+        world.later(at + RESTART, move |world| {
+            world.kill_member(index);
+            world.start_member(index);
+        });
+    }
+}
+
+fn target_leaves(world: &mut World) {
+    if let Some(index) = any_host(world) {
+        world.set_host(index, TargetState::Draining);
+    }
+}
+
+fn target_killed(world: &mut World) {
+    if let Some(index) = any_host(world) {
+        world.set_host(index, TargetState::Dead);
+    }
+}
+
+fn target_returns(world: &mut World) {
+    if let Some(index) = any_host(world) {
+        world.set_host(index, TargetState::Draining);
+        world.later(LASTS, move |world| world.set_host(index, TargetState::Serving));
+    }
+}
+
+fn target_cold(world: &mut World) {
+    let Some(index) = any_host(world) else { return };
+    world.set_host(index, TargetState::Dead);
+    world.later(FIRST, move |world| world.set_host(index, TargetState::Cold));
+}
+
+fn target_sheds(world: &mut World) {
+    if let Some(index) = any_host(world) {
+        world.set_host(index, TargetState::Shedding);
+        world.later(LASTS, move |world| world.set_host(index, TargetState::Serving));
+    }
+}
+
+fn platform_mode(world: &mut World, mode: Mode) {
+    let now = world.now;
+    let answers = world.platform.set_mode(now, mode);
+    world.deliver(answers);
+    world.later(LASTS, |world| {
+        let now = world.now;
+        let answers = world.platform.set_mode(now, Mode::Up);
+        world.deliver(answers);
+    });
+}
+
+fn platform_down(world: &mut World) {
+    platform_mode(world, Mode::Down);
+}
+
+fn platform_slow(world: &mut World) {
+    platform_mode(world, Mode::Slow);
+}
+
+fn answer_lost(world: &mut World) {
+    platform_mode(world, Mode::LoseAnswer);
+}
+
+fn platform_stale(world: &mut World) {
+    let then = Box::new(world.platform.store.clone());
+    platform_mode(world, Mode::Stale(then));
+}
+
+fn cut(world: &mut World, platform: bool) {
+    let domain = any(world, &[0, 1, 2]).map(|i| world.hosts[i].failure_domain.clone());
+    world.cut = domain.map(|domain| Cut { domain, platform });
+    world.later(LASTS, |world| world.cut = None);
+}
+
+fn domain_cut(world: &mut World) {
+    cut(world, false);
+}
+
+fn domain_and_platform_cut(world: &mut World) {
+    cut(world, true);
+}
+
+fn uneven_updates(world: &mut World) {
+    world.uneven = true;
+}
+
+fn port_reused(world: &mut World) {
+    world.reuse_ports = true;
+}
--- /dev/null
+++ b/lab/src/measure/world/targets.rs
@@ -0,0 +1,133 @@
+//! The targets of a run: changes of state, what they report, and their balance.
+
+use std::time::Duration;
+
+use limpetdeck::ids::ServiceId;
+use limpetdeck::packet::Segment;
+use limpetdeck::placement::TargetState;
+use limpetdeck::targets::StateChange;
+use rand::Rng;
+
+use super::{SAMPLE_EVERY, WARM, What, World};
+use crate::measure::figures::add_ratio;
+use crate::measure::node::takes_new;
+use crate::measure::traffic::{Effects, Host, Report};
+
+/// Time after a leaving is known from which its target gets no new work.
+const LATE: Duration = Duration::from_secs(3);
+/// Longest time in which an instance finds a change of a target's state.
+const PROBE_LAG: Duration = Duration::from_millis(1_000);
+
+impl World {
+    /// Changes the state of a target; instances find it at times of their own.
+    pub fn set_host(&mut self, index: usize, state: TargetState) {
+        let host = &mut self.hosts[index];
+        match state {
+            TargetState::Dead => host.kill(),
+            state => host.state = state,
+        }
+        host.leaving_known = None;
+        self.central.borrow_mut().target(host.id).state = state;
+        self.announce(index, state);
+    }
+
+    /// Lets each instance find the state of a target.
+    fn announce(&mut self, index: usize, state: TargetState) {
+        self.states_told += 1;
+        let change = StateChange { target: self.hosts[index].id, version: self.states_told, state };
+        self.told.insert(change.target, change);
+        for member in self.running() {
+            let after = PROBE_LAG.mul_f64(self.rng.random()) + self.lag(member);
+            if state == TargetState::Draining {
+                let host = &mut self.hosts[index];
+                let known = host.leaving_known.get_or_insert(self.now + after);
+                *known = (*known).min(self.now + after);
+            }
+            self.schedule(after, What::Probed(member, change));
+        }
+    }
+
+    pub(super) fn reach_host(&mut self, index: usize, segment: &Segment) {
+        let dialled = self.callers.at(segment.source).map(|c| self.callers.list[c].service);
+        let host = &mut self.hosts[index];
+        let own = self.services.list().iter().find(|service| service.id == host.service);
+        if dialled != own.map(|service| service.address) {
+            self.figures.wrong_service += 1;
+        }
+        let mut out = Effects::default();
+        host.receive(self.now, segment, &mut self.rng, &mut out);
+        self.host_sends(index, out);
+    }
+
+    /// Takes what a target has to tell into the figures.
+    pub(super) fn note_reports(&mut self, index: usize) {
+        for ((address, opening), report) in std::mem::take(&mut self.hosts[index].reports) {
+            let caller =
+                self.callers.at(address).filter(|&c| self.callers.list[c].opening == opening);
+            match report {
+                Report::Opened => {
+                    caller.iter().for_each(|&c| self.callers.list[c].host = Some(index));
+                    self.note_new_work(index);
+                }
+                Report::Started(wait) => {
+                    *self.figures.runs.entry((address, opening)).or_default() += 1;
+                    if self.now >= WARM && crate::measure::traffic::uses_slot(address) {
+                        self.figures.slot_wait.add(wait.as_micros() as u64);
+                    }
+                }
+                Report::Finished => {
+                    if caller.is_none_or(|c| {
+                        !std::mem::replace(&mut self.callers.list[c].finished, true)
+                    }) {
+                        self.central.borrow_mut().done(self.hosts[index].id);
+                    }
+                }
+            }
+        }
+    }
+
+    fn note_new_work(&mut self, index: usize) {
+        let Some(known) = self.hosts[index].leaving_known else { return };
+        let delay = self.now.saturating_sub(known);
+        self.figures.new_work_delay = self.figures.new_work_delay.max(delay);
+        self.figures.late_new_work += u64::from(delay > LATE);
+    }
+
+    /// Looks at the balance, at the fabric and at what has waited on the platform.
+    pub(super) fn sample(&mut self) {
+        self.watch_members();
+        let answers = self.platform.wake(self.now);
+        self.deliver(answers);
+        if self.now >= self.balance_from {
+            let services: Vec<_> = self.services.list().iter().map(|s| s.id).collect();
+            let open = services.iter().map(|&s| self.imbalance(s, Host::open));
+            let open = open.fold(0.0, f64::max);
+            let work = services.iter().map(|&s| self.imbalance(s, Host::work));
+            let work = work.fold(0.0, f64::max);
+            add_ratio(&mut self.figures.imbalance, open);
+            add_ratio(&mut self.figures.slot_imbalance, work);
+        }
+        if self.now >= WARM && self.now.subsec_millis() == 0 {
+            let nodes = self.members.iter().filter_map(|member| member.node.as_ref());
+            let largest = nodes.map(|node| node.state_bytes()).max().unwrap_or(0);
+            self.figures.state_bytes = self.figures.state_bytes.max(largest);
+        }
+        self.schedule(SAMPLE_EVERY, What::Sample);
+    }
+
+    /// Returns the busiest target's part over its fair share, among those that serve.
+    fn imbalance(&self, service: ServiceId, count: impl Fn(&Host) -> usize) -> f64 {
+        let serving: Vec<_> = self
+            .hosts
+            .iter()
+            .filter(|host| host.service == service && takes_new(host.state))
+            .collect();
+        let total: usize = serving.iter().map(|host| count(host)).sum();
+        let weights: u32 = serving.iter().map(|host| host.weight).sum();
+        let part = |host: &&Host| {
+            let fair = total as f64 * f64::from(host.weight) / f64::from(weights);
+            count(host) as f64 / fair.max(f64::MIN_POSITIVE)
+        };
+        serving.iter().map(part).fold(0.0, f64::max)
+    }
+}
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -151,7 +151,7 @@
     fn act(self: &Rc<Self>, action: Action) {
         match action {
             Action::Fabric(packet) => send(&self.packets, &packet, self.fabric),
-            Action::Peer(to, buf) => send(&self.peers, &buf, to),
+            Action::Peer(to, buf) | Action::PassOn(to, buf) => send(&self.peers, &buf, to),
             Action::Platform(call) => self.call(call),
             Action::Exit => {
                 let _ = self.exit.try_send(());
--- a/src/instance/event.rs
+++ b/src/instance/event.rs
@@ -24,8 +24,10 @@
 pub enum Action {
     /// Send a packet to the fabric.
     Fabric(Vec<u8>),
-    /// Send a message to another instance.
+    /// Send a control message to another instance; it was paid for from the budget.
     Peer(SocketAddr, Vec<u8>),
+    /// Pass a packet on to another instance, which is no control traffic.
+    PassOn(SocketAddr, Vec<u8>),
     /// Make a call of the platform.
     Platform(Call),
     /// End the process: the graceful stop is complete.
--- a/src/link.rs
+++ b/src/link.rs
@@ -100,7 +100,7 @@
     pub fn pass_on(&mut self, to: InstanceId, body: &Body) -> bool {
         let Some(&address) = self.link.addresses.get(&to) else { return false };
         let buf = self.link.sealer.seal(body);
-        self.actions.push(Action::Peer(address, buf));
+        self.actions.push(Action::PassOn(address, buf));
         true
     }
 
