--- a/src/placement.rs
+++ b/src/placement.rs
@@ -21,7 +21,7 @@
 mod towards_target;
 
 pub use self::core::{Placement, PlacementConfig, Policy};
-pub use choice::choose;
+pub use choice::{choose, preferred};
 pub use epochs::{Epoch, Epochs, Phase};
 pub use flow_table::{Binding, FlowTable, Role};
 pub use load::{Load, LoadTable};
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -14,6 +14,16 @@
 /// Share of its weight with which a cold target starts.
 const COLD_SHARE: f64 = 0.1;
 
+/// Returns the target that the hash prefers for a flow among all targets given.
+pub fn preferred<'a>(
+    flow: FlowId,
+    targets: impl IntoIterator<Item = &'a Target>,
+) -> Option<TargetId> {
+    let score = |target: &Target| hash_score(flow, target.id, f64::from(target.weight));
+    let best = targets.into_iter().max_by(|a, b| compare(score(a), score(b)));
+    best.map(|target| target.id)
+}
+
 /// Chooses the target of a new flow, or none if no target takes new flows.
 pub fn choose(
     now: Duration,
