Count work by the service's mean life of short flows

Cause: a new feed counted as work in a slot for 2 s, twenty times a session's 100 ms, so the placer took targets with young feeds for busy. A target that an owner chose against the advice was counted on the advised one.

Ruled out: a mean life for each target. Reverted to one mean for each service.

Change: a flow counts as work for four mean lives of its service's short flows; an owner that departs from the advice sends the first packet on by the placer, which counts anew.

--- a/src/placement/route.rs
+++ b/src/placement/route.rs
@@ -21,6 +21,8 @@
     Owner,
     /// Decide as the owner before the last change of membership.
     Previous,
+    /// Count the flow on the advised target, which its owner has chosen, and forward.
+    Recount,
     /// Look for the replica of a record that the owner lacks.
     Replica,
     /// Look among the flows that the service's placer has seen.
--- a/src/placement/towards_target.rs
+++ b/src/placement/towards_target.rs
@@ -5,7 +5,8 @@
 use super::core::Packet;
 use super::lookup::Search;
 use super::{
-    Binding, DropReason, Placement, Policy, RefuseReason, Role, Stage, TargetState, Verdict, choose,
+    Binding, DropReason, Placement, Policy, RefuseReason, Role, Route, Stage, TargetState, Verdict,
+    choose,
 };
 use crate::ids::{FlowId, InstanceId, TargetId};
 
@@ -17,8 +18,15 @@
         match packet.route.stage {
             Stage::Entry => self.enter(now, packet),
             Stage::Placer => self.advise(now, packet),
-            Stage::Owner => self.decide_as_owner(now, packet),
-            Stage::Previous => self.decide_as_previous(now, packet),
+            Stage::Owner => {
+                let verdict = self.decide_as_owner(now, packet);
+                self.recount(packet, verdict)
+            }
+            Stage::Previous => {
+                let verdict = self.decide_as_previous(now, packet);
+                self.recount(packet, verdict)
+            }
+            Stage::Recount => self.count_as_told(now, packet),
             Stage::Replica | Stage::LastResort => self.look_up(now, packet),
         }
     }
@@ -68,7 +76,7 @@
             return Some(target);
         }
         let target = choose(now, packet.service, packet.flow, &self.views, &self.loads)?;
-        self.loads.opened(now, packet.flow, target);
+        self.loads.opened(now, packet.flow, packet.service.id, target);
         Some(target)
     }
 
@@ -145,6 +153,31 @@
         }
     }
 
+    /// Lets the placer know when a new flow goes to another target than it has advised.
+    fn recount(&self, packet: Packet<'_>, verdict: Verdict) -> Verdict {
+        let Verdict::ToTarget(target) = verdict else { return verdict };
+        let advised = packet.route.advice;
+        let placer = self.ranks.placer(packet.service.id);
+        if advised.is_none_or(|advised| advised == target) {
+            return verdict;
+        }
+        match placer {
+            Some(placer) if placer != self.me => {
+                let route = Route { advice: Some(target), ..packet.route.next(Stage::Recount) };
+                Verdict::ToInstance(placer, route)
+            }
+            _ => verdict,
+        }
+    }
+
+    fn count_as_told(&mut self, now: Duration, packet: Packet<'_>) -> Verdict {
+        let Some(target) = packet.route.advice else {
+            return Verdict::Drop(DropReason::UnknownFlow);
+        };
+        self.loads.opened(now, packet.flow, packet.service.id, target);
+        self.to_target(target)
+    }
+
     /// The live instance that owned a flow before the last change of membership.
     fn previous_owner(&self, flow: FlowId) -> Option<InstanceId> {
         let owner = self.previous.as_ref()?.ranks.of(flow, 0)?;
