Spread states of targets and find them by probing

Cause: an instance knew only the states that somebody sent it; nobody sent any, and no instance probed a target.

Change: a register each for operators and probers, joined to the state that takes less new work; new statements go to all live peers up to 20, else to 4 random ones in 3 rounds, and a digest each second finds what was lost; two probers for each target, of its own failure domain if it has some, which ask each other before they declare a target dead, and declare nothing while most probes into that domain fail. Targets get an optional `report` address.

Conclusion: states are ordered, spread and found. Load reports are read and handed on, but not weighed yet.

--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -17,16 +17,21 @@
 use smol::net::TcpListener;
 
 use crate::http::{self, HandlerFuture, Request, Response};
+use crate::ids::TargetId;
 use crate::instance::{Action, Event, Instance, InstanceConfig};
 use crate::peer::{MemberInfo, MemberState};
 use crate::placement::Policy;
 use crate::platform::{Call, HttpPlatform, Platform};
+use crate::services::ReportAddress;
 use crate::settings::Settings;
 use crate::signals::StopSignals;
+use crate::targets::read_report;
 use crate::telemetry::{MetricsPage, report_spans, start_logs};
 
 /// Time between two ticks.
 const TICK: Duration = Duration::from_millis(100);
+/// Time after which a probe of a target has failed.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Largest datagram that is read, in bytes.
 const LARGEST_DATAGRAM: usize = 65_536;
 /// Flows that one instance knows at most.
@@ -153,6 +158,7 @@
             Action::Fabric(packet) => send(&self.packets, &packet, self.fabric),
             Action::Peer(to, buf) => send(&self.peers, &buf, to),
             Action::Platform(call) => self.call(call),
+            Action::Probe(target, report) => self.probe(target, report),
             Action::Exit => {
                 let _ = self.exit.try_send(());
             }
@@ -167,6 +173,15 @@
         };
         self.ex.spawn(task).detach();
     }
+
+    fn probe(self: &Rc<Self>, target: TargetId, report: ReportAddress) {
+        let daemon = Rc::clone(self);
+        let task = async move {
+            let answer = http::call(report.address, Request::get(report.path), PROBE_TIMEOUT).await;
+            daemon.handle(Event::Probed(target, read_report(answer)));
+        };
+        self.ex.spawn(task).detach();
+    }
 }
 
 /// Sends without waiting: a full socket buffer loses the datagram, as a network would.
--- a/src/instance/event.rs
+++ b/src/instance/event.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 
+use crate::ids::TargetId;
 use crate::platform::{Call, PlatformError, Reply};
+use crate::services::ReportAddress;
+use crate::targets::ProbeResult;
 
 /// Something that happens to an instance.
 #[derive(Debug)]
@@ -13,6 +16,8 @@
     Peer(Vec<u8>),
     /// The platform has answered a call, or the call has failed.
     Platform(Call, Result<Reply, PlatformError>),
+    /// A probe of a target has ended.
+    Probed(TargetId, ProbeResult),
     /// Time has passed; due about ten times a second.
     Tick,
     /// The instance is asked to stop gracefully.
@@ -28,6 +33,8 @@
     Peer(SocketAddr, Vec<u8>),
     /// Make a call of the platform.
     Platform(Call),
+    /// Read the load report of a target.
+    Probe(TargetId, ReportAddress),
     /// End the process: the graceful stop is complete.
     Exit,
 }
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -88,6 +88,10 @@
             Event::Packet(packet) => self.packet(now, packet, Route::ENTRY, 0, out),
             Event::Peer(buf) => self.peer(now, &buf, out),
             Event::Platform(call, result) => self.platform(now, &call, &result, out),
+            Event::Probed(target, result) => {
+                self.targets.on_probed(now, target, result, &mut self.link.outbox(now, out));
+                self.join_parts(now);
+            }
             Event::Tick => self.tick(now, out),
             Event::Stop => self.stop(now),
         }
@@ -218,6 +222,9 @@
             log::info!(live = live.len(), owners = owners.len(); "members");
             gauge!("limpetdeck_instances_live").set(live.len() as f64);
             self.link.set_addresses(self.membership.addresses());
+            let domains =
+                self.membership.infos().map(|info| (info.id, info.failure_domain.clone()));
+            self.targets.set_members(domains);
             self.pipeline.placement.set_members(now, owners, live);
         }
         if let Some((version, services)) = self.lists.take_services() {
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -121,6 +121,11 @@
         self.all().map(|info| info.id).collect()
     }
 
+    /// Returns what all live instances say of themselves, this one among them.
+    pub fn infos(&self) -> impl Iterator<Item = &MemberInfo> {
+        self.all()
+    }
+
     /// Returns the addresses of all live peers.
     pub fn addresses(&self) -> HashMap<InstanceId, SocketAddr> {
         self.peers.iter().map(|(&id, peer)| (id, peer.info.peer_address)).collect()
--- a/src/placement/target_view.rs
+++ b/src/placement/target_view.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use crate::hash::HashMap;
@@ -9,8 +10,21 @@
 
 /// Whether a target takes new flows and keeps its open ones.
 #[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+    Display,
 )]
+#[serde(rename_all = "lowercase")]
+#[display(rename_all = "lowercase")]
 pub enum TargetState {
     /// Takes new flows.
     #[default]
@@ -30,7 +44,7 @@
 pub struct TargetView {
     /// State of the target.
     pub state: TargetState,
-    /// Version of the state; only a higher one replaces it.
+    /// Orders the states that this instance has heard; only a higher one replaces it.
     pub version: Version,
     /// When this instance heard of the state.
     pub since: Duration,
@@ -48,8 +62,8 @@
         self.views.get(&target).copied().unwrap_or_default()
     }
 
-    /// Takes a state if its version is higher than the known one. At one version the
-    /// state that takes less new work wins, so that all instances settle on the same.
+    /// Takes a state if its version is higher than the known one; at one version the state
+    /// that takes less new work wins.
     pub fn adopt(&mut self, target: TargetId, view: TargetView) -> bool {
         let known = self.get(target);
         if (view.version, view.state) <= (known.version, known.state) {
--- a/src/services.rs
+++ b/src/services.rs
@@ -2,9 +2,11 @@
 
 mod checked;
 mod raw;
+mod report_address;
 
 pub use checked::{Service, Services, Target, Weighs};
 pub use raw::{RawService, RawServices, RawTarget};
+pub use report_address::ReportAddress;
 
 use crate::settings::Findings;
 
--- a/src/services/checked.rs
+++ b/src/services/checked.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use super::{RawService, RawServices, RawTarget};
+use super::{RawService, RawServices, RawTarget, ReportAddress};
 use crate::hash::{HashMap, HashSet};
 use crate::ids::{FailureDomain, ServiceId, TargetId};
 use crate::settings::Findings;
@@ -49,6 +49,8 @@
     pub slots: u32,
     /// Share of new flows relative to the service's other targets.
     pub weight: u32,
+    /// Where the target is probed, if it is.
+    pub report: Option<ReportAddress>,
 }
 
 /// One service.
@@ -152,12 +154,16 @@
     if raw.weight == 0 || raw.weight > LARGEST_WEIGHT {
         f.add(format!("{place}.weight"), format!("is not from 1 to {LARGEST_WEIGHT}"));
     }
+    let report = raw.report.as_deref().map(ReportAddress::try_from).transpose();
+    let report = f.check(format!("{place}.report"), report);
+    let address = f.check(format!("{place}.address"), address(&raw.address));
     Some(Target {
         id: raw.id,
-        address: f.check(format!("{place}.address"), address(&raw.address))?,
+        address: address?,
         failure_domain: raw.failure_domain.clone(),
         slots: raw.slots,
         weight: raw.weight,
+        report: report?,
     })
 }
 
--- a/src/services/raw.rs
+++ b/src/services/raw.rs
@@ -44,6 +44,10 @@
     /// Share of new flows relative to the service's other targets.
     #[serde(default = "default_weight")]
     pub weight: u32,
+    /// Address of the target's load report, as `IP:PORT/PATH`; without one the target is
+    /// not probed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub report: Option<String>,
 }
 
 fn default_weight() -> u32 {
--- /dev/null
+++ b/src/targets/probing.rs
@@ -0,0 +1,383 @@
+//! The targets that this instance probes, and what it concludes.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
+
+use super::probers::Members;
+use super::watch::Watch;
+use super::{Flapping, Message, Origin, ProbeResult, Registers};
+use crate::budget::Class;
+use crate::ids::{FailureDomain, InstanceId, TargetId};
+use crate::instance::Action;
+use crate::link::Outbox;
+use crate::peer::Body;
+use crate::placement::TargetState;
+use crate::services::{Services, Target};
+
+/// Least time between two probes of one target.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+/// Least time between two probes of one instance, while all go well.
+const PROBE_PAUSE: Duration = Duration::from_millis(700);
+/// Time between two questions to the other probers while a target does not answer.
+const ASK_EVERY: Duration = Duration::from_millis(500);
+/// The same once the target has failed for long.
+const ASK_SELDOM: Duration = Duration::from_secs(5);
+/// Time after which targets may be dead although most of their failure domain fails, as
+/// long as not all of it does.
+const DOUBT_TIME: Duration = Duration::from_secs(10);
+/// Time for which a target of other probers is probed too.
+const EXTRA_TIME: Duration = Duration::from_secs(10);
+/// Targets of other probers that are probed when most of the own ones fail.
+const EXTRA_TARGETS: usize = 3;
+/// Targets of a failure domain whose probes say whether the path to it is broken.
+const ENOUGH: usize = 3;
+/// Reports in a row before a target may take more work than before.
+const AGREEING: u32 = 2;
+/// Reports in a row before a target that died once is back.
+const ALIVE_AGAIN: u32 = 3;
+/// Time that a target counts as cold after it came back.
+const WARM_UP: Duration = Duration::from_secs(30);
+
+/// How many of some targets fail.
+#[derive(Debug, Clone, Copy, Default)]
+struct Sample {
+    fails: usize,
+    all: usize,
+}
+
+impl Sample {
+    fn of<'a>(watches: impl Iterator<Item = (&'a TargetId, &'a Watch)>) -> Self {
+        let mut sample = Self::default();
+        for (_, watch) in watches {
+            sample.add(watch);
+        }
+        sample
+    }
+
+    fn add(&mut self, watch: &Watch) {
+        self.fails += usize::from(watch.fails());
+        self.all += 1;
+    }
+
+    fn half_fail(&self) -> bool {
+        self.fails > 0 && self.fails * 2 >= self.all
+    }
+
+    fn most_fail(&self) -> bool {
+        self.fails * 2 > self.all
+    }
+
+    fn all_fail(&self) -> bool {
+        self.fails == self.all
+    }
+}
+
+/// The probes of one instance.
+#[derive(Debug)]
+pub(super) struct Probing {
+    me: InstanceId,
+    services: Arc<Services>,
+    members: Members,
+    watches: BTreeMap<TargetId, Watch>,
+    every: Duration,
+    stale: bool,
+    rng: SmallRng,
+}
+
+impl Probing {
+    pub(super) fn new(me: InstanceId, rng: SmallRng) -> Self {
+        Self {
+            me,
+            services: Arc::default(),
+            members: Members::default(),
+            watches: BTreeMap::default(),
+            every: PROBE_EVERY,
+            stale: false,
+            rng,
+        }
+    }
+
+    pub(super) fn set_services(&mut self, services: Arc<Services>) {
+        self.services = services;
+        self.stale = true;
+    }
+
+    pub(super) fn set_members(&mut self, members: Members) {
+        self.members = members;
+        self.stale = true;
+    }
+
+    /// Sends the probes and questions that are due.
+    pub(super) fn tick(&mut self, now: Duration, registers: &Registers, out: &mut Outbox<'_>) {
+        if std::mem::take(&mut self.stale) {
+            self.assign(now);
+        }
+        self.watches.retain(|_, watch| watch.until.is_none_or(|until| now < until));
+        self.probe_extra(now, registers);
+        for (&target, watch) in &mut self.watches {
+            if watch.start(now, self.every) {
+                out.act(Action::Probe(target, watch.report.clone()));
+            }
+        }
+        self.ask_others(now, registers, out);
+    }
+
+    /// Asks the other probers about targets that do not answer.
+    fn ask_others(&mut self, now: Duration, registers: &Registers, out: &mut Outbox<'_>) {
+        let due = |target: TargetId, watch: &Watch| {
+            watch.until.is_none()
+                && watch.fails()
+                && now >= watch.next_ask
+                && !is_known_dead(registers, target)
+                && !self.path_suspected(now, target, registers)
+        };
+        let due: Vec<_> = self
+            .watches
+            .iter()
+            .filter(|(target, watch)| due(**target, watch))
+            .map(|(&target, _)| target)
+            .collect();
+        for target in due {
+            let Some(watch) = self.watches.get_mut(&target) else { continue };
+            watch.next_ask = now + if watch.settled() { ASK_SELDOM } else { ASK_EVERY };
+            ask(self.me, target, watch, out);
+        }
+    }
+
+    /// Takes the result of a probe.
+    pub(super) fn done(&mut self, now: Duration, target: TargetId, result: &ProbeResult) {
+        if let Some(watch) = self.watches.get_mut(&target) {
+            watch.done(now, result, self.every);
+        }
+    }
+
+    /// Probes a target that another prober suspects, and answers with what is known.
+    pub(super) fn suspected(
+        &mut self,
+        now: Duration,
+        from: InstanceId,
+        target: TargetId,
+        registers: &Registers,
+        out: &mut Outbox<'_>,
+    ) {
+        self.watch_extra(now, target);
+        let Some(watch) = self.watches.get_mut(&target) else { return };
+        watch.hurry(now);
+        let watch = &self.watches[&target];
+        let answers = !watch.fails() && watch.fresh(now, PROBE_EVERY);
+        let gone = watch.unreachable() && !self.path_suspected(now, target, registers);
+        if answers || gone {
+            let message = Message::Opinion { target, reachable: answers };
+            out.send(from, Class::Epochs, &Body::Targets(message));
+        }
+    }
+
+    /// Takes the opinion of another prober.
+    pub(super) fn heard(
+        &mut self,
+        now: Duration,
+        from: InstanceId,
+        target: TargetId,
+        reachable: bool,
+    ) {
+        if let Some(watch) = self.watches.get_mut(&target) {
+            watch.heard(now, from, reachable);
+        }
+    }
+
+    /// Returns the states that differ from what is known.
+    pub(super) fn conclude(
+        &mut self,
+        now: Duration,
+        registers: &Registers,
+        flapping: &Flapping,
+    ) -> Vec<(TargetId, TargetState)> {
+        let mut concluded = Vec::new();
+        for (&target, watch) in self.watches.iter().filter(|(_, watch)| watch.until.is_none()) {
+            let known = registers.get(target, Origin::Observed).state;
+            let state = match watch.reported() {
+                Some((reported, times)) => {
+                    let needed = ALIVE_AGAIN * flapping.factor(now, target);
+                    let warm = flapping.cold_for(now, target) >= WARM_UP;
+                    next_state(known, reported, times, needed, warm)
+                }
+                None if self.is_dead(now, target, watch, registers) => TargetState::Dead,
+                None => known,
+            };
+            if state != known {
+                concluded.push((target, state));
+            }
+        }
+        concluded
+    }
+
+    fn is_dead(
+        &self,
+        now: Duration,
+        target: TargetId,
+        watch: &Watch,
+        registers: &Registers,
+    ) -> bool {
+        watch.unreachable()
+            && watch.others_agree(now, self.me)
+            && !self.path_suspected(now, target, registers)
+    }
+
+    /// Tells whether most probes into a target's failure domain fail: then it is rather
+    /// the path, or this instance, that is broken.
+    fn path_suspected(&self, now: Duration, target: TargetId, registers: &Registers) -> bool {
+        let Some(watch) = self.watches.get(&target) else { return true };
+        let age = self.every * 2;
+        let fresh = || {
+            let all = self.watches.iter();
+            all.filter(|(id, other)| other.fresh(now, age) && !is_known_dead(registers, **id))
+        };
+        let near = Sample::of(fresh().filter(|(_, other)| other.domain == watch.domain));
+        if near.all < ENOUGH && self.expects_more(now, watch, registers) {
+            return true;
+        }
+        let sample = if near.all > 1 { near } else { Sample::of(fresh()) };
+        if sample.all <= 1 {
+            // There is nothing to compare with, but the other prober has to agree.
+            return watch.probers.len() < 2;
+        }
+        if watch.failing_for(now) < DOUBT_TIME { sample.most_fail() } else { sample.all_fail() }
+    }
+
+    /// Tells whether there are targets in the same failure domain whose probes have not
+    /// ended yet.
+    fn expects_more(&self, now: Duration, watch: &Watch, registers: &Registers) -> bool {
+        let fresh =
+            |id| self.watches.get(&id).is_some_and(|found| found.fresh(now, self.every * 2));
+        let near = probed(&self.services).filter(|other| other.failure_domain == watch.domain);
+        near.into_iter().any(|other| !is_known_dead(registers, other.id) && !fresh(other.id))
+    }
+
+    /// When half of the probes into a failure domain fail, others are probed too.
+    fn probe_extra(&mut self, now: Duration, registers: &Registers) {
+        let mut samples: BTreeMap<&FailureDomain, Sample> = BTreeMap::default();
+        for (_, watch) in self.watches.iter().filter(|(id, _)| !is_known_dead(registers, **id)) {
+            samples.entry(&watch.domain).or_default().add(watch);
+        }
+        let doubtful = samples.into_iter().filter(|(_, sample)| sample.half_fail());
+        let doubtful: Vec<_> = doubtful.map(|(domain, _)| domain.clone()).collect();
+        for domain in doubtful {
+            self.choose_extra(now, &domain, registers);
+        }
+    }
+
+    fn choose_extra(&mut self, now: Duration, domain: &FailureDomain, registers: &Registers) {
+        let services = Arc::clone(&self.services);
+        let unknown = probed(&services).filter(|target| {
+            !self.watches.contains_key(&target.id) && !is_known_dead(registers, target.id)
+        });
+        let (near, far): (Vec<_>, Vec<_>) =
+            unknown.partition(|target| target.failure_domain == *domain);
+        let anywhere = near.is_empty();
+        let counts =
+            |watch: &&Watch| watch.until.is_some() && (anywhere || watch.domain == *domain);
+        let missing = EXTRA_TARGETS.saturating_sub(self.watches.values().filter(counts).count());
+        let candidates = if anywhere { far } else { near };
+        let chosen = candidates.into_iter().choose_multiple(&mut self.rng, missing);
+        for target in chosen {
+            self.watch_extra(now, target.id);
+        }
+    }
+
+    fn watch_extra(&mut self, now: Duration, target: TargetId) {
+        let services = Arc::clone(&self.services);
+        let Some((_, target)) = services.target(target) else { return };
+        if let Some(watch) = self.watches.get_mut(&target.id) {
+            if watch.until.is_some() {
+                watch.until = Some(now + EXTRA_TIME);
+            }
+            return;
+        }
+        let Some(report) = target.report.clone() else { return };
+        let probers = self.members.probers(target);
+        let mut watch = Watch::new(report, target.failure_domain.clone(), probers, now);
+        watch.until = Some(now + EXTRA_TIME);
+        self.watches.insert(target.id, watch);
+    }
+
+    /// Finds the targets that this instance has to probe.
+    fn assign(&mut self, now: Duration) {
+        let services = Arc::clone(&self.services);
+        let mut old = std::mem::take(&mut self.watches);
+        for target in probed(&services) {
+            let probers = self.members.probers(target);
+            if !probers.contains(&self.me) {
+                continue;
+            }
+            let kept = old
+                .remove(&target.id)
+                .filter(|watch| Some(&watch.report) == target.report.as_ref());
+            let watch = match kept {
+                Some(mut watch) => {
+                    watch.assign(probers);
+                    Some(watch)
+                }
+                None => self.begin(now, target, probers),
+            };
+            self.watches.extend(watch.map(|watch| (target.id, watch)));
+        }
+        let own = u32::try_from(self.watches.len()).unwrap_or(u32::MAX);
+        self.every = PROBE_EVERY.max(PROBE_PAUSE * own);
+        let extra = old.into_iter().filter(|(_, watch)| watch.until.is_some());
+        self.watches.extend(extra);
+    }
+
+    /// Begins to probe a target at a random time, so that probes spread.
+    fn begin(&mut self, now: Duration, target: &Target, probers: Vec<InstanceId>) -> Option<Watch> {
+        let next = now + PROBE_EVERY.mul_f64(self.rng.random());
+        let report = target.report.clone()?;
+        Some(Watch::new(report, target.failure_domain.clone(), probers, next))
+    }
+}
+
+fn is_known_dead(registers: &Registers, target: TargetId) -> bool {
+    registers.get(target, Origin::Observed).state == TargetState::Dead
+}
+
+/// Returns the targets that have a load report.
+fn probed(services: &Services) -> impl Iterator<Item = &Target> {
+    let all = services.list().iter().flat_map(|service| &service.targets);
+    all.filter(|target| target.report.is_some())
+}
+
+fn ask(me: InstanceId, target: TargetId, watch: &Watch, out: &mut Outbox<'_>) {
+    let body = Body::Targets(Message::Suspect { target });
+    for &other in watch.probers.iter().filter(|&&id| id != me) {
+        out.send(other, Class::Epochs, &body);
+    }
+}
+
+/// Joins what is known of a target with what it reports. Less work is believed at once,
+/// more work only after some reports.
+fn next_state(
+    known: TargetState,
+    reported: TargetState,
+    times: u32,
+    needed: u32,
+    warm: bool,
+) -> TargetState {
+    use TargetState::{Cold, Dead, Draining, Serving, Shedding};
+    match (known, reported) {
+        (Dead, _) if times < needed => Dead,
+        (_, Draining) => Draining,
+        (Dead, Serving | Cold) => Cold,
+        (Dead | Serving | Cold, Shedding) => Shedding,
+        (Serving, Cold) => Cold,
+        (Cold, Serving) if warm => Serving,
+        (Draining | Shedding, _) if times < AGREEING => known,
+        (Draining, Serving | Cold) | (Shedding, Cold) => Cold,
+        (Draining | Shedding, Shedding) => Shedding,
+        (Shedding, Serving) => Serving,
+        _ => known,
+    }
+}
