Weigh load reports against what the placer counts itself

Cause: load reports lag or mislead; taken at their word, one target that says it is idle draws the new flows of its service.

Ruled out: believing reports; a fixed clamp alone (a false report then still doubles a target's share for ever).

Placement does not use the filter yet.

--- a/src/targets.rs
+++ b/src/targets.rs
@@ -11,6 +11,7 @@
 mod probing;
 mod registers;
 mod report;
+mod report_filter;
 mod spread;
 mod watch;
 
@@ -18,6 +19,7 @@
 pub use object::{OBJECT_NAME, OperatorStates, RawTargetState, RawTargetStates, from_value};
 pub use registers::{Digest, Register, Registers};
 pub use report::{ProbeError, ProbeResult, Report, read_report};
+pub use report_filter::{LoadHint, ReportFilter, Seen};
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
