Count only reports that are newer than the last statement

Cause: with real processes, one report of draining made the two probers of the target state "draining" and "cold" by turns, 17 versions in 3 s: each held a report from before the other's statement and stated it again. The virtual-time tests only waited for the state to be reached and did not see it.

Ruled out: letting only the first prober state anything (a drain would wait for its next probe, and its failure for membership).

Change: a statement about a target, by whomever, empties what its probers have counted so far, opinions among it; a probe that was under way does not count either.

Conclusion: one report, one change.

--- a/src/targets.rs
+++ b/src/targets.rs
@@ -200,6 +200,7 @@
         let &Statement { target, origin, version, state } = statement;
         if origin == Origin::Observed {
             self.flapping.observed(now, target, state);
+            self.probing.stated(now, target);
         }
         let effective = self.registers.effective(target);
         let last = self.handed_on.entry(target).or_default();
--- a/src/targets/probing.rs
+++ b/src/targets/probing.rs
@@ -190,6 +190,13 @@
         }
     }
 
+    /// Notes that probers have stated something new of a target.
+    pub(super) fn stated(&mut self, now: Duration, target: TargetId) {
+        if let Some(watch) = self.watches.get_mut(&target) {
+            watch.stated(now);
+        }
+    }
+
     /// Returns the states that differ from what is known.
     pub(super) fn conclude(
         &mut self,
--- a/src/targets/watch.rs
+++ b/src/targets/watch.rs
@@ -32,10 +32,12 @@
     ended: Option<Duration>,
     failures: u32,
     failing_since: Duration,
-    /// Reports of the same state in a row.
+    /// Reports of the same state in a row, since the last statement about the target.
     agreeing: u32,
     last: Option<Report>,
     opinions: BTreeMap<InstanceId, (Duration, bool)>,
+    /// When something new was last stated of the target.
+    stated: Duration,
 }
 
 impl Watch {
@@ -59,6 +61,7 @@
             agreeing: 0,
             last: None,
             opinions: BTreeMap::default(),
+            stated: Duration::ZERO,
         }
     }
 
@@ -85,7 +88,12 @@
 
     fn answered(&mut self, now: Duration, report: Report, every: Duration) {
         let same = self.last.is_some_and(|last| last.state == report.state);
-        self.agreeing = if same && self.failures == 0 { self.agreeing + 1 } else { 1 };
+        let outdated = self.sent.is_some_and(|sent| sent < self.stated);
+        self.agreeing = match (outdated, same && self.failures == 0) {
+            (true, _) => 0,
+            (false, true) => self.agreeing + 1,
+            (false, false) => 1,
+        };
         self.failures = 0;
         self.last = Some(report);
         self.end(now, every);
@@ -120,6 +128,13 @@
         }
     }
 
+    /// Notes that another state was stated: what was found before counts no more.
+    pub(super) fn stated(&mut self, now: Duration) {
+        self.stated = now;
+        self.agreeing = 0;
+        self.opinions.clear();
+    }
+
     pub(super) fn heard(&mut self, now: Duration, from: InstanceId, reachable: bool) {
         self.opinions.insert(from, (now, reachable));
     }
@@ -147,9 +162,10 @@
         now.saturating_sub(self.failing_since)
     }
 
-    /// Returns the state that the target reports, and how many times in a row it did.
+    /// Returns the state that the target reports, and how many times in a row it did since
+    /// the last statement about it.
     pub(super) fn reported(&self) -> Option<(TargetState, u32)> {
-        let last = self.last.filter(|_| self.failures == 0)?;
+        let last = self.last.filter(|_| self.agreeing > 0)?;
         Some((last.state, self.agreeing))
     }
 
--- a/tests/targets_probing.rs
+++ b/tests/targets_probing.rs
@@ -72,6 +72,22 @@
     reaches(&mut fleet, 4, Serving, REPORTED);
 }
 
+#[test]
+fn one_change() {
+    // The two probers read a new report at different times, and must not argue meanwhile.
+    for seed in 1..=10 {
+        let mut fleet = settled(seed);
+        for (i, state) in [Draining, Serving, Shedding, Serving].into_iter().enumerate() {
+            fleet.set_state(4, state);
+            fleet.run(Duration::from_secs(40));
+            // A return from draining makes the target cold before it serves.
+            let expected = [1, 3, 4, 5][i];
+            let changes: Vec<_> = fleet.nodes.iter().map(|node| node.changes).collect();
+            assert!(changes.iter().all(|n| *n == expected), "seed {seed}: {state} {changes:?}");
+        }
+    }
+}
+
 #[test]
 fn operator_disagrees() {
     let mut fleet = settled(1);
