Read the operators' object with the notes of who wrote it

Cause: limpetctl notes in each object which operation wrote it; the reader of target states refused an object with such keys (test stamped_object: the drain came into force on 0 of 2 instances).

Change: keys beside `targets` are passed over; keys of a target are still checked. The lab's target stand-in uses the library's types for states and reports in place of its own copies.

--- a/lab/src/target/server.rs
+++ b/lab/src/target/server.rs
@@ -3,12 +3,14 @@
 use std::time::Duration;
 
 use limpetdeck::ids::ServiceId;
+use limpetdeck::placement::TargetState;
 use limpetdeck::services::Target;
+use limpetdeck::targets::Report;
 use smoltcp::iface::SocketHandle;
 use smoltcp::socket::tcp::State;
 
 use super::connection::{Connection, Use};
-use super::control::{Honesty, Report, TargetMode};
+use super::control::Honesty;
 use super::journal::Journal;
 use crate::protocol::{Ask, Tell, digest, line};
 use crate::stack::Host;
@@ -26,7 +28,7 @@
     feed_time: Duration,
     listening: Vec<SocketHandle>,
     connections: Vec<Connection>,
-    mode: TargetMode,
+    mode: TargetState,
     honesty: Honesty,
     frozen: Report,
 }
@@ -41,7 +43,7 @@
             feed_time: feed,
             listening: Vec::new(),
             connections: Vec::new(),
-            mode: TargetMode::Serving,
+            mode: TargetState::Serving,
             honesty: Honesty::Honest,
             frozen: Report::default(),
         }
@@ -53,12 +55,12 @@
     }
 
     /// Returns what the target does with work.
-    pub fn mode(&self) -> TargetMode {
+    pub fn mode(&self) -> TargetState {
         self.mode
     }
 
     /// Sets what the target does with work.
-    pub fn set_mode(&mut self, mode: TargetMode) {
+    pub fn set_mode(&mut self, mode: TargetState) {
         self.mode = mode;
     }
 
@@ -128,7 +130,7 @@
             return;
         }
         let Some(ask) = connection.lines.take::<Ask>() else { return };
-        let shedding = self.mode == TargetMode::Shedding;
+        let shedding = self.mode == TargetState::Shedding;
         match ask {
             Ok(Ask::Sale { id } | Ask::Feed { id }) if shedding => {
                 tell(host, connection.handle, &Tell::Busy { id });
@@ -144,7 +146,7 @@
         let mut free = (self.target.slots as usize)
             .saturating_sub(self.connections.iter().filter(|c| c.in_slot()).count());
         let time = match self.mode {
-            TargetMode::Cold => self.work_time * COLD_FACTOR,
+            TargetState::Cold => self.work_time * COLD_FACTOR,
             _ => self.work_time,
         };
         for connection in &mut self.connections {
--- a/src/targets/object.rs
+++ b/src/targets/object.rs
@@ -12,9 +12,8 @@
 pub const OBJECT_NAME: &str = "targets";
 
 /// What the operators want of all targets, unchecked. A target that is not listed keeps
-/// what was last said of it.
+/// what was last said of it. Other keys of the object say who wrote it.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct RawTargetStates {
     /// The targets in any order.
     #[serde(default)]
--- a/tests/targets_spread.rs
+++ b/tests/targets_spread.rs
@@ -108,6 +108,22 @@
     assert!(fleet.all_are(3, Serving));
 }
 
+#[test]
+fn stamped_object() {
+    // The operators' command notes in the object which operation wrote it.
+    let mut fleet = settled(2, 0.0, 1);
+    fleet.platform_says(
+        0,
+        json!({
+            "targets": [{"id": 3, "state": "draining", "version": 1}],
+            "operation": "a1",
+            "history": [{"id": "a1", "version": 1, "lines": []}],
+        }),
+    );
+    fleet.run(SPREAD);
+    assert!(fleet.all_are(3, Draining));
+}
+
 #[test]
 fn quiet_cost() {
     let mut fleet = settled(18, 0.0, 1);
