Tell a broken path from a dead target, and hand reports to placers

Cause: while a failure domain was cut off, new flows still went to its targets, and seconds after a cut healed 5 of 18 targets were declared dead on all 18 instances (test cut_off_side failed with this): the first probes that got through cleared the path of suspicion, while the failures counted during the cut still stood.

Ruled out: a longer streak alone (a cut lasts longer than any streak that still finds a killed target in seconds); stating "unreachable" as a state of the target (it would spread to the other side when the cut heals).

Change: a target that does not answer is compared only with targets of its failure domain that were probed since it began to fail; failures while most of these fail are put down to the path and counted anew once it works. A failure domain whose instances have all gone silent gets no new flows from this side unless a probe still reaches its targets; each side judges for itself and states nothing. First probers hand load reports to the instance that places the flows of a target (tell_reports, take_reports); an instance does not call this yet.

A failure domain whose targets all die at once is never declared dead; its flows end at the callers.

--- a/src/targets.rs
+++ b/src/targets.rs
@@ -9,13 +9,14 @@
 mod object;
 mod probers;
 mod probing;
+mod reach;
 mod registers;
 mod report;
 mod report_filter;
 mod spread;
 mod watch;
 
-pub use message::{Message, Origin, StateChange, Statement};
+pub use message::{Message, Origin, StateChange, Statement, TargetReport};
 pub use object::{OBJECT_NAME, OperatorStates, RawTargetState, RawTargetStates, from_value};
 pub use registers::{Digest, Register, Registers};
 pub use report::{ProbeError, ProbeResult, Report, read_report};
@@ -32,13 +33,19 @@
 use self::flapping::Flapping;
 use self::probers::Members;
 use self::probing::Probing;
+use self::reach::Reach;
 use self::spread::{Source, Spread, send_digest, send_states};
+use crate::budget::Class;
 use crate::ids::{FailureDomain, InstanceId, TargetId, Version};
 use crate::link::Outbox;
+use crate::peer::Body;
 use crate::placement::TargetState;
 use crate::platform::Object;
 use crate::services::Services;
 
+/// Time between two messages that a silent failure domain is reached.
+const REACHED_EVERY: Duration = Duration::from_secs(2);
+
 /// What was last handed on about a target.
 #[derive(Debug, Clone, Copy, Default)]
 struct HandedOn {
@@ -54,8 +61,14 @@
     spread: Spread,
     probing: Probing,
     flapping: Flapping,
+    reach: Reach,
+    next_reached: Duration,
+    services: Arc<Services>,
     handed_on: BTreeMap<TargetId, HandedOn>,
     news: Vec<StateChange>,
+    /// Reports that this instance has read.
+    read: BTreeMap<TargetId, Report>,
+    /// Reports for this instance as a placer.
     reports: BTreeMap<TargetId, Report>,
     live: Vec<InstanceId>,
 }
@@ -69,8 +82,12 @@
             spread: Spread::new(me, SmallRng::from_rng(&mut rng)),
             probing: Probing::new(me, rng),
             flapping: Flapping::default(),
+            reach: Reach::default(),
+            next_reached: Duration::ZERO,
+            services: Arc::default(),
             handed_on: BTreeMap::default(),
             news: Vec::new(),
+            read: BTreeMap::default(),
             reports: BTreeMap::default(),
             live: Vec::new(),
         }
@@ -78,12 +95,15 @@
 
     /// Takes the services that are in force.
     pub fn set_services(&mut self, services: Arc<Services>) {
+        self.services = Arc::clone(&services);
         self.probing.set_services(services);
     }
 
     /// Takes the live instances, this one among them, with their failure domains.
     pub fn set_members(&mut self, members: impl IntoIterator<Item = (InstanceId, FailureDomain)>) {
-        self.probing.set_members(Members::new(members));
+        let members = Members::new(members);
+        self.reach.set_live(members.domains());
+        self.probing.set_members(members);
     }
 
     /// Takes an object that the platform gave; one that is no state is passed over.
@@ -125,6 +145,10 @@
             Message::Suspect { target } => {
                 self.probing.suspected(now, from, target, &self.registers, out);
             }
+            Message::Reached { domain } => self.reach.reached(now, &domain),
+            Message::Reports(reports) => {
+                self.reports.extend(reports.into_iter().map(|said| (said.target, said.report)));
+            }
             Message::Opinion { target, reachable } => {
                 self.probing.heard(now, from, target, reachable);
                 self.conclude(now, out);
@@ -143,7 +167,7 @@
         self.probing.done(now, target, &result);
         match result {
             Ok(report) => {
-                self.reports.insert(target, report);
+                self.read.insert(target, report);
             }
             Err(e) => {
                 counter!("limpetdeck_probes_failed_total").increment(1);
@@ -160,6 +184,7 @@
             self.spread.set_live(live, &self.registers, out);
         }
         self.probing.tick(now, &self.registers, out);
+        self.judge_reach(now, out);
         self.conclude(now, out);
         self.spread.tell(now, &self.registers, out);
         self.spread.compare(now, &self.registers, out);
@@ -170,8 +195,30 @@
         std::mem::take(&mut self.news)
     }
 
-    /// Returns the load reports that this instance has read since the last call, the last
-    /// one of each target.
+    /// Hands the reports that this instance has read to those that place flows on the
+    /// targets; `placer` names them.
+    pub fn tell_reports(
+        &mut self,
+        placer: impl Fn(TargetId) -> Option<InstanceId>,
+        out: &mut Outbox<'_>,
+    ) {
+        let mut by_placer: BTreeMap<InstanceId, Vec<TargetReport>> = BTreeMap::default();
+        for (target, report) in std::mem::take(&mut self.read) {
+            let Some(placer) = placer(target).filter(|_| self.probing.is_first(target)) else {
+                continue;
+            };
+            by_placer.entry(placer).or_default().push(TargetReport { target, report });
+        }
+        if let Some(mine) = by_placer.remove(&self.me) {
+            self.reports.extend(mine.into_iter().map(|said| (said.target, said.report)));
+        }
+        for (placer, reports) in by_placer {
+            out.send(placer, Class::Bulk, &Body::Targets(Message::Reports(reports)));
+        }
+    }
+
+    /// Returns the last report of each target that reached this instance as a placer since
+    /// the last call.
     pub fn take_reports(&mut self) -> BTreeMap<TargetId, Report> {
         std::mem::take(&mut self.reports)
     }
@@ -195,30 +242,82 @@
         }
     }
 
-    /// Hands on what a new statement changes.
+    /// Notes a new statement.
     fn note(&mut self, now: Duration, statement: &Statement) {
         let &Statement { target, origin, version, state } = statement;
+        log::info!(
+            instance = self.me,
+            target = target,
+            origin = origin.to_string().as_str(),
+            version = version,
+            state = state.to_string().as_str();
+            "target_stated"
+        );
         if origin == Origin::Observed {
             self.flapping.observed(now, target, state);
             self.probing.stated(now, target);
         }
-        let effective = self.registers.effective(target);
+        self.hand_on(target);
+    }
+
+    /// Hands on the state in force of a target if it has changed.
+    fn hand_on(&mut self, target: TargetId) {
+        let state = self.in_force(target);
         let last = self.handed_on.entry(target).or_default();
-        if last.state == effective {
+        if last.state == state {
             return;
         }
-        *last = HandedOn { version: last.version + 1, state: effective };
-        let state_name = effective.to_string();
-        log::info!(
-            instance = self.me,
-            target = target,
-            state = state_name.as_str(),
-            origin = format!("{origin:?}").to_lowercase().as_str(),
-            version = version;
-            "target_state"
-        );
-        counter!("limpetdeck_target_changes_total", "state" => state_name).increment(1);
-        self.news.push(StateChange { target, version: last.version, state: effective });
+        *last = HandedOn { version: last.version + 1, state };
+        let name = state.to_string();
+        log::info!(instance = self.me, target = target, state = name.as_str(); "target_state");
+        counter!("limpetdeck_target_changes_total", "state" => name).increment(1);
+        self.news.push(StateChange { target, version: last.version, state });
+    }
+
+    fn in_force(&self, target: TargetId) -> TargetState {
+        let stated = self.registers.effective(target);
+        let found = self.services.target(target);
+        match found.is_some_and(|(_, target)| self.reach.is_out(&target.failure_domain)) {
+            true => stated.max(TargetState::Shedding),
+            false => stated,
+        }
+    }
+
+    /// Judges which failure domains are out of reach, and tells others of silent ones that
+    /// probes still reach.
+    fn judge_reach(&mut self, now: Duration, out: &mut Outbox<'_>) {
+        let reached: Vec<_> = self.probing.reached(now).into_iter().cloned().collect();
+        for domain in &reached {
+            self.reach.reached(now, domain);
+        }
+        for domain in self.reach.update(now) {
+            let is_out = self.reach.is_out(&domain);
+            log::warn!(
+                instance = self.me,
+                failure_domain = domain.as_str(),
+                out_of_reach = is_out;
+                "failure_domain"
+            );
+            self.hand_on_domain(&domain);
+        }
+        if now < self.next_reached {
+            return;
+        }
+        self.next_reached = now + REACHED_EVERY;
+        for domain in reached.into_iter().filter(|domain| self.reach.is_silent(domain)) {
+            let body = Body::Targets(Message::Reached { domain });
+            for peer in self.spread.audience() {
+                out.send(peer, Class::Epochs, &body);
+            }
+        }
+    }
+
+    fn hand_on_domain(&mut self, domain: &FailureDomain) {
+        let services = Arc::clone(&self.services);
+        let targets = services.list().iter().flat_map(|service| &service.targets);
+        for target in targets.filter(|target| target.failure_domain == *domain) {
+            self.hand_on(target.id);
+        }
     }
 
     /// States what the probes show, if it is new.
--- a/src/targets/message.rs
+++ b/src/targets/message.rs
@@ -1,13 +1,17 @@
 //! What instances tell each other about targets.
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use super::Digest;
-use crate::ids::{TargetId, Version};
+use super::{Digest, Report};
+use crate::ids::{FailureDomain, TargetId, Version};
 use crate::placement::TargetState;
 
 /// Who says in which state a target is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, Display,
+)]
+#[display(rename_all = "lowercase")]
 pub enum Origin {
     /// The operators, through the platform.
     Operator,
@@ -40,6 +44,15 @@
     pub state: TargetState,
 }
 
+/// The load report of one target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetReport {
+    /// Number of the target.
+    pub target: TargetId,
+    /// What the target reports.
+    pub report: Report,
+}
+
 /// A message about targets.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
@@ -64,4 +77,11 @@
         /// Whether the target answers the sender.
         reachable: bool,
     },
+    /// The sender's probes reach a failure domain whose instances are silent.
+    Reached {
+        /// Name of the failure domain.
+        domain: FailureDomain,
+    },
+    /// Load reports, for the instance that places the new flows of these targets.
+    Reports(Vec<TargetReport>),
 }
--- a/src/targets/probers.rs
+++ b/src/targets/probers.rs
@@ -28,6 +28,11 @@
         found
     }
 
+    /// Returns the failure domains in which instances are live.
+    pub(super) fn domains(&self) -> impl Iterator<Item = &FailureDomain> {
+        self.domains.keys()
+    }
+
     /// Returns the probers of a target: of its own failure domain, and of others only if
     /// that one has too few.
     pub(super) fn probers(&self, target: &Target) -> Vec<InstanceId> {
--- a/src/targets/probing.rs
+++ b/src/targets/probing.rs
@@ -1,6 +1,6 @@
 //! The targets that this instance probes, and what it concludes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -32,7 +32,7 @@
 const DOUBT_TIME: Duration = Duration::from_secs(10);
 /// Time for which a target of other probers is probed too.
 const EXTRA_TIME: Duration = Duration::from_secs(10);
-/// Targets of other probers that are probed when most of the own ones fail.
+/// Targets of other probers that are probed when an own one fails.
 const EXTRA_TARGETS: usize = 3;
 /// Targets of a failure domain whose probes say whether the path to it is broken.
 const ENOUGH: usize = 3;
@@ -43,6 +43,15 @@
 /// Time that a target counts as cold after it came back.
 const WARM_UP: Duration = Duration::from_secs(30);
 
+/// What is known of the path to a target that does not answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Path {
+    Works,
+    Broken,
+    /// Too few other probes have ended since.
+    Unknown,
+}
+
 /// How many of some targets fail.
 #[derive(Debug, Clone, Copy, Default)]
 struct Sample {
@@ -64,10 +73,6 @@
         self.all += 1;
     }
 
-    fn half_fail(&self) -> bool {
-        self.fails > 0 && self.fails * 2 >= self.all
-    }
-
     fn most_fail(&self) -> bool {
         self.fails * 2 > self.all
     }
@@ -118,7 +123,7 @@
             self.assign(now);
         }
         self.watches.retain(|_, watch| watch.until.is_none_or(|until| now < until));
-        self.probe_extra(now, registers);
+        self.check_paths(now, registers);
         for (&target, watch) in &mut self.watches {
             if watch.start(now, self.every) {
                 out.act(Action::Probe(target, watch.report.clone()));
@@ -134,7 +139,7 @@
                 && watch.fails()
                 && now >= watch.next_ask
                 && !is_known_dead(registers, target)
-                && !self.path_suspected(now, target, registers)
+                && self.path(now, watch, registers) == Path::Works
         };
         let due: Vec<_> = self
             .watches
@@ -149,6 +154,18 @@
         }
     }
 
+    /// Returns the failure domains of the targets that answered of late.
+    pub(super) fn reached(&self, now: Duration) -> BTreeSet<&FailureDomain> {
+        let answers = |watch: &&Watch| !watch.fails() && watch.fresh(now, self.every * 2);
+        self.watches.values().filter(answers).map(|watch| &watch.domain).collect()
+    }
+
+    /// Tells whether this instance is the first prober of a target.
+    pub(super) fn is_first(&self, target: TargetId) -> bool {
+        let watch = self.watches.get(&target).filter(|watch| watch.until.is_none());
+        watch.is_some_and(|watch| watch.probers.first() == Some(&self.me))
+    }
+
     /// Takes the result of a probe.
     pub(super) fn done(&mut self, now: Duration, target: TargetId, result: &ProbeResult) {
         if let Some(watch) = self.watches.get_mut(&target) {
@@ -170,7 +187,7 @@
         watch.hurry(now);
         let watch = &self.watches[&target];
         let answers = !watch.fails() && watch.fresh(now, PROBE_EVERY);
-        let gone = watch.unreachable() && !self.path_suspected(now, target, registers);
+        let gone = watch.unreachable() && self.path(now, watch, registers) == Path::Works;
         if answers || gone {
             let message = Message::Opinion { target, reachable: answers };
             out.send(from, Class::Epochs, &Body::Targets(message));
@@ -213,7 +230,7 @@
                     let warm = flapping.cold_for(now, target) >= WARM_UP;
                     next_state(known, reported, times, needed, warm)
                 }
-                None if self.is_dead(now, target, watch, registers) => TargetState::Dead,
+                None if self.is_dead(now, watch, registers) => TargetState::Dead,
                 None => known,
             };
             if state != known {
@@ -223,61 +240,81 @@
         concluded
     }
 
-    fn is_dead(
-        &self,
-        now: Duration,
-        target: TargetId,
-        watch: &Watch,
-        registers: &Registers,
-    ) -> bool {
+    fn is_dead(&self, now: Duration, watch: &Watch, registers: &Registers) -> bool {
         watch.unreachable()
             && watch.others_agree(now, self.me)
-            && !self.path_suspected(now, target, registers)
+            && self.path(now, watch, registers) == Path::Works
     }
 
-    /// Tells whether most probes into a target's failure domain fail: then it is rather
-    /// the path, or this instance, that is broken.
-    fn path_suspected(&self, now: Duration, target: TargetId, registers: &Registers) -> bool {
-        let Some(watch) = self.watches.get(&target) else { return true };
+    /// Judges the path to a target that does not answer, by other targets of its failure
+    /// domain that were probed since. If most of them fail, it is rather the path, or this
+    /// instance, that is broken.
+    fn path(&self, now: Duration, watch: &Watch, registers: &Registers) -> Path {
         let age = self.every * 2;
-        let fresh = || {
-            let all = self.watches.iter();
-            all.filter(|(id, other)| other.fresh(now, age) && !is_known_dead(registers, **id))
+        let proves = |id: TargetId, other: &Watch| {
+            other.fresh(now, age) && other.ended_since(watch) && !is_known_dead(registers, id)
         };
-        let near = Sample::of(fresh().filter(|(_, other)| other.domain == watch.domain));
-        if near.all < ENOUGH && self.expects_more(now, watch, registers) {
-            return true;
+        let all = || self.watches.iter().filter(|(id, other)| proves(**id, other));
+        let near = Sample::of(all().filter(|(_, other)| other.domain == watch.domain));
+        if near.all < ENOUGH {
+            let expected = probed(&self.services)
+                .filter(|target| target.failure_domain == watch.domain)
+                .filter(|target| !is_known_dead(registers, target.id));
+            if expected.count() > near.all {
+                return Path::Unknown;
+            }
         }
-        let sample = if near.all > 1 { near } else { Sample::of(fresh()) };
-        if sample.all <= 1 {
+        let sample = if near.all > 1 { near } else { Sample::of(all()) };
+        let broken = match sample.all {
             // There is nothing to compare with, but the other prober has to agree.
-            return watch.probers.len() < 2;
-        }
-        if watch.failing_for(now) < DOUBT_TIME { sample.most_fail() } else { sample.all_fail() }
-    }
-
-    /// Tells whether there are targets in the same failure domain whose probes have not
-    /// ended yet.
-    fn expects_more(&self, now: Duration, watch: &Watch, registers: &Registers) -> bool {
-        let fresh =
-            |id| self.watches.get(&id).is_some_and(|found| found.fresh(now, self.every * 2));
-        let near = probed(&self.services).filter(|other| other.failure_domain == watch.domain);
-        near.into_iter().any(|other| !is_known_dead(registers, other.id) && !fresh(other.id))
+            0 | 1 => watch.probers.len() < 2,
+            _ if watch.failing_for(now) < DOUBT_TIME => sample.most_fail(),
+            _ => sample.all_fail(),
+        };
+        if broken { Path::Broken } else { Path::Works }
     }
 
-    /// When half of the probes into a failure domain fail, others are probed too.
-    fn probe_extra(&mut self, now: Duration, registers: &Registers) {
-        let mut samples: BTreeMap<&FailureDomain, Sample> = BTreeMap::default();
-        for (_, watch) in self.watches.iter().filter(|(id, _)| !is_known_dead(registers, **id)) {
-            samples.entry(&watch.domain).or_default().add(watch);
+    /// Finds out whether it is the path that is broken where targets do not answer.
+    fn check_paths(&mut self, now: Duration, registers: &Registers) {
+        let failing: Vec<_> = self
+            .watches
+            .iter()
+            .filter(|(id, watch)| watch.fails() && !is_known_dead(registers, **id))
+            .map(|(&id, watch)| (id, self.path(now, watch, registers)))
+            .collect();
+        let mut domains = BTreeSet::default();
+        for (target, path) in failing {
+            let Some(watch) = self.watches.get_mut(&target) else { continue };
+            match path {
+                Path::Works => watch.trust_path(now),
+                Path::Broken => watch.doubt(),
+                Path::Unknown => {}
+            }
+            let domain = watch.domain.clone();
+            self.hurry_others(now, target);
+            domains.insert(domain);
         }
-        let doubtful = samples.into_iter().filter(|(_, sample)| sample.half_fail());
-        let doubtful: Vec<_> = doubtful.map(|(domain, _)| domain.clone()).collect();
-        for domain in doubtful {
+        for domain in domains {
             self.choose_extra(now, &domain, registers);
         }
     }
 
+    /// Probes some other targets of a failure domain again that answered before this one
+    /// began to fail.
+    fn hurry_others(&mut self, now: Duration, target: TargetId) {
+        let Some(failing) = self.watches.get(&target) else { return };
+        let near = self.watches.iter().filter(|(_, other)| other.domain == failing.domain);
+        let old = near.filter(|(_, other)| !other.fails()).take(ENOUGH);
+        let old: Vec<_> =
+            old.filter(|(_, other)| !other.ended_since(failing)).map(|(&id, _)| id).collect();
+        for id in old {
+            if let Some(watch) = self.watches.get_mut(&id) {
+                watch.hurry(now);
+            }
+        }
+    }
+
+    /// Probes targets of other probers too, so that there is enough to compare with.
     fn choose_extra(&mut self, now: Duration, domain: &FailureDomain, registers: &Registers) {
         let services = Arc::clone(&self.services);
         let unknown = probed(&services).filter(|target| {
--- a/src/targets/spread.rs
+++ b/src/targets/spread.rs
@@ -107,10 +107,7 @@
     /// Tells what is due.
     pub(super) fn tell(&mut self, now: Duration, registers: &Registers, out: &mut Outbox<'_>) {
         let (first, later) = self.due(now, registers);
-        let all = self.peers.len() <= FEW_PEERS;
-        let everyone = if all { self.shuffled() } else { self.some_peers() };
-        let some = self.some_peers();
-        let told = [(first, everyone), (later, some)]
+        let told = [(first, self.audience()), (later, self.some_peers())]
             .iter()
             .flat_map(|(statements, to)| to.iter().map(move |&peer| (peer, statements)))
             .all(|(peer, statements)| send_states(peer, statements, out));
@@ -119,6 +116,11 @@
         }
     }
 
+    /// Returns the peers that are told what has to be known at once: all if they are few.
+    pub(super) fn audience(&mut self) -> Vec<InstanceId> {
+        if self.peers.len() <= FEW_PEERS { self.shuffled() } else { self.some_peers() }
+    }
+
     /// Sends a digest to a random peer from time to time.
     pub(super) fn compare(&mut self, now: Duration, registers: &Registers, out: &mut Outbox<'_>) {
         if now < self.next_digest {
--- a/src/targets/watch.rs
+++ b/src/targets/watch.rs
@@ -31,6 +31,9 @@
     sent: Option<Duration>,
     ended: Option<Duration>,
     failures: u32,
+    /// Failures in a row that are not put down to a broken path.
+    confirmed: u32,
+    doubted: bool,
     failing_since: Duration,
     /// Reports of the same state in a row, since the last statement about the target.
     agreeing: u32,
@@ -57,6 +60,8 @@
             sent: None,
             ended: None,
             failures: 0,
+            confirmed: 0,
+            doubted: false,
             failing_since: Duration::ZERO,
             agreeing: 0,
             last: None,
@@ -95,6 +100,8 @@
             (false, false) => 1,
         };
         self.failures = 0;
+        self.confirmed = 0;
+        self.doubted = false;
         self.last = Some(report);
         self.end(now, every);
     }
@@ -104,6 +111,7 @@
             self.failing_since = now;
         }
         self.failures = self.failures.saturating_add(1);
+        self.confirmed = self.confirmed.saturating_add(1);
         self.agreeing = 0;
         let pause = if self.settled() { every } else { RETRY_AFTER };
         self.end(now, pause);
@@ -149,7 +157,28 @@
     }
 
     pub(super) fn unreachable(&self) -> bool {
-        self.failures >= FAILURES
+        self.confirmed >= FAILURES
+    }
+
+    /// Puts the failures so far down to a broken path.
+    pub(super) fn doubt(&mut self) {
+        self.confirmed = 0;
+        self.doubted = true;
+        self.opinions.clear();
+    }
+
+    /// Begins to count again once the path works: what was cut off a moment ago need not
+    /// be dead.
+    pub(super) fn trust_path(&mut self, now: Duration) {
+        if std::mem::take(&mut self.doubted) {
+            self.failures = 1;
+            self.next = self.next.min(now);
+        }
+    }
+
+    /// Tells whether the last probe ended after another target began to fail.
+    pub(super) fn ended_since(&self, other: &Self) -> bool {
+        self.ended.is_some_and(|ended| ended >= other.failing_since)
     }
 
     /// Tells whether the target fails for so long that haste is of no more use.
--- a/tests/support/target_fleet.rs
+++ b/tests/support/target_fleet.rs
@@ -53,6 +53,8 @@
     pub target_group: BTreeMap<TargetId, u32>,
     /// An instance whose probes all fail.
     pub blind: Option<usize>,
+    /// The instance that places all new flows.
+    pub placer: Option<InstanceId>,
     members_due: Option<Duration>,
     arrivals: BTreeMap<(Duration, u64), Arrival>,
     sequence: u64,
@@ -99,6 +101,7 @@
             instance_group: vec![0; instances as usize],
             target_group: (1..=targets).map(|id| (id, 0)).collect(),
             blind: None,
+            placer: None,
             members_due: None,
             arrivals: BTreeMap::new(),
             sequence: 0,
@@ -195,7 +198,11 @@
             if self.nodes[node].next_tick <= now {
                 self.nodes[node].next_tick += TICK;
                 let live = self.live(node);
-                self.with(node, |targets, now, out| targets.tick(now, &live, out));
+                let placer = self.placer;
+                self.with(node, |targets, now, out| {
+                    targets.tick(now, &live, out);
+                    targets.tell_reports(|_| placer, out);
+                });
             }
         }
     }
--- a/tests/targets_probing.rs
+++ b/tests/targets_probing.rs
@@ -103,13 +103,13 @@
 
 #[test]
 fn prober_cut_off() {
-    for seed in 1..=10 {
+    for seed in 1..=20 {
         let mut fleet = settled(seed);
         fleet.regroup(|id| u32::from(id == 5), |_| 0);
-        fleet.run(MINUTE);
+        fleet.run(Duration::from_millis(1_000 + 1_300 * seed));
         assert_eq!(deaths(&fleet), 0, "seed {seed}, while cut off");
         fleet.regroup(|_| 0, |_| 0);
-        fleet.run(MINUTE);
+        fleet.run(Duration::from_secs(30));
         assert_eq!(deaths(&fleet), 0, "seed {seed}, after it healed");
     }
 }
@@ -125,18 +125,58 @@
 
 #[test]
 fn domain_cut() {
-    for seed in 1..=10 {
+    // Cuts of any length: what was found before and after must not be mixed.
+    for seed in 1..=20 {
         let mut fleet = settled(seed);
         let apart = |id| u32::from(domain(id) == domain(1));
         fleet.regroup(apart, apart);
-        fleet.run(MINUTE);
+        fleet.run(Duration::from_millis(1_000 + 1_300 * seed));
         assert_eq!(deaths(&fleet), 0, "seed {seed}, while cut");
         fleet.regroup(|_| 0, |_| 0);
-        fleet.run(MINUTE);
+        fleet.run(Duration::from_secs(30));
         assert_eq!(deaths(&fleet), 0, "seed {seed}, after it healed");
     }
 }
 
+fn near(node: usize, target: u32) -> bool {
+    domain(node as u32 + 1) == domain(target)
+}
+
+#[test]
+fn cut_off_side() {
+    // A failure domain that is cut off places new flows on its own targets alone.
+    let mut fleet = settled(1);
+    let apart = |id| u32::from(domain(id) == domain(1));
+    fleet.regroup(apart, apart);
+    fleet.run(Duration::from_secs(5));
+    for (node, target) in (0..18).flat_map(|node| (1..=18).map(move |target| (node, target))) {
+        let same_side = apart(node as u32 + 1) == apart(target);
+        let expected = if same_side { Serving } else { Shedding };
+        assert_eq!(fleet.state(node, target), expected, "node {node}, target {target}");
+    }
+    fleet.regroup(|_| 0, |_| 0);
+    let healed = fleet.until(Duration::from_secs(4), |fleet| {
+        (1..=18).all(|target| fleet.all_are(target, Serving))
+    });
+    let states: Vec<_> = (1..=18).map(|target| fleet.states(target)).collect();
+    assert!(healed.is_some(), "{states:?}");
+}
+
+#[test]
+fn silent_domain() {
+    // All instances of a failure domain are gone, but its targets still answer.
+    let mut fleet = settled(1);
+    fleet.regroup(|id| u32::from(domain(id) == domain(1)), |_| 0);
+    fleet.run(Duration::from_secs(10));
+    let others: Vec<_> = (0..18).filter(|&node| !near(node, 1)).collect();
+    assert_eq!(others.len(), 12);
+    for seconds in 0..30 {
+        let serving = others.iter().all(|&node| fleet.state(node, 1) == Serving);
+        assert!(serving, "after {seconds} s: {:?}", fleet.states(1));
+        fleet.run(Duration::from_secs(1));
+    }
+}
+
 #[test]
 fn killed_while_cut() {
     let mut fleet = settled(1);
--- a/tests/targets_reports.rs
+++ b/tests/targets_reports.rs
@@ -1,14 +1,19 @@
 //! Load reports that lag or mislead.
 
 mod support;
+#[path = "support/target_fleet.rs"]
+mod target_fleet;
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use limpetdeck::placement::{Load, TargetState};
+use limpetdeck::services::{RawServices, Services};
 use limpetdeck::targets::{Report, ReportFilter, Seen};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use serde_json::json;
+use target_fleet::Fleet;
 
 const SLOTS: u32 = 2;
 const TARGETS: usize = 14;
@@ -35,6 +40,31 @@
     trusted.collect()
 }
 
+#[test]
+fn report_address() {
+    let services = |report: &str| {
+        let raw: RawServices = serde_json::from_value(json!({"services": [{
+            "id": 1, "name": "till", "address": "10.0.0.1:7000", "weighs": "imbalance",
+            "idle_timeout_s": 3600,
+            "targets": [{
+                "id": 2, "address": "10.0.1.1:7000", "failure_domain": "a", "slots": 2,
+                "report": report,
+            }],
+        }]}))
+        .expect("raw services");
+        Services::try_from(raw)
+    };
+    let good = services("10.0.1.1:8080/report?target=2").expect("valid");
+    let (_, target) = good.target(2).expect("the target");
+    let report = target.report.as_ref().expect("an address");
+    assert_eq!(report.to_string(), "10.0.1.1:8080/report?target=2");
+    for bad in ["", "10.0.1.1:8080", "10.0.1.1/report", "host:80/report", "10.0.1.1:0/r", "1:1/ "] {
+        let findings = services(bad).expect_err(bad);
+        assert_eq!(findings.list.len(), 1, "{findings}");
+        assert_eq!(findings.list[0].place, "services.1.targets.2.report");
+    }
+}
+
 #[test]
 fn honest_report() {
     let believed = trust((0..60).map(|i| (report(i % 3, 20 + i % 5), seen(21 + i % 4, 1))));
@@ -181,3 +211,17 @@
         assert!(filtered <= 2.0, "{filtered} of the fair share");
     }
 }
+
+#[test]
+fn reports_reach_placer() {
+    let mut fleet = Fleet::new(18, 18, 1);
+    fleet.placer = Some(7);
+    fleet.run(Duration::from_secs(5));
+    fleet.nodes[6].targets.take_reports();
+    fleet.reports.insert(4, Some(report(2, 30)));
+    fleet.run(Duration::from_secs(5));
+    let reports = fleet.nodes[6].targets.take_reports();
+    assert_eq!(reports.len(), 18);
+    assert_eq!(reports[&4], report(2, 30));
+    assert!(fleet.nodes[0].targets.take_reports().is_empty());
+}
