Check and join the operators' plans and allowances

Admission needs to know which customer a caller belongs to and what the customer's plan allows of a service. A plan or service that another object does not name yet allows nothing, because objects reach an instance one after the other; the check across the objects is the operators' command's.

--- a/src/lists.rs
+++ b/src/lists.rs
@@ -1,8 +1,10 @@
 //! The operators' objects: adopted in rising versions, and spread among instances.
 
 mod message;
+pub mod rules;
 
 pub use message::Message;
+pub use rules::{Allowance, Rules};
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,12 +24,13 @@
     services_version: Version,
     services: Option<Arc<Services>>,
     fresh_services: bool,
+    fresh_rules: Option<Arc<Rules>>,
 }
 
 impl Lists {
     /// Makes lists of which nothing is known yet.
     pub fn new(_rng: SmallRng) -> Self {
-        Self { services_version: 0, services: None, fresh_services: false }
+        Self { services_version: 0, services: None, fresh_services: false, fresh_rules: None }
     }
 
     /// Takes an object that the platform gave; one that is no list is passed over.
@@ -59,6 +62,12 @@
         Some((self.services_version, Arc::clone(self.services.as_ref()?)))
     }
 
+    /// Returns the rules of admission if they have changed since the last call. There are
+    /// none, and everything is admitted, until the operators have written plans.
+    pub fn take_rules(&mut self) -> Option<Arc<Rules>> {
+        self.fresh_rules.take()
+    }
+
     /// Tells whether enough is known to serve.
     pub fn ready(&self) -> bool {
         self.services.is_some()
--- /dev/null
+++ b/src/lists/rules.rs
@@ -0,0 +1,92 @@
+//! Who may open which flows: the two lists of the operators, checked and joined.
+
+mod allowances;
+mod plans;
+mod prefix;
+
+pub use allowances::{Allowance, Allowances, RawAllowance, RawAllowances, RawPlan};
+pub use plans::{CustomerPlan, Plans, RawCustomer, RawPlans};
+pub use prefix::Prefix;
+
+use std::net::Ipv4Addr;
+
+use crate::hash::{HashMap, HashSet};
+use crate::ids::{Customer, PlanId, ServiceId};
+use crate::services::Services;
+use crate::settings::Findings;
+
+/// Name of the object that holds the plans of customers.
+pub const PLANS: &str = "plans";
+/// Name of the object that holds what each plan may use.
+pub const ALLOWANCES: &str = "allowances";
+
+/// Plans and allowances joined, with the look-ups that admission needs.
+#[derive(Debug, Clone, Default)]
+pub struct Rules {
+    plans: Plans,
+    by_plan: HashMap<PlanId, HashMap<ServiceId, Allowance>>,
+}
+
+impl Rules {
+    /// Joins the lists with the services in force.
+    ///
+    /// The objects reach an instance one after the other. A plan or service that another
+    /// object does not name yet is therefore no error here: it allows nothing.
+    pub fn join(plans: Plans, allowances: &Allowances, services: &Services) -> Self {
+        let ids: HashMap<_, _> =
+            services.list().iter().map(|service| (service.name.as_str(), service.id)).collect();
+        let by_plan = allowances.list().iter().map(|(plan, by_service)| {
+            let known = by_service
+                .iter()
+                .filter_map(|(service, allowance)| Some((*ids.get(service.as_str())?, *allowance)));
+            (plan.clone(), known.collect())
+        });
+        Self { by_plan: by_plan.collect(), plans }
+    }
+
+    /// Finds the customer that a caller belongs to, by the longest prefix.
+    pub fn customer_of(&self, caller: Ipv4Addr) -> Option<&Customer> {
+        self.plans.customer_of(caller).map(|found| &found.customer)
+    }
+
+    /// Returns what a customer may use of a service; none if the plan lacks the service.
+    pub fn allowance(&self, customer: &str, service: ServiceId) -> Option<Allowance> {
+        let plan = self.plans.plan_of(customer)?;
+        self.by_plan.get(plan)?.get(&service).copied()
+    }
+
+    /// Returns all customers with their plans.
+    pub fn customers(&self) -> &[CustomerPlan] {
+        self.plans.list()
+    }
+}
+
+/// Checks what the lists say of each other and of the services.
+///
+/// # Errors
+///
+/// Returns all findings: customers on unknown plans, and allowances for unknown services.
+pub fn cross_check(
+    plans: &Plans,
+    allowances: &Allowances,
+    services: &Services,
+) -> Result<(), Findings> {
+    let mut findings = Findings::default();
+    let known_plans: HashSet<_> = allowances.list().iter().map(|(plan, _)| plan).collect();
+    for customer in plans.list() {
+        if !known_plans.contains(&customer.plan) {
+            let place = format!("customers.{}.plan", customer.customer);
+            findings.add(place, format!("there is no plan {:?}", customer.plan));
+        }
+    }
+    let known_services: HashSet<_> = services.list().iter().map(|s| s.name.as_str()).collect();
+    for (plan, by_service) in allowances.list() {
+        for (service, _) in by_service {
+            if !known_services.contains(service.as_str()) {
+                let place = format!("plans.{plan}.services.{service}");
+                findings.add(place, "there is no such service");
+            }
+        }
+    }
+    findings.finish(Some(()))
+}
--- /dev/null
+++ b/src/lists/rules/allowances.rs
@@ -0,0 +1,106 @@
+//! What each plan may use.
+
+use serde::{Deserialize, Serialize};
+
+use crate::hash::HashSet;
+use crate::ids::PlanId;
+use crate::settings::Findings;
+
+/// What all plans may use, unchecked.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawAllowances {
+    /// The plans in any order.
+    #[serde(default)]
+    pub plans: Vec<RawPlan>,
+}
+
+/// What one plan may use, unchecked.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawPlan {
+    /// Name of the plan.
+    pub name: String,
+    /// The services that the plan allows, in any order.
+    #[serde(default)]
+    pub services: Vec<RawAllowance>,
+}
+
+/// What a plan may use of one service, unchecked.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawAllowance {
+    /// Name of the service.
+    pub service: String,
+    /// Flows that each customer on the plan may have open at once.
+    pub max_open_flows: u32,
+    /// Flows that each customer on the plan may open in a second.
+    pub max_new_flows_per_s: u32,
+}
+
+/// What each customer on a plan may use of one service, over all instances.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Allowance {
+    /// Flows that may be open at once.
+    pub max_open_flows: u32,
+    /// Flows that may be opened in a second.
+    pub max_new_flows_per_s: u32,
+}
+
+/// What all plans may use, by the names of plans and services.
+#[derive(Debug, Clone, Default)]
+pub struct Allowances {
+    list: Vec<(PlanId, Vec<(String, Allowance)>)>,
+}
+
+impl Allowances {
+    /// Returns the plans in the order of their names, each with its services.
+    pub fn list(&self) -> &[(PlanId, Vec<(String, Allowance)>)] {
+        &self.list
+    }
+}
+
+impl TryFrom<RawAllowances> for Allowances {
+    type Error = Findings;
+
+    fn try_from(raw: RawAllowances) -> Result<Self, Findings> {
+        let mut findings = Findings::default();
+        let mut names = HashSet::default();
+        for plan in &raw.plans {
+            if plan.name.is_empty() {
+                findings.add("plans", "a name is empty");
+            }
+            if !names.insert(plan.name.as_str()) {
+                findings.add(format!("plans.{}", plan.name), "the name stands twice");
+            }
+        }
+        let mut list: Vec<_> =
+            raw.plans.iter().map(|plan| check_plan(plan, &mut findings)).collect();
+        list.sort_by(|a, b| a.0.cmp(&b.0));
+        findings.finish(Some(Self { list }))
+    }
+}
+
+fn check_plan(raw: &RawPlan, f: &mut Findings) -> (PlanId, Vec<(String, Allowance)>) {
+    let mut services = HashSet::default();
+    for allowance in &raw.services {
+        let place = format!("plans.{}.services.{}", raw.name, allowance.service);
+        if !services.insert(allowance.service.as_str()) {
+            f.add(&place, "the service stands twice");
+        }
+        if allowance.max_open_flows == 0 {
+            f.add(format!("{place}.max_open_flows"), "is 0; leave the service out instead");
+        }
+        if allowance.max_new_flows_per_s == 0 {
+            f.add(format!("{place}.max_new_flows_per_s"), "is 0; leave the service out instead");
+        }
+    }
+    let allowances = raw.services.iter().map(|raw| {
+        let allowance = Allowance {
+            max_open_flows: raw.max_open_flows,
+            max_new_flows_per_s: raw.max_new_flows_per_s,
+        };
+        (raw.service.clone(), allowance)
+    });
+    (raw.name.clone(), allowances.collect())
+}
