Admit new flows by plan and allowance

Cause: every new flow was admitted, whatever the customer's plan says.

Ruled out: counting on each instance. All first packets and ends of a service's flows pass its placer as data, so the counts stand there without control bytes.

Change: open flows and a token bucket for each customer and service on the placer. The first packet of a counted flow that comes again is admitted without a second count; rules hold for new flows at once and end no open one. A new placer counts the open flows that it knows for two minutes. While more than one instance is missing it uses a share of what is left. retry_after is drawn over the time in which the callers refused recently can be served. The tick no longer ends counts for bindings that expired: one that was only learned expires while its flow is open.

Tests: with the rule for repeated first packets taken out, open_model, refused_stays_out and the scenario open_flows fail. no_target_uncounted failed (0 of 10 admitted after an outage of all targets) before flows that no target takes were taken out of the count.

Conclusion: overshoot and wrong refusals are measured next.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -1,6 +1,21 @@
 //! Admission of new flows by the customer's plan and its allowances.
 //!
 //! Admission is asked on the instance that places a service's new flows, which sees the
-//! first packet and the end of every flow of that service.
+//! first packet and the end of every flow of that service. Counts of open flows and token
+//! buckets stand there, for each customer and service; nothing is told to other instances.
+//! An instance that becomes a service's placer counts the open flows that it knows.
 
-pub use crate::pipeline::{Admission, AdmitAll, Refusal};
+mod account;
+mod bucket;
+mod caution;
+mod ledger;
+mod recent;
+mod retry;
+mod rule_admission;
+mod take_over;
+mod tombstones;
+
+pub use crate::pipeline::{Admission, AdmitAll, OpenFlow, Refusal};
+pub use retry::RetryAfter;
+pub use rule_admission::RuleAdmission;
+pub use take_over::TakeOvers;
--- /dev/null
+++ b/src/admission/ledger.rs
@@ -0,0 +1,207 @@
+//! The open flows that this instance counts, and for whom.
+
+use std::time::Duration;
+
+use super::account::Account;
+use crate::hash::HashMap;
+use crate::ids::{Customer, FlowId, ServiceId};
+use crate::placement::FlowTable;
+
+/// Shards of the counted flows; one is looked through at a time.
+const SHARDS: usize = 64;
+/// Time after which a flow that was taken over must have shown that it is open.
+const TRIAL: Duration = Duration::from_secs(120);
+
+/// Place of an account in the ledger.
+type AccountId = u32;
+
+/// One counted flow.
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    account: AccountId,
+    /// When the flow has to be looked at again, in seconds.
+    due: u32,
+    /// The flow was taken over, and no packet has proved it open since.
+    trial: bool,
+}
+
+/// All counted flows, and the accounts that they belong to.
+#[derive(Debug)]
+pub struct Ledger {
+    flows: Vec<HashMap<FlowId, Entry>>,
+    accounts: Vec<Option<Account>>,
+    free: Vec<AccountId>,
+    by_service: HashMap<ServiceId, HashMap<Customer, AccountId>>,
+    next_sweep: usize,
+}
+
+impl Default for Ledger {
+    fn default() -> Self {
+        Self {
+            flows: vec![HashMap::default(); SHARDS],
+            accounts: Vec::new(),
+            free: Vec::new(),
+            by_service: HashMap::default(),
+            next_sweep: 0,
+        }
+    }
+}
+
+impl Ledger {
+    /// Tells whether a flow is counted.
+    pub fn counts(&self, flow: FlowId) -> bool {
+        self.flows[shard(flow)].contains_key(&flow)
+    }
+
+    /// Returns the number of counted flows.
+    pub fn flows(&self) -> usize {
+        self.flows.iter().map(HashMap::len).sum()
+    }
+
+    /// Returns the accounts in use.
+    pub fn accounts(&self) -> impl Iterator<Item = &Account> {
+        self.accounts.iter().flatten()
+    }
+
+    /// Returns the accounts in use for a change.
+    pub fn accounts_mut(&mut self) -> impl Iterator<Item = &mut Account> {
+        self.accounts.iter_mut().flatten()
+    }
+
+    /// Finds the account of a customer and service.
+    pub fn account(&self, service: ServiceId, customer: &str) -> Option<&Account> {
+        let id = *self.by_service.get(&service)?.get(customer)?;
+        self.accounts[id as usize].as_ref()
+    }
+
+    /// Finds or opens the account of a customer and service.
+    pub fn account_mut(
+        &mut self,
+        now: Duration,
+        service: ServiceId,
+        customer: &str,
+        idle_timeout: Duration,
+    ) -> (AccountId, &mut Account) {
+        let known = self.by_service.get(&service).and_then(|by| by.get(customer));
+        let id = known.copied().unwrap_or_else(|| self.free_place(service, customer));
+        let account = self.accounts[id as usize]
+            .get_or_insert_with(|| Account::new(now, service, customer.into()));
+        account.set_idle_timeout(idle_timeout);
+        (id, account)
+    }
+
+    /// Notes a flow that its account has just counted.
+    pub fn opened(&mut self, now: Duration, flow: FlowId, account: AccountId) {
+        let idle_timeout = self.idle_timeout(account);
+        let entry = Entry { account, due: seconds(now + idle_timeout), trial: false };
+        self.flows[shard(flow)].insert(flow, entry);
+    }
+
+    /// Counts a flow that was open before this instance placed its service.
+    pub fn found(&mut self, now: Duration, flow: FlowId, account: AccountId) {
+        if self.counts(flow) {
+            return;
+        }
+        let entry = Entry { account, due: seconds(now + TRIAL), trial: true };
+        self.flows[shard(flow)].insert(flow, entry);
+        if let Some(account) = &mut self.accounts[account as usize] {
+            account.found();
+        }
+    }
+
+    /// Takes an ended flow out of the count; answers whether it was counted.
+    pub fn ended(&mut self, now: Duration, flow: FlowId) -> bool {
+        let Some(entry) = self.flows[shard(flow)].remove(&flow) else { return false };
+        if let Some(account) = &mut self.accounts[entry.account as usize] {
+            account.ended(now);
+        }
+        true
+    }
+
+    /// Forgets the flows of services that this instance does not place any more: it does
+    /// not see their ends.
+    pub fn keep_services(&mut self, keep: impl Fn(ServiceId) -> bool) {
+        let accounts = &self.accounts;
+        let kept = |id: AccountId| accounts[id as usize].as_ref().is_some_and(|a| keep(a.service));
+        for shard in &mut self.flows {
+            shard.retain(|_, entry| kept(entry.account));
+        }
+        self.drop_accounts(|account| !keep(account.service));
+    }
+
+    /// Looks through one shard for flows whose end nobody has told, and drops accounts
+    /// that are not used.
+    pub fn sweep(&mut self, now: Duration, known: &FlowTable) {
+        let i = self.next_sweep;
+        self.next_sweep = (i + 1) % SHARDS;
+        let accounts = &mut self.accounts;
+        self.flows[i].retain(|&flow, entry| {
+            let Some(account) = &mut accounts[entry.account as usize] else { return false };
+            let keep = entry.still_open(now, flow, account.idle_timeout(), known);
+            if !keep {
+                account.forgotten();
+            }
+            keep
+        });
+        if i == 0 {
+            self.drop_accounts(|account| account.unused(now));
+        }
+    }
+
+    fn idle_timeout(&self, account: AccountId) -> Duration {
+        self.accounts[account as usize].as_ref().map_or(TRIAL, Account::idle_timeout)
+    }
+
+    fn free_place(&mut self, service: ServiceId, customer: &str) -> AccountId {
+        let id = self.free.pop().unwrap_or_else(|| {
+            self.accounts.push(None);
+            (self.accounts.len() - 1) as AccountId
+        });
+        self.by_service.entry(service).or_default().insert(customer.into(), id);
+        id
+    }
+
+    fn drop_accounts(&mut self, dropped: impl Fn(&Account) -> bool) {
+        for (id, place) in self.accounts.iter_mut().enumerate() {
+            let Some(account) = place.take_if(|account| dropped(account)) else { continue };
+            self.free.push(id as AccountId);
+            if let Some(by_customer) = self.by_service.get_mut(&account.service) {
+                by_customer.remove(&account.customer);
+            }
+        }
+        self.by_service.retain(|_, by_customer| !by_customer.is_empty());
+    }
+}
+
+impl Entry {
+    /// Tells whether the flow may still be open: no packet of it needs to have passed here
+    /// before the entry is due, and one must have from then on.
+    fn still_open(
+        &mut self,
+        now: Duration,
+        flow: FlowId,
+        idle_timeout: Duration,
+        known: &FlowTable,
+    ) -> bool {
+        if seconds(now) < self.due {
+            return true;
+        }
+        let within = if self.trial { TRIAL } else { idle_timeout };
+        let Some(binding) = known.get(flow) else { return false };
+        let quiet = binding.unconfirmed(now);
+        if binding.closing() || quiet >= within {
+            return false;
+        }
+        self.trial = false;
+        self.due = seconds(now + idle_timeout.saturating_sub(quiet));
+        true
+    }
+}
+
+fn seconds(time: Duration) -> u32 {
+    u32::try_from(time.as_secs()).unwrap_or(u32::MAX)
+}
+
+fn shard(flow: FlowId) -> usize {
+    (flow >> 58) as usize % SHARDS
+}
--- /dev/null
+++ b/src/admission/rule_admission.rs
@@ -0,0 +1,140 @@
+//! Admission by the operators' rules.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+
+use super::account::Account;
+use super::caution::Caution;
+use super::ledger::Ledger;
+use super::retry::spread;
+use super::tombstones::Tombstones;
+use crate::flow::Classified;
+use crate::ids::{Customer, FlowId, ServiceId};
+use crate::lists::{Allowance, Rules};
+use crate::pipeline::{Admission, OpenFlow, Refusal};
+use crate::placement::{FlowTable, RefuseReason};
+use crate::services::Service;
+
+/// Least time after which a caller whose plan lacks the service may come back: only a
+/// change of the lists lets it in.
+const PLAN_CHANGE: Duration = Duration::from_secs(30);
+
+/// Counts the open and new flows of each customer and service against its allowance.
+///
+/// While there are no rules, every flow is admitted and none is counted.
+#[derive(Debug)]
+pub struct RuleAdmission {
+    rules: Option<Arc<Rules>>,
+    ledger: Ledger,
+    caution: Caution,
+    /// Flows that ended lately, which must not be counted again by a late take-over.
+    ended: Tombstones,
+    rng: SmallRng,
+}
+
+impl RuleAdmission {
+    /// Makes an admission without rules; `rng` spreads the callers that are refused.
+    pub fn new(rng: SmallRng) -> Self {
+        Self {
+            rules: None,
+            ledger: Ledger::default(),
+            caution: Caution::default(),
+            ended: Tombstones::default(),
+            rng,
+        }
+    }
+
+    /// Returns the open flows that are counted for a customer and service.
+    pub fn open(&self, service: ServiceId, customer: &str) -> u32 {
+        self.ledger.account(service, customer).map_or(0, Account::open)
+    }
+
+    /// Returns the number of flows and of accounts that are held.
+    pub fn held(&self) -> (usize, usize) {
+        (self.ledger.flows(), self.ledger.accounts().count())
+    }
+
+    fn refuse_plan(&mut self) -> Refusal {
+        let retry_after = spread(&mut self.rng, PLAN_CHANGE, f64::INFINITY, 1.0);
+        Refusal { reason: RefuseReason::NotInPlan, retry_after }
+    }
+}
+
+impl Admission for RuleAdmission {
+    fn admit(&mut self, now: Duration, class: &Classified<'_>) -> Result<(), Refusal> {
+        let Some(rules) = self.rules.clone() else { return Ok(()) };
+        if self.ledger.counts(class.flow) {
+            // The caller repeats its first packet, or uses the port of a flow whose end was
+            // lost: the flow has its place in the count.
+            return Ok(());
+        }
+        let service = class.service;
+        let Some((customer, allowance)) = rule(&rules, *class.caller.ip(), service.id) else {
+            return Err(self.refuse_plan());
+        };
+        let share = self.caution.share(now);
+        let (id, account) =
+            self.ledger.account_mut(now, service.id, customer, service.idle_timeout);
+        account.admit(now, allowance, share, &mut self.rng)?;
+        self.ledger.opened(now, class.flow, id);
+        Ok(())
+    }
+
+    fn closed(&mut self, now: Duration, flow: FlowId) {
+        self.ledger.ended(now, flow);
+        self.ended.add(flow);
+    }
+
+    fn set_rules(&mut self, _now: Duration, rules: Arc<Rules>) {
+        self.rules = Some(rules);
+    }
+
+    fn set_live(&mut self, now: Duration, live: usize) {
+        if self.caution.set_live(now, live) {
+            log::warn!(live = live, share = self.caution.share(now); "allowances_shared");
+            for account in self.ledger.accounts_mut() {
+                account.begin_caution();
+            }
+        }
+    }
+
+    fn seed(
+        &mut self,
+        now: Duration,
+        service: &Service,
+        flows: &mut dyn Iterator<Item = OpenFlow>,
+    ) {
+        let Some(rules) = self.rules.clone() else { return };
+        for (flow, caller) in flows {
+            if self.ended.contains(flow) {
+                continue;
+            }
+            let Some(customer) = rules.customer_of(*caller.ip()) else { continue };
+            let idle_timeout = service.idle_timeout;
+            let (id, _) = self.ledger.account_mut(now, service.id, customer, idle_timeout);
+            self.ledger.found(now, flow, id);
+        }
+        if self.caution.cautious(now) {
+            let accounts = self.ledger.accounts_mut();
+            accounts.filter(|a| a.service == service.id).for_each(Account::begin_caution);
+        }
+    }
+
+    fn keep_services(&mut self, placed: &dyn Fn(ServiceId) -> bool) {
+        self.ledger.keep_services(placed);
+    }
+
+    fn tick(&mut self, now: Duration, known: &FlowTable) {
+        self.ledger.sweep(now, known);
+        self.ended.age(now);
+    }
+}
+
+/// Finds the customer of a caller and what it may use of a service; none if nothing.
+fn rule(rules: &Rules, caller: Ipv4Addr, service: ServiceId) -> Option<(&Customer, Allowance)> {
+    let customer = rules.customer_of(caller)?;
+    Some((customer, rules.allowance(customer, service)?))
+}
--- /dev/null
+++ b/src/admission/tombstones.rs
@@ -0,0 +1,41 @@
+//! The flows that ended lately.
+
+use std::time::Duration;
+
+use super::take_over::FRESH;
+use crate::hash::HashSet;
+use crate::ids::FlowId;
+
+/// Ended flows that are remembered at most in one generation.
+const CAPACITY: usize = 100_000;
+
+/// Ended flows, remembered for one to two times as long as a flow that is taken over may
+/// have been quiet.
+#[derive(Debug, Default)]
+pub struct Tombstones {
+    young: HashSet<FlowId>,
+    old: HashSet<FlowId>,
+    next_age: Duration,
+}
+
+impl Tombstones {
+    /// Remembers a flow.
+    pub fn add(&mut self, flow: FlowId) {
+        if self.young.len() < CAPACITY {
+            self.young.insert(flow);
+        }
+    }
+
+    /// Tells whether a flow is remembered.
+    pub fn contains(&self, flow: FlowId) -> bool {
+        self.young.contains(&flow) || self.old.contains(&flow)
+    }
+
+    /// Forgets the older generation when it is time.
+    pub fn age(&mut self, now: Duration) {
+        if now >= self.next_age {
+            self.next_age = now + FRESH;
+            self.old = std::mem::take(&mut self.young);
+        }
+    }
+}
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -4,17 +4,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use metrics::{counter, gauge};
+use metrics::{counter, gauge, histogram};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 use super::registry::{INSTANCES, Registry};
 use super::{Action, Event};
+use crate::admission::{RuleAdmission, TakeOvers};
 use crate::link::Link;
 use crate::lists::Lists;
 use crate::membership::Membership;
 use crate::peer::{Body, Hop, MemberInfo};
-use crate::pipeline::{AdmitAll, Discard, Outcome, Pipeline};
+use crate::pipeline::{Discard, Outcome, Pipeline};
 use crate::placement::{Placement, PlacementConfig, Policy, Route, TargetView};
 use crate::platform::{Call, Object, PlatformError, Reply};
 use crate::targets::Targets;
@@ -54,6 +55,7 @@
     registry: Registry,
     lists: Lists,
     targets: Targets,
+    take_overs: TakeOvers,
     link: Link,
     last_tick: Duration,
     stale_until: Option<Duration>,
@@ -69,13 +71,15 @@
         let placement = Placement::new(&placement_cfg);
         let tracer = Tracer::new(id, cfg.trace_one_in);
         let link = Link::new(cfg.peer_key, id, cfg.me.incarnation, cfg.control_budget, now);
+        let admission = RuleAdmission::new(SmallRng::from_rng(&mut rng));
         Self {
-            pipeline: Pipeline::new(placement, Box::new(AdmitAll), tracer),
+            pipeline: Pipeline::new(placement, Box::new(admission), tracer),
             link,
             membership: Membership::new(now, cfg.me, cfg.seeds, SmallRng::from_rng(&mut rng)),
             lists: Lists::new(SmallRng::from_rng(&mut rng)),
             targets: Targets::new(id, SmallRng::from_rng(&mut rng)),
             registry: Registry::new(id, rng),
+            take_overs: TakeOvers::default(),
             last_tick: now,
             stale_until: None,
             leaving_since: None,
@@ -133,6 +137,8 @@
             Outcome::Refused(service, refusal, reset) => {
                 let reason = refusal.reason.to_string();
                 counter!("limpetdeck_flows_refused_total", "reason" => reason.clone()).increment(1);
+                histogram!("limpetdeck_retry_after_seconds", "reason" => reason.clone())
+                    .record(refusal.retry_after);
                 log::info!(
                     service = service,
                     reason = reason.as_str(),
@@ -184,10 +190,11 @@
         let live = self.membership.live();
         self.lists.tick(now, &live, &mut outbox);
         self.targets.tick(now, &live, &mut outbox);
-        for flow in self.pipeline.placement.tick(now, &mut outbox) {
-            self.pipeline.admission.closed(now, flow);
-        }
+        self.pipeline.placement.tick(now, &mut outbox);
         self.join_parts(now);
+        let Pipeline { placement, admission, .. } = &mut self.pipeline;
+        admission.tick(now, placement.flows());
+        self.take_overs.count(now, placement, admission.as_mut());
         self.call_platform(now, out);
         gauge!("limpetdeck_flows_known").set(self.pipeline.placement.flows().len() as f64);
         if self.leaving_since.is_some_and(|since| now >= since + LINGER) {
@@ -213,23 +220,39 @@
 
     /// Hands what one part has found to the parts that need it.
     fn join_parts(&mut self, now: Duration) {
+        let mut may_place_others = false;
         if self.membership.take_changed() {
+            may_place_others = true;
             let (owners, live) = (self.membership.owners(), self.membership.live());
             log::info!(live = live.len(), owners = owners.len(); "members");
             gauge!("limpetdeck_instances_live").set(live.len() as f64);
             self.link.set_addresses(self.membership.addresses());
+            self.pipeline.admission.set_live(now, live.len());
             self.pipeline.placement.set_members(now, owners, live);
         }
         if let Some((version, services)) = self.lists.take_services() {
             self.targets.set_services(Arc::clone(&services));
             self.pipeline.placement.set_services(now, version, services);
+            may_place_others = true;
         }
+        self.join_admission(now, may_place_others);
         for change in self.targets.take_news() {
             let view = TargetView { state: change.state, version: change.version, since: now };
             self.pipeline.placement.set_target(change.target, view);
         }
     }
 
+    fn join_admission(&mut self, now: Duration, may_place_others: bool) {
+        let Pipeline { placement, admission, .. } = &mut self.pipeline;
+        if let Some(rules) = self.lists.take_rules() {
+            admission.set_rules(now, rules);
+            self.take_overs.on_rules(now, placement, admission.as_mut());
+        }
+        if may_place_others {
+            self.take_overs.compare(now, placement, admission.as_mut());
+        }
+    }
+
     fn call_platform(&mut self, now: Duration, out: &mut Vec<Action>) {
         if self.leaving_since.is_none() {
             let me = serde_json::to_value(self.membership.me()).unwrap_or_default();
--- a/src/pipeline/admit.rs
+++ b/src/pipeline/admit.rs
@@ -1,10 +1,14 @@
 //! The filter that refuses new flows which a customer's plan does not cover.
 
+use std::net::SocketAddrV4;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::flow::Classified;
-use crate::ids::FlowId;
-use crate::placement::RefuseReason;
+use crate::ids::{FlowId, ServiceId};
+use crate::lists::Rules;
+use crate::placement::{FlowTable, RefuseReason};
+use crate::services::Service;
 
 /// Why a new flow is refused, and when its caller may come back.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -15,6 +19,9 @@
     pub retry_after: Duration,
 }
 
+/// An open flow and its caller.
+pub type OpenFlow = (FlowId, SocketAddrV4);
+
 /// Decides whether a new flow may be opened. It is asked on the instance that places the
 /// service's new flows, so that all flows of the service are counted in one place.
 pub trait Admission: std::fmt::Debug {
@@ -27,6 +34,29 @@
 
     /// Notes that a flow has ended.
     fn closed(&mut self, now: Duration, flow: FlowId);
+
+    /// Takes the rules that are in force. They hold for new flows only.
+    fn set_rules(&mut self, _now: Duration, _rules: Arc<Rules>) {}
+
+    /// Takes the number of live instances that this one knows of, itself among them.
+    fn set_live(&mut self, _now: Duration, _live: usize) {}
+
+    /// Counts flows of a service that were open before this instance placed its new flows.
+    fn seed(
+        &mut self,
+        _now: Duration,
+        _service: &Service,
+        _flows: &mut dyn Iterator<Item = OpenFlow>,
+    ) {
+    }
+
+    /// Forgets the services that `placed` does not name: this instance does not see the ends
+    /// of their flows.
+    fn keep_services(&mut self, _placed: &dyn Fn(ServiceId) -> bool) {}
+
+    /// Advances time; due about ten times a second. `known` are the flows whose packets
+    /// pass this instance.
+    fn tick(&mut self, _now: Duration, _known: &FlowTable) {}
 }
 
 /// Admits every flow.
--- a/src/pipeline/run.rs
+++ b/src/pipeline/run.rs
@@ -143,9 +143,14 @@
             }
             Verdict::ToInstance(to, route) => {
                 let _span = Span::enter_with_parent("forward", root);
+                if segment.flags.opens() && route.stage == Stage::Owner && route.advice.is_none() {
+                    // No target takes the flow, so the owner will refuse it.
+                    self.admission.closed(now, class.flow);
+                }
                 Outcome::Instance(to, route, packet)
             }
             Verdict::Refuse(reason, retry_after) => {
+                self.admission.closed(now, class.flow);
                 refuse(class, segment, Refusal { reason, retry_after })
             }
             Verdict::Reset => match answer::reset(segment) {
