Tell a new placer the open flows by their owners

Cause: a new placer counted the flows that it had learned.

Ruled out: shorter memory for learned flows; it loses the open ones.

Change: owners, who see every end, send their open flows to the new placer under the control budget; learned flows are not counted.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -2,13 +2,14 @@
 //!
 //! Admission is asked on the instance that places a service's new flows, which sees the
 //! first packet and the end of every flow of that service. Counts of open flows and token
-//! buckets stand there, for each customer and service; nothing is told to other instances.
-//! An instance that becomes a service's placer counts the open flows that it knows.
+//! buckets stand there, for each customer and service. Only when another instance becomes the
+//! placer of a service is it told the open flows, by the instances that own them.
 
 mod account;
 mod bucket;
 mod caution;
 mod ledger;
+mod message;
 mod recent;
 mod retry;
 mod rule_admission;
@@ -16,6 +17,7 @@
 mod tombstones;
 
 pub use crate::pipeline::{Admission, AdmitAll, OpenFlow, Refusal};
+pub use message::Message;
 pub use retry::RetryAfter;
 pub use rule_admission::RuleAdmission;
 pub use take_over::TakeOvers;
--- a/src/admission/ledger.rs
+++ b/src/admission/ledger.rs
@@ -9,8 +9,6 @@
 
 /// Shards of the counted flows; one is looked through at a time.
 const SHARDS: usize = 64;
-/// Time after which a flow that was taken over must have shown that it is open.
-const TRIAL: Duration = Duration::from_secs(120);
 
 /// Place of an account in the ledger.
 type AccountId = u32;
@@ -21,8 +19,6 @@
     account: AccountId,
     /// When the flow has to be looked at again, in seconds.
     due: u32,
-    /// The flow was taken over, and no packet has proved it open since.
-    trial: bool,
 }
 
 /// All counted flows, and the accounts that they belong to.
@@ -92,8 +88,9 @@
 
     /// Notes a flow that its account has just counted.
     pub fn opened(&mut self, now: Duration, flow: FlowId, account: AccountId) {
-        let idle_timeout = self.idle_timeout(account);
-        let entry = Entry { account, due: seconds(now + idle_timeout), trial: false };
+        let known = self.accounts[account as usize].as_ref();
+        let idle_timeout = known.map_or(Duration::ZERO, Account::idle_timeout);
+        let entry = Entry { account, due: seconds(now + idle_timeout) };
         self.flows[shard(flow)].insert(flow, entry);
     }
 
@@ -102,11 +99,10 @@
         if self.counts(flow) {
             return;
         }
-        let entry = Entry { account, due: seconds(now + TRIAL), trial: true };
-        self.flows[shard(flow)].insert(flow, entry);
         if let Some(account) = &mut self.accounts[account as usize] {
             account.found();
         }
+        self.opened(now, flow, account);
     }
 
     /// Takes an ended flow out of the count; answers whether it was counted.
@@ -148,10 +144,6 @@
         }
     }
 
-    fn idle_timeout(&self, account: AccountId) -> Duration {
-        self.accounts[account as usize].as_ref().map_or(TRIAL, Account::idle_timeout)
-    }
-
     fn free_place(&mut self, service: ServiceId, customer: &str) -> AccountId {
         let id = self.free.pop().unwrap_or_else(|| {
             self.accounts.push(None);
@@ -174,8 +166,8 @@
 }
 
 impl Entry {
-    /// Tells whether the flow may still be open: no packet of it needs to have passed here
-    /// before the entry is due, and one must have from then on.
+    /// Tells whether the flow may still be open: a packet of it must have passed here within
+    /// the idle timeout.
     fn still_open(
         &mut self,
         now: Duration,
@@ -186,13 +178,11 @@
         if seconds(now) < self.due {
             return true;
         }
-        let within = if self.trial { TRIAL } else { idle_timeout };
         let Some(binding) = known.get(flow) else { return false };
         let quiet = binding.unconfirmed(now);
-        if binding.closing() || quiet >= within {
+        if binding.closing() || quiet >= idle_timeout {
             return false;
         }
-        self.trial = false;
         self.due = seconds(now + idle_timeout.saturating_sub(quiet));
         true
     }
--- /dev/null
+++ b/src/admission/message.rs
@@ -0,0 +1,13 @@
+//! What instances tell each other about admission.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::ServiceId;
+use crate::pipeline::OpenFlow;
+
+/// A message about admission.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Open flows of a service that the sender owns, for the service's new placer.
+    Open(ServiceId, Vec<OpenFlow>),
+}
--- a/src/admission/rule_admission.rs
+++ b/src/admission/rule_admission.rs
@@ -30,7 +30,7 @@
     rules: Option<Arc<Rules>>,
     ledger: Ledger,
     caution: Caution,
-    /// Flows that ended lately, which must not be counted again by a late take-over.
+    /// Flows that ended lately, which a report that was under way must not count again.
     ended: Tombstones,
     rng: SmallRng,
 }
@@ -108,19 +108,15 @@
         flows: &mut dyn Iterator<Item = OpenFlow>,
     ) {
         let Some(rules) = self.rules.clone() else { return };
-        for (flow, caller) in flows {
+        for OpenFlow { flow, caller } in flows {
             if self.ended.contains(flow) {
                 continue;
             }
-            let Some(customer) = rules.customer_of(*caller.ip()) else { continue };
+            let Some(customer) = rules.customer_of(caller) else { continue };
             let idle_timeout = service.idle_timeout;
             let (id, _) = self.ledger.account_mut(now, service.id, customer, idle_timeout);
             self.ledger.found(now, flow, id);
         }
-        if self.caution.cautious(now) {
-            let accounts = self.ledger.accounts_mut();
-            accounts.filter(|a| a.service == service.id).for_each(Account::begin_caution);
-        }
     }
 
     fn keep_services(&mut self, placed: &dyn Fn(ServiceId) -> bool) {
--- a/src/admission/take_over.rs
+++ b/src/admission/take_over.rs
@@ -1,54 +1,51 @@
-//! Take-over of a service: what its new placer knows of the flows that are open already.
+//! Take-over of a service by a new placer: owners tell it the flows that are open already.
 
 use std::time::Duration;
 
+use super::Message;
+use crate::budget::Class;
 use crate::hash::HashMap;
-use crate::ids::{FlowId, ServiceId};
+use crate::ids::{InstanceId, ServiceId};
+use crate::link::Outbox;
+use crate::peer::Body;
 use crate::pipeline::{Admission, OpenFlow};
 use crate::placement::{Binding, Placement, Role};
-use crate::services::Services;
 
-/// Time for which a learned flow counts as open without a packet: an instance is not told
-/// the end of a flow that it has only learned.
-pub(super) const FRESH: Duration = Duration::from_secs(20);
-/// Time between two counts of the flows that were learned after a take-over.
-const COUNT_EVERY: Duration = Duration::from_secs(10);
-/// Time after a take-over in which flows that show up are counted.
-const COUNT_FOR: Duration = Duration::from_secs(120);
+/// Flows in one message, so that it fits into one datagram.
+const FLOWS_PER_MESSAGE: usize = 80;
 
-/// A service whose open flows are being counted.
+/// Flows that a new placer has still to be told.
 #[derive(Debug)]
-struct TakeOver {
-    next_count: Duration,
-    until: Duration,
+struct Report {
+    to: InstanceId,
+    flows: Vec<OpenFlow>,
 }
 
-/// The services that this instance places, and the take-overs under way.
+/// The placers of all services, and the reports to new ones that wait for the budget.
 #[derive(Debug, Default)]
 pub struct TakeOvers {
-    placed: HashMap<ServiceId, Option<TakeOver>>,
+    placers: HashMap<ServiceId, InstanceId>,
+    reports: HashMap<ServiceId, Report>,
     have_rules: bool,
 }
 
 impl TakeOvers {
-    /// Compares the services that this instance places with those before, and counts the
-    /// flows of those that are new. To be called after each change of members or services.
+    /// Compares the placers with those before, and counts or reports the open flows of the
+    /// services that have a new one. To be called after each change of members or services.
     pub fn compare(&mut self, now: Duration, placement: &Placement, admission: &mut dyn Admission) {
         let services = placement.services().list();
-        let placed = services.iter().map(|s| s.id).filter(|&id| placement.places(id));
-        let before = std::mem::take(&mut self.placed);
-        let mut before: HashMap<_, _> = before.into_iter().collect();
-        for id in placed {
-            let known = before.remove(&id);
-            self.placed.insert(id, known.unwrap_or_else(|| Some(TakeOver::new(now))));
-        }
-        if !before.is_empty() {
-            admission.keep_services(&|id| self.placed.contains_key(&id));
-        }
-        self.count(now, placement, admission);
+        let placers = services.iter().filter_map(|s| Some((s.id, placement.placer(s.id)?)));
+        let placers: HashMap<_, _> = placers.collect();
+        let before = std::mem::replace(&mut self.placers, placers);
+        let placers = self.placers.iter();
+        let changed = placers.filter(|(service, placer)| before.get(service) != Some(placer));
+        let changed: Vec<_> = changed.map(|(&service, _)| service).collect();
+        admission.keep_services(&|service| placement.places(service));
+        self.reports.retain(|service, report| self.placers.get(service) == Some(&report.to));
+        self.report(now, placement, admission, changed);
     }
 
-    /// Counts all services when the first rules come: without rules no flow was counted.
+    /// Counts or reports all open flows when the first rules come: so far none was counted.
     pub fn on_rules(
         &mut self,
         now: Duration,
@@ -58,67 +55,101 @@
         if std::mem::replace(&mut self.have_rules, true) {
             return;
         }
-        for take_over in self.placed.values_mut() {
-            *take_over = Some(TakeOver::new(now));
-        }
-        self.count(now, placement, admission);
+        let all = self.placers.keys().copied().collect();
+        self.report(now, placement, admission, all);
     }
 
-    /// Counts the flows of the services whose next count is due.
-    pub fn count(&mut self, now: Duration, placement: &Placement, admission: &mut dyn Admission) {
-        let mut due = HashMap::default();
-        for (&service, take_over) in &mut self.placed {
-            if take_over.as_mut().is_some_and(|take_over| take_over.is_due(now)) {
-                due.insert(service, Vec::new());
-            }
-            if take_over.as_ref().is_some_and(|take_over| now >= take_over.until) {
-                *take_over = None;
-            }
+    /// Takes a message of another instance.
+    pub fn on_message(
+        &mut self,
+        now: Duration,
+        message: Message,
+        placement: &Placement,
+        admission: &mut dyn Admission,
+    ) {
+        let Message::Open(id, flows) = message;
+        let services = placement.services().list();
+        if let Some(service) = services.iter().find(|service| service.id == id) {
+            admission.seed(now, service, &mut flows.into_iter());
         }
-        if due.is_empty() {
+    }
+
+    /// Sends what the budget allows of the reports; due about ten times a second.
+    pub fn send(&mut self, placement: &Placement, out: &mut Outbox<'_>) {
+        self.reports.retain(|&service, report| {
+            while !report.flows.is_empty() && report.send_part(service, placement, out) {}
+            !report.flows.is_empty()
+        });
+    }
+
+    fn report(
+        &mut self,
+        now: Duration,
+        placement: &Placement,
+        admission: &mut dyn Admission,
+        services: Vec<ServiceId>,
+    ) {
+        if !self.have_rules || services.is_empty() {
             return;
         }
-        let services = placement.services();
-        collect(now, placement, services, &mut due);
-        for service in services.list() {
-            if let Some(flows) = due.remove(&service.id) {
-                admission.seed(now, service, &mut flows.into_iter());
+        for (id, flows) in owned_flows(placement, services) {
+            let Some(&to) = self.placers.get(&id) else { continue };
+            let service = placement.services().list().iter().find(|service| service.id == id);
+            match service {
+                Some(service) if placement.places(id) => {
+                    admission.seed(now, service, &mut flows.into_iter());
+                }
+                _ => {
+                    self.reports.insert(id, Report { to, flows });
+                }
             }
         }
     }
 }
 
-impl TakeOver {
-    fn new(now: Duration) -> Self {
-        Self { next_count: now, until: now + COUNT_FOR }
-    }
-
-    fn is_due(&mut self, now: Duration) -> bool {
-        let due = now >= self.next_count;
-        if due {
-            self.next_count = now + COUNT_EVERY;
+impl Report {
+    /// Sends the next part; answers false if it has to wait.
+    fn send_part(
+        &mut self,
+        service: ServiceId,
+        placement: &Placement,
+        out: &mut Outbox<'_>,
+    ) -> bool {
+        let rest = self.flows.len().saturating_sub(FLOWS_PER_MESSAGE);
+        // The part may have waited, and flows may have ended since.
+        let is_open = |open: &&OpenFlow| placement.flows().get(open.flow).is_some_and(is_owned);
+        let part: Vec<_> = self.flows[rest..].iter().filter(is_open).copied().collect();
+        if part.is_empty() {
+            self.flows.truncate(rest);
+            return true;
+        }
+        let body = Body::Admission(Message::Open(service, part));
+        let sent = out.send(self.to, Class::Replicas, &body);
+        if sent {
+            self.flows.truncate(rest);
         }
-        due
+        sent
     }
 }
 
-/// Adds the open flows that this instance knows to the services that they belong to.
-fn collect(
-    now: Duration,
+/// Returns the open flows of some services that this instance owns.
+fn owned_flows(
     placement: &Placement,
-    services: &Services,
-    due: &mut HashMap<ServiceId, Vec<OpenFlow>>,
-) {
+    services: Vec<ServiceId>,
+) -> HashMap<ServiceId, Vec<OpenFlow>> {
+    let mut found: HashMap<_, Vec<_>> = services.into_iter().map(|id| (id, Vec::new())).collect();
     for (flow, binding) in placement.flows().iter() {
-        let Some((service, _)) = services.target(binding.target) else { continue };
-        if let Some(flows) = due.get_mut(&service.id) {
-            flows.extend(open_flow(now, flow, binding));
+        let Some((service, _)) = placement.services().target(binding.target) else { continue };
+        let Some(flows) = found.get_mut(&service.id) else { continue };
+        if let (true, Some(caller)) = (is_owned(binding), binding.caller()) {
+            flows.push(OpenFlow { flow, caller: *caller.ip() });
         }
     }
+    found.retain(|_, flows| !flows.is_empty());
+    found
 }
 
-fn open_flow(now: Duration, flow: FlowId, binding: &Binding) -> Option<OpenFlow> {
-    let told_of_end = binding.role != Role::Learned;
-    let open = !binding.closing() && (told_of_end || binding.unconfirmed(now) < FRESH);
-    open.then_some((flow, binding.caller()?))
+/// Only the owner sees every end of a flow: what was learned may be over.
+fn is_owned(binding: &Binding) -> bool {
+    binding.role == Role::Owner && !binding.closing()
 }
--- a/src/admission/tombstones.rs
+++ b/src/admission/tombstones.rs
@@ -2,15 +2,15 @@
 
 use std::time::Duration;
 
-use super::take_over::FRESH;
 use crate::hash::HashSet;
 use crate::ids::FlowId;
 
+/// Time for which an ended flow is remembered at least.
+const KEPT: Duration = Duration::from_secs(15);
 /// Ended flows that are remembered at most in one generation.
 const CAPACITY: usize = 100_000;
 
-/// Ended flows, remembered for one to two times as long as a flow that is taken over may
-/// have been quiet.
+/// Ended flows in two generations.
 #[derive(Debug, Default)]
 pub struct Tombstones {
     young: HashSet<FlowId>,
@@ -34,7 +34,7 @@
     /// Forgets the older generation when it is time.
     pub fn age(&mut self, now: Duration) {
         if now >= self.next_age {
-            self.next_age = now + FRESH;
+            self.next_age = now + KEPT;
             self.old = std::mem::take(&mut self.young);
         }
     }
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -179,6 +179,10 @@
             Body::Flows(message) => {
                 self.pipeline.placement.on_message(now, from, message, &mut outbox);
             }
+            Body::Admission(message) => {
+                let Pipeline { placement, admission, .. } = &mut self.pipeline;
+                self.take_overs.on_message(now, message, placement, admission.as_mut());
+            }
         }
         self.join_parts(now);
     }
@@ -194,7 +198,7 @@
         self.join_parts(now);
         let Pipeline { placement, admission, .. } = &mut self.pipeline;
         admission.tick(now, placement.flows());
-        self.take_overs.count(now, placement, admission.as_mut());
+        self.take_overs.send(placement, &mut self.link.outbox(now, out));
         self.call_platform(now, out);
         gauge!("limpetdeck_flows_known").set(self.pipeline.placement.flows().len() as f64);
         if self.leaving_since.is_some_and(|since| now >= since + LINGER) {
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -6,7 +6,7 @@
 
 use crate::ids::{FailureDomain, Incarnation, InstanceId};
 use crate::placement::{self, Route};
-use crate::{lists, membership, targets};
+use crate::{admission, lists, membership, targets};
 
 /// What an instance says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -60,4 +60,6 @@
     Targets(targets::Message),
     /// To which targets flows are bound.
     Flows(placement::Message),
+    /// Which flows a new placer has to count.
+    Admission(admission::Message),
 }
--- a/src/pipeline/admit.rs
+++ b/src/pipeline/admit.rs
@@ -1,9 +1,11 @@
 //! The filter that refuses new flows which a customer's plan does not cover.
 
-use std::net::SocketAddrV4;
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::flow::Classified;
 use crate::ids::{FlowId, ServiceId};
 use crate::lists::Rules;
@@ -20,7 +22,13 @@
 }
 
 /// An open flow and its caller.
-pub type OpenFlow = (FlowId, SocketAddrV4);
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenFlow {
+    /// Fingerprint of the flow.
+    pub flow: FlowId,
+    /// Address of the caller.
+    pub caller: Ipv4Addr,
+}
 
 /// Decides whether a new flow may be opened. It is asked on the instance that places the
 /// service's new flows, so that all flows of the service are counted in one place.
--- a/src/placement/core.rs
+++ b/src/placement/core.rs
@@ -176,6 +176,11 @@
         self.ranks.placer(service).is_none_or(|placer| placer == self.me)
     }
 
+    /// Returns the instance that places the new flows of a service.
+    pub fn placer(&self, service: ServiceId) -> Option<InstanceId> {
+        self.ranks.placer(service)
+    }
+
     /// Decides about a packet from the fabric or from another instance.
     pub fn decide(
         &mut self,
--- a/tests/admission_pipeline.rs
+++ b/tests/admission_pipeline.rs
@@ -11,7 +11,10 @@
 use limpetdeck::admission::{Admission, RuleAdmission, TakeOvers};
 use limpetdeck::hash::HashSet;
 use limpetdeck::ids::InstanceId;
+use limpetdeck::instance::Action;
+use limpetdeck::link::Link;
 use limpetdeck::packet::{Segment, decode};
+use limpetdeck::peer::Body;
 use limpetdeck::pipeline::{Outcome, Pipeline};
 use limpetdeck::placement::{Placement, PlacementConfig, Policy, Route, TargetState, TargetView};
 use limpetdeck::telemetry::Tracer;
@@ -27,14 +30,14 @@
     Fin,
 }
 
-fn pipeline(members: &[InstanceId]) -> Pipeline {
-    let cfg = PlacementConfig { me: 1, flow_capacity: 10_000, policy: Policy::Epochs };
+fn pipeline(me: InstanceId, members: &[InstanceId]) -> Pipeline {
+    let cfg = PlacementConfig { me, flow_capacity: 10_000, policy: Policy::Epochs };
     let mut placement = Placement::new(&cfg);
     placement.set_services(Duration::ZERO, 1, services());
     placement.set_members(Duration::ZERO, members.to_vec(), members.to_vec());
     let mut admission = RuleAdmission::new(SmallRng::seed_from_u64(1));
     admission.set_rules(Duration::ZERO, rules(10, 1_000));
-    Pipeline::new(placement, Box::new(admission), Tracer::new(1, 0))
+    Pipeline::new(placement, Box::new(admission), Tracer::new(me, 0))
 }
 
 fn packet(from: SocketAddrV4, to: SocketAddrV4, kind: Kind) -> Vec<u8> {
@@ -59,12 +62,6 @@
     pipeline.run(now, packet(caller(port), to, kind), Route::ENTRY, 0).0
 }
 
-/// Lets an answer of a flow pass by.
-fn answer(pipeline: &mut Pipeline, now: Duration, port: u16, kind: Kind) {
-    let from = services().list()[0].targets[0].address;
-    pipeline.run(now, packet(from, caller(port), kind), Route::ENTRY, 0);
-}
-
 fn admits(pipeline: &mut Pipeline, now: Duration, ports: std::ops::Range<u16>) -> usize {
     let refused = |outcome: &Outcome| matches!(outcome, Outcome::Refused(..));
     ports.filter(|&port| !refused(&from_caller(pipeline, now, port, Kind::Syn))).count()
@@ -72,7 +69,7 @@
 
 #[test]
 fn refused_stays_out() {
-    let mut pipeline = pipeline(&[1]);
+    let mut pipeline = pipeline(1, &[1]);
     let (mut refused, mut reached) = (HashSet::default(), HashSet::default());
     for kind in [Kind::Syn, Kind::Syn, Kind::Data, Kind::Fin] {
         for port in 1..=50 {
@@ -99,9 +96,9 @@
 #[test]
 fn no_target_uncounted() {
     for instances in [1, 2] {
-        let places = |other: &InstanceId| pipeline(&[1, *other]).placement.places(1);
+        let places = |other: &InstanceId| pipeline(1, &[1, *other]).placement.places(1);
         let other = (2..100).find(places).expect("an instance that ranks after 1");
-        let mut pipeline = pipeline(&[1, other][..instances]);
+        let mut pipeline = pipeline(1, &[1, other][..instances]);
         let dead = TargetView { state: TargetState::Dead, version: 1, since: START };
         for target in &services().list()[0].targets {
             pipeline.placement.set_target(target.id, dead);
@@ -115,50 +112,74 @@
     }
 }
 
-/// Leaves instance 1 alone, so that it places every service.
-fn take_over(pipeline: &mut Pipeline, take_overs: &mut TakeOvers, now: Duration) {
-    let Pipeline { placement, admission, .. } = pipeline;
-    placement.set_members(now, [1], [1]);
-    take_overs.compare(now, placement, admission.as_mut());
+/// One of two instances, with what wires its admission.
+struct Node {
+    pipeline: Pipeline,
+    take_overs: TakeOvers,
+    link: Link,
 }
 
-/// Makes instance 1 beside another one that places the service.
-fn beside_the_placer() -> (Pipeline, TakeOvers) {
-    let other = (2..100).find(|&other| !pipeline(&[1, other]).placement.places(1));
-    let mut pipeline = pipeline(&[1, other.expect("an instance that ranks first")]);
-    let mut take_overs = TakeOvers::default();
-    let Pipeline { placement, admission, .. } = &mut pipeline;
-    take_overs.compare(Duration::ZERO, placement, admission.as_mut());
-    (pipeline, take_overs)
-}
+impl Node {
+    fn new(id: InstanceId, both: &[InstanceId; 2]) -> Self {
+        let mut link = Link::new([0; 32], id, 1, 3_000, Duration::ZERO);
+        link.set_addresses(both.iter().map(|&id| (id, ([127, 0, 0, 1], 9).into())).collect());
+        Self { pipeline: pipeline(id, both), take_overs: TakeOvers::default(), link }
+    }
 
-#[test]
-fn take_over_counts() {
-    let (mut pipeline, mut take_overs) = beside_the_placer();
-    (1..=4).for_each(|port| answer(&mut pipeline, START, port, Kind::Data));
-    take_over(&mut pipeline, &mut take_overs, START);
-    assert_eq!(admits(&mut pipeline, START, 100..120), 6);
-    // Two flows more show up later; a flow that has ended since does not come back.
-    let later = START + Duration::from_secs(10);
-    (5..=6).for_each(|port| answer(&mut pipeline, later, port, Kind::Data));
-    from_caller(&mut pipeline, later, 4, Kind::Fin);
-    let Pipeline { placement, admission, .. } = &mut pipeline;
-    take_overs.count(later, placement, admission.as_mut());
-    from_caller(&mut pipeline, later, 100, Kind::Fin);
-    from_caller(&mut pipeline, later, 101, Kind::Fin);
-    assert_eq!(admits(&mut pipeline, later, 200..220), 1);
+    fn set_owners(&mut self, owners: &[InstanceId]) {
+        let Pipeline { placement, admission, .. } = &mut self.pipeline;
+        placement.set_members(START, owners.to_vec(), owners.to_vec());
+        self.take_overs.compare(START, placement, admission.as_mut());
+        self.take_overs.on_rules(START, placement, admission.as_mut());
+    }
+
+    /// Returns the messages that are due.
+    fn send(&mut self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let mut out = self.link.outbox(START, &mut actions);
+        self.take_overs.send(&self.pipeline.placement, &mut out);
+        actions
+    }
+
+    fn receive(&mut self, action: Action) {
+        let Action::Peer(_, buf) = action else { panic!("not a message") };
+        let (_, body) = self.link.open(&buf).expect("a sealed message");
+        let Body::Admission(message) = body else { panic!("another message") };
+        let Pipeline { placement, admission, .. } = &mut self.pipeline;
+        self.take_overs.on_message(START, message, placement, admission.as_mut());
+    }
 }
 
+/// The placer leaves, and the other instance counts all flows that were open: those that it
+/// owns at once, and the others as it is told.
 #[test]
-fn unproved_flows_go() {
-    let (mut pipeline, mut take_overs) = beside_the_placer();
-    (1..=10).for_each(|port| answer(&mut pipeline, START, port, Kind::Data));
-    take_over(&mut pipeline, &mut take_overs, START);
-    assert_eq!(admits(&mut pipeline, START, 100..120), 0);
-    let later = START + Duration::from_secs(100);
-    (1..=3).for_each(|port| answer(&mut pipeline, later, port, Kind::Data));
-    let end = START + Duration::from_secs(121);
-    let Pipeline { placement, admission, .. } = &mut pipeline;
-    (0..64).for_each(|_| admission.tick(end, placement.flows()));
-    assert_eq!(admits(&mut pipeline, end, 100..120), 7);
+fn take_over_counts() {
+    let places = |id: &InstanceId| pipeline(*id, &[1, *id]).placement.places(1);
+    let ids = [1, (2..100).find(places).expect("an instance that ranks before 1")];
+    let mut nodes = ids.map(|id| Node::new(id, &ids));
+    nodes.iter_mut().for_each(|node| node.set_owners(&ids));
+    let to = services().list()[0].address;
+    for port in 1..=10 {
+        let (mut at, mut route, mut sent) = (0, Route::ENTRY, packet(caller(port), to, Kind::Syn));
+        while let (Outcome::Instance(id, next, passed), _) =
+            nodes[at].pipeline.run(START, sent, route, 0)
+        {
+            (at, route, sent) = (usize::from(id != ids[0]), next, passed);
+        }
+    }
+    nodes.iter_mut().for_each(|node| node.set_owners(&ids[..1]));
+    let [first, second] = &mut nodes;
+    let owned = first.pipeline.placement.flows().len();
+    assert!((1..10).contains(&owned), "{owned}");
+    let reports = second.send();
+    assert!(!reports.is_empty());
+    // One flow ends while the reports are under way.
+    let told = |port: &u16| {
+        let flow = new_flow(&services(), 0, 0, *port).flow;
+        second.pipeline.placement.flows().get(flow).is_some()
+    };
+    let ended = (1..=10).find(told).expect("a flow that the second instance owns");
+    from_caller(&mut first.pipeline, START, ended, Kind::Fin);
+    reports.into_iter().for_each(|report| first.receive(report));
+    assert_eq!(admits(&mut first.pipeline, START, 100..120), 1);
 }
