Tell the ends that one side of a cut has seen

Cause: during a cut each side has a placer. After healing, the placer that stays counted flows that had ended on the other side, and owners reported flows that had ended before their eyes were back.

Change: a placer remembers the ends of flows that another placer may count and tells them when it loses the service. Ended flows are remembered for 5 to 10 minutes against late reports. The trial sends the handshake's answer through the instances too, without which owners dropped half-open records.

Tests: ends_told fails (0 of 2) without the ends; take_over_counts fails (0 of 1) without the memory of ended flows.

--- a/examples/allowance_trial/placer.rs
+++ b/examples/allowance_trial/placer.rs
@@ -44,6 +44,7 @@
 #[derive(Debug, Clone, Copy)]
 enum Kind {
     Syn,
+    SynAck,
     Data,
     Fin,
 }
@@ -157,6 +158,7 @@
             Some(Outcome::Fabric(sent)) => {
                 let target = decode(&sent).expect("a whole packet").destination;
                 self.targets.insert(flow.number, target);
+                self.run(now, at, packet(target, flow.caller(), 1, Kind::SynAck));
                 Answer::Admitted
             }
             Some(Outcome::Refused(..)) => Answer::Refused,
@@ -243,6 +245,7 @@
     let tcp = ip.tcp(from.port(), to.port(), sequence, 100);
     let tcp = match kind {
         Kind::Syn => tcp.syn(),
+        Kind::SynAck => tcp.syn().ack(1),
         Kind::Data => tcp.ack(1),
         Kind::Fin => tcp.fin().ack(1),
     };
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -8,6 +8,7 @@
 mod account;
 mod bucket;
 mod caution;
+mod ends;
 mod ledger;
 mod message;
 mod recent;
--- a/src/admission/ledger.rs
+++ b/src/admission/ledger.rs
@@ -19,6 +19,19 @@
     account: AccountId,
     /// When the flow has to be looked at again, in seconds.
     due: u32,
+    /// Another placer has counted the flow before, and may still do so behind a cut.
+    found: bool,
+}
+
+/// Where a flow that has ended was counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// The flow was opened here.
+    Opened,
+    /// The flow was counted by another placer before.
+    Found,
+    /// The flow was not counted here.
+    Unknown,
 }
 
 /// All counted flows, and the accounts that they belong to.
@@ -88,10 +101,7 @@
 
     /// Notes a flow that its account has just counted.
     pub fn opened(&mut self, now: Duration, flow: FlowId, account: AccountId) {
-        let known = self.accounts[account as usize].as_ref();
-        let idle_timeout = known.map_or(Duration::ZERO, Account::idle_timeout);
-        let entry = Entry { account, due: seconds(now + idle_timeout) };
-        self.flows[shard(flow)].insert(flow, entry);
+        self.insert(now, flow, account, false);
     }
 
     /// Counts a flow that was open before this instance placed its service.
@@ -102,16 +112,16 @@
         if let Some(account) = &mut self.accounts[account as usize] {
             account.found();
         }
-        self.opened(now, flow, account);
+        self.insert(now, flow, account, true);
     }
 
-    /// Takes an ended flow out of the count; answers whether it was counted.
-    pub fn ended(&mut self, now: Duration, flow: FlowId) -> bool {
-        let Some(entry) = self.flows[shard(flow)].remove(&flow) else { return false };
+    /// Takes an ended flow out of the count.
+    pub fn ended(&mut self, now: Duration, flow: FlowId) -> End {
+        let Some(entry) = self.flows[shard(flow)].remove(&flow) else { return End::Unknown };
         if let Some(account) = &mut self.accounts[entry.account as usize] {
             account.ended(now);
         }
-        true
+        if entry.found { End::Found } else { End::Opened }
     }
 
     /// Forgets the flows of services that this instance does not place any more: it does
@@ -144,6 +154,13 @@
         }
     }
 
+    fn insert(&mut self, now: Duration, flow: FlowId, account: AccountId, found: bool) {
+        let known = self.accounts[account as usize].as_ref();
+        let idle_timeout = known.map_or(Duration::ZERO, Account::idle_timeout);
+        let entry = Entry { account, due: seconds(now + idle_timeout), found };
+        self.flows[shard(flow)].insert(flow, entry);
+    }
+
     fn free_place(&mut self, service: ServiceId, customer: &str) -> AccountId {
         let id = self.free.pop().unwrap_or_else(|| {
             self.accounts.push(None);
--- a/src/admission/message.rs
+++ b/src/admission/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::ServiceId;
+use crate::ids::{FlowId, ServiceId};
 use crate::pipeline::OpenFlow;
 
 /// A message about admission.
@@ -10,4 +10,6 @@
 pub enum Message {
     /// Open flows of a service that the sender owns, for the service's new placer.
     Open(ServiceId, Vec<OpenFlow>),
+    /// Flows of a service that have ended where the sender placed it, during a cut.
+    Ended(ServiceId, Vec<FlowId>),
 }
--- a/src/admission/rule_admission.rs
+++ b/src/admission/rule_admission.rs
@@ -8,7 +8,8 @@
 
 use super::account::Account;
 use super::caution::Caution;
-use super::ledger::Ledger;
+use super::ends::EndsElsewhere;
+use super::ledger::{End, Ledger};
 use super::retry::spread;
 use super::tombstones::Tombstones;
 use crate::flow::Classified;
@@ -32,6 +33,7 @@
     caution: Caution,
     /// Flows that ended lately, which a report that was under way must not count again.
     ended: Tombstones,
+    ends: EndsElsewhere,
     rng: SmallRng,
 }
 
@@ -43,6 +45,7 @@
             ledger: Ledger::default(),
             caution: Caution::default(),
             ended: Tombstones::default(),
+            ends: EndsElsewhere::default(),
             rng,
         }
     }
@@ -80,14 +83,26 @@
             self.ledger.account_mut(now, service.id, customer, service.idle_timeout);
         account.admit(now, allowance, share, &mut self.rng)?;
         self.ledger.opened(now, class.flow, id);
+        self.ended.remove(class.flow);
         Ok(())
     }
 
-    fn closed(&mut self, now: Duration, flow: FlowId) {
-        self.ledger.ended(now, flow);
+    fn closed(&mut self, now: Duration, service: ServiceId, flow: FlowId) {
+        let news = match self.ledger.ended(now, flow) {
+            End::Opened => false,
+            End::Found => true,
+            End::Unknown => self.rules.is_some() && !self.ended.contains(flow),
+        };
+        if news {
+            self.ends.add(service, flow);
+        }
         self.ended.add(flow);
     }
 
+    fn take_ends(&mut self, service: ServiceId) -> Vec<FlowId> {
+        self.ends.take(service)
+    }
+
     fn set_rules(&mut self, _now: Duration, rules: Arc<Rules>) {
         self.rules = Some(rules);
     }
@@ -121,6 +136,7 @@
 
     fn keep_services(&mut self, placed: &dyn Fn(ServiceId) -> bool) {
         self.ledger.keep_services(placed);
+        self.ends.keep_services(placed);
     }
 
     fn tick(&mut self, now: Duration, known: &FlowTable) {
--- a/src/admission/take_over.rs
+++ b/src/admission/take_over.rs
@@ -5,7 +5,7 @@
 use super::Message;
 use crate::budget::Class;
 use crate::hash::HashMap;
-use crate::ids::{InstanceId, ServiceId};
+use crate::ids::{FlowId, InstanceId, ServiceId};
 use crate::link::Outbox;
 use crate::peer::Body;
 use crate::pipeline::{Admission, OpenFlow};
@@ -18,7 +18,8 @@
 #[derive(Debug)]
 struct Report {
     to: InstanceId,
-    flows: Vec<OpenFlow>,
+    open: Vec<OpenFlow>,
+    ended: Vec<FlowId>,
 }
 
 /// The placers of all services, and the reports to new ones that wait for the budget.
@@ -40,9 +41,9 @@
         let placers = self.placers.iter();
         let changed = placers.filter(|(service, placer)| before.get(service) != Some(placer));
         let changed: Vec<_> = changed.map(|(&service, _)| service).collect();
-        admission.keep_services(&|service| placement.places(service));
         self.reports.retain(|service, report| self.placers.get(service) == Some(&report.to));
         self.report(now, placement, admission, changed);
+        admission.keep_services(&|service| placement.places(service));
     }
 
     /// Counts or reports all open flows when the first rules come: so far none was counted.
@@ -67,18 +68,24 @@
         placement: &Placement,
         admission: &mut dyn Admission,
     ) {
-        let Message::Open(id, flows) = message;
-        let services = placement.services().list();
-        if let Some(service) = services.iter().find(|service| service.id == id) {
-            admission.seed(now, service, &mut flows.into_iter());
+        match message {
+            Message::Open(id, flows) => {
+                let services = placement.services().list();
+                if let Some(service) = services.iter().find(|service| service.id == id) {
+                    admission.seed(now, service, &mut flows.into_iter());
+                }
+            }
+            Message::Ended(id, flows) => {
+                flows.into_iter().for_each(|flow| admission.closed(now, id, flow));
+            }
         }
     }
 
     /// Sends what the budget allows of the reports; due about ten times a second.
     pub fn send(&mut self, placement: &Placement, out: &mut Outbox<'_>) {
         self.reports.retain(|&service, report| {
-            while !report.flows.is_empty() && report.send_part(service, placement, out) {}
-            !report.flows.is_empty()
+            while !report.is_sent() && report.send_part(service, placement, out) {}
+            !report.is_sent()
         });
     }
 
@@ -92,22 +99,26 @@
         if !self.have_rules || services.is_empty() {
             return;
         }
-        for (id, flows) in owned_flows(placement, services) {
+        for (id, open) in owned_flows(placement, services) {
             let Some(&to) = self.placers.get(&id) else { continue };
+            if !placement.places(id) {
+                let ended = admission.take_ends(id);
+                self.reports.insert(id, Report { to, open, ended });
+                continue;
+            }
             let service = placement.services().list().iter().find(|service| service.id == id);
-            match service {
-                Some(service) if placement.places(id) => {
-                    admission.seed(now, service, &mut flows.into_iter());
-                }
-                _ => {
-                    self.reports.insert(id, Report { to, flows });
-                }
+            if let Some(service) = service {
+                admission.seed(now, service, &mut open.into_iter());
             }
         }
     }
 }
 
 impl Report {
+    fn is_sent(&self) -> bool {
+        self.open.is_empty() && self.ended.is_empty()
+    }
+
     /// Sends the next part; answers false if it has to wait.
     fn send_part(
         &mut self,
@@ -115,21 +126,29 @@
         placement: &Placement,
         out: &mut Outbox<'_>,
     ) -> bool {
-        let rest = self.flows.len().saturating_sub(FLOWS_PER_MESSAGE);
+        if self.open.is_empty() {
+            return self.send_ends(service, out);
+        }
+        let rest = self.open.len().saturating_sub(FLOWS_PER_MESSAGE);
         // The part may have waited, and flows may have ended since.
         let is_open = |open: &&OpenFlow| placement.flows().get(open.flow).is_some_and(is_owned);
-        let part: Vec<_> = self.flows[rest..].iter().filter(is_open).copied().collect();
-        if part.is_empty() {
-            self.flows.truncate(rest);
-            return true;
-        }
-        let body = Body::Admission(Message::Open(service, part));
-        let sent = out.send(self.to, Class::Replicas, &body);
-        if sent {
-            self.flows.truncate(rest);
-        }
+        let part: Vec<_> = self.open[rest..].iter().filter(is_open).copied().collect();
+        let sent = part.is_empty() || self.send_message(Message::Open(service, part), out);
+        self.open.truncate(if sent { rest } else { self.open.len() });
         sent
     }
+
+    fn send_ends(&mut self, service: ServiceId, out: &mut Outbox<'_>) -> bool {
+        let rest = self.ended.len().saturating_sub(FLOWS_PER_MESSAGE);
+        let part = self.ended[rest..].to_vec();
+        let sent = self.send_message(Message::Ended(service, part), out);
+        self.ended.truncate(if sent { rest } else { self.ended.len() });
+        sent
+    }
+
+    fn send_message(&self, message: Message, out: &mut Outbox<'_>) -> bool {
+        out.send(self.to, Class::Replicas, &Body::Admission(message))
+    }
 }
 
 /// Returns the open flows of some services that this instance owns.
@@ -145,7 +164,6 @@
             flows.push(OpenFlow { flow, caller: *caller.ip() });
         }
     }
-    found.retain(|_, flows| !flows.is_empty());
     found
 }
 
--- a/src/admission/tombstones.rs
+++ b/src/admission/tombstones.rs
@@ -5,10 +5,11 @@
 use crate::hash::HashSet;
 use crate::ids::FlowId;
 
-/// Time for which an ended flow is remembered at least.
-const KEPT: Duration = Duration::from_secs(15);
+/// Time for which an ended flow is remembered at least: as long as most cuts, since an owner
+/// behind a cut does not see the end.
+const KEPT: Duration = Duration::from_secs(300);
 /// Ended flows that are remembered at most in one generation.
-const CAPACITY: usize = 100_000;
+const CAPACITY: usize = 500_000;
 
 /// Ended flows in two generations.
 #[derive(Debug, Default)]
@@ -26,6 +27,12 @@
         }
     }
 
+    /// Forgets a flow: its port is used anew.
+    pub fn remove(&mut self, flow: FlowId) {
+        self.young.remove(&flow);
+        self.old.remove(&flow);
+    }
+
     /// Tells whether a flow is remembered.
     pub fn contains(&self, flow: FlowId) -> bool {
         self.young.contains(&flow) || self.old.contains(&flow)
--- a/src/pipeline/admit.rs
+++ b/src/pipeline/admit.rs
@@ -41,7 +41,7 @@
     fn admit(&mut self, now: Duration, class: &Classified<'_>) -> Result<(), Refusal>;
 
     /// Notes that a flow has ended.
-    fn closed(&mut self, now: Duration, flow: FlowId);
+    fn closed(&mut self, now: Duration, service: ServiceId, flow: FlowId);
 
     /// Takes the rules that are in force. They hold for new flows only.
     fn set_rules(&mut self, _now: Duration, _rules: Arc<Rules>) {}
@@ -58,6 +58,12 @@
     ) {
     }
 
+    /// Returns the flows of a service that have ended here and that another placer may
+    /// count, and forgets them.
+    fn take_ends(&mut self, _service: ServiceId) -> Vec<FlowId> {
+        Vec::new()
+    }
+
     /// Forgets the services that `placed` does not name: this instance does not see the ends
     /// of their flows.
     fn keep_services(&mut self, _placed: &dyn Fn(ServiceId) -> bool) {}
@@ -76,5 +82,5 @@
         Ok(())
     }
 
-    fn closed(&mut self, _now: Duration, _flow: FlowId) {}
+    fn closed(&mut self, _now: Duration, _service: ServiceId, _flow: FlowId) {}
 }
--- a/src/pipeline/run.rs
+++ b/src/pipeline/run.rs
@@ -111,7 +111,7 @@
             return Ok(());
         }
         if segment.flags.ends() {
-            self.admission.closed(now, class.flow);
+            self.admission.closed(now, class.service.id, class.flow);
         }
         if class.from.is_some() || !segment.flags.opens() {
             return Ok(());
@@ -145,12 +145,12 @@
                 let _span = Span::enter_with_parent("forward", root);
                 if segment.flags.opens() && route.stage == Stage::Owner && route.advice.is_none() {
                     // No target takes the flow, so the owner will refuse it.
-                    self.admission.closed(now, class.flow);
+                    self.admission.closed(now, class.service.id, class.flow);
                 }
                 Outcome::Instance(to, route, packet)
             }
             Verdict::Refuse(reason, retry_after) => {
-                self.admission.closed(now, class.flow);
+                self.admission.closed(now, class.service.id, class.flow);
                 refuse(class, segment, Refusal { reason, retry_after })
             }
             Verdict::Reset => match answer::reset(segment) {
--- a/tests/admission_pipeline.rs
+++ b/tests/admission_pipeline.rs
@@ -150,10 +150,8 @@
     }
 }
 
-/// The placer leaves, and the other instance counts all flows that were open: those that it
-/// owns at once, and the others as it is told.
-#[test]
-fn take_over_counts() {
+/// Makes two instances, the second of which places the service and counts ten open flows.
+fn full_pair() -> ([InstanceId; 2], [Node; 2]) {
     let places = |id: &InstanceId| pipeline(*id, &[1, *id]).placement.places(1);
     let ids = [1, (2..100).find(places).expect("an instance that ranks before 1")];
     let mut nodes = ids.map(|id| Node::new(id, &ids));
@@ -167,6 +165,21 @@
             (at, route, sent) = (usize::from(id != ids[0]), next, passed);
         }
     }
+    (ids, nodes)
+}
+
+/// Returns the port of a flow that an instance owns.
+fn owned_port(node: &Node) -> u16 {
+    let flow = |port| new_flow(&services(), 0, 0, port).flow;
+    let owned = |port: &u16| node.pipeline.placement.flows().get(flow(*port)).is_some();
+    (1..=10).find(owned).expect("a flow that the instance owns")
+}
+
+/// The placer leaves, and the other instance counts all flows that were open: those that it
+/// owns at once, and the others as it is told.
+#[test]
+fn take_over_counts() {
+    let (ids, mut nodes) = full_pair();
     nodes.iter_mut().for_each(|node| node.set_owners(&ids[..1]));
     let [first, second] = &mut nodes;
     let owned = first.pipeline.placement.flows().len();
@@ -174,12 +187,31 @@
     let reports = second.send();
     assert!(!reports.is_empty());
     // One flow ends while the reports are under way.
-    let told = |port: &u16| {
-        let flow = new_flow(&services(), 0, 0, *port).flow;
-        second.pipeline.placement.flows().get(flow).is_some()
-    };
-    let ended = (1..=10).find(told).expect("a flow that the second instance owns");
-    from_caller(&mut first.pipeline, START, ended, Kind::Fin);
+    from_caller(&mut first.pipeline, START, owned_port(second), Kind::Fin);
     reports.into_iter().for_each(|report| first.receive(report));
     assert_eq!(admits(&mut first.pipeline, START, 100..120), 1);
 }
+
+/// Ends that one side of a cut has seen make room on the other side after the cut, whether
+/// the first side counted the flow or not.
+#[test]
+fn ends_told() {
+    let (ids, mut nodes) = full_pair();
+    for (i, node) in nodes.iter_mut().enumerate() {
+        node.set_owners(&ids[i..=i]);
+    }
+    let ended = nodes.each_ref().map(owned_port);
+    for port in ended {
+        from_caller(&mut nodes[0].pipeline, START, port, Kind::Fin);
+    }
+    let [first, second] = &mut nodes;
+    assert_eq!(admits(&mut second.pipeline, START, 100..120), 0);
+    first.set_owners(&ids);
+    second.set_owners(&ids);
+    first.send().into_iter().for_each(|report| second.receive(report));
+    let services = services();
+    let class = |port| new_flow(&services, 0, 0, port);
+    let admission = &mut second.pipeline.admission;
+    let admitted = (200..220).filter(|&port| admission.admit(START, &class(port)).is_ok());
+    assert_eq!(admitted.count(), 2);
+}
