Spread the operators' lists among instances, and update them exactly once

An instance held the services alone, and only from the platform's own answer. Now it holds services, plans and allowances, adopts higher versions alone, each checked whole, and tells others: a digest of the versions to two instances a second, and to three at a time while a change is new; what is behind pulls a delta in pieces of 1,024 bytes, or the whole list in pieces of several instances under the budget's least urgent class. A fingerprint of the result decides whether a delta fits; one that does not is replaced by the whole.

An update is read, checked, and written at the version that was read, with its id in the object. A lost answer is settled by reading who made the next version. Only an answered call spends an attempt.

--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -73,7 +73,7 @@
             pipeline: Pipeline::new(placement, Box::new(AdmitAll), tracer),
             link,
             membership: Membership::new(now, cfg.me, cfg.seeds, SmallRng::from_rng(&mut rng)),
-            lists: Lists::new(SmallRng::from_rng(&mut rng)),
+            lists: Lists::new(id, SmallRng::from_rng(&mut rng)),
             targets: Targets::new(id, SmallRng::from_rng(&mut rng)),
             registry: Registry::new(id, rng),
             last_tick: now,
--- a/src/lists.rs
+++ b/src/lists.rs
@@ -1,104 +1,398 @@
 //! The operators' objects: adopted in rising versions, and spread among instances.
+//!
+//! Any instance may learn a version from the platform or from another instance. What an
+//! instance holds is only ever replaced by a higher version that was checked whole, so that
+//! no answer that comes late and no instance that wakes up late can bring back an old one.
 
+mod content;
+mod difference;
+mod edit;
+mod fetch;
+mod held;
 mod message;
 pub mod rules;
+mod serve;
+mod stamp;
+mod update;
 
-pub use message::Message;
+pub use content::{Checked, Content, Entries, Entry, ListKind};
+pub use difference::difference;
+pub use edit::{ListChange, ListEdit, check_all};
+pub use message::{Message, Piece, Pull, Versions};
 pub use rules::{Allowance, Rules};
+pub use stamp::{Operation, OperationId, Stamp, Successor};
+pub use update::{Edit, Outcome, Step, Update};
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use metrics::counter;
+use rand::Rng;
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 
+use crate::budget::Class;
 use crate::ids::{InstanceId, Version};
 use crate::link::Outbox;
+use crate::peer::Body;
 use crate::platform::Object;
-use crate::services::{self, RawServices, Services};
+use crate::services::Services;
 use crate::settings::Findings;
 
+use fetch::Fetch;
+use held::{Held, Payload};
+use rules::{Allowances, Plans};
+use serve::Serve;
+
+/// Time between two digests, on average.
+const DIGEST_EVERY: Duration = Duration::from_secs(1);
+/// Instances that are told the versions each time.
+const DIGEST_FANOUT: usize = 2;
+/// Time between two digests while a change is new.
+const NEWS_EVERY: Duration = Duration::from_millis(200);
+/// Instances that are told of a new change each time.
+const NEWS_FANOUT: usize = 3;
+/// Digests after which a change is no longer new.
+const NEWS_ROUNDS: u32 = 3;
+/// Time for which a new instance that has the platform's answer waits for another instance,
+/// since the platform may have answered with an old state.
+const PEER_PATIENCE: Duration = Duration::from_secs(1);
+/// Time after which a new instance serves with what it has, though another one told of more.
+const JOIN_PATIENCE: Duration = Duration::from_secs(30);
+
+/// How far a new instance has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Joining {
+    /// Nobody has told anything yet.
+    Alone,
+    /// The platform has answered; an instance that knows more may still answer.
+    Platform(Option<Duration>),
+    /// An instance has told its versions at a time; they have to be reached first.
+    Peer(Versions, Duration),
+    /// All that others had at the start is known here.
+    Done,
+}
+
 /// The operators' objects as this instance has them.
 #[derive(Debug)]
 pub struct Lists {
-    services_version: Version,
-    services: Option<Arc<Services>>,
+    me: InstanceId,
+    allowances: Held,
+    plans: Held,
+    services: Held,
+    checked_allowances: Arc<Allowances>,
+    checked_plans: Arc<Plans>,
+    checked_services: Arc<Services>,
+    /// The highest versions that the platform gave and that were refused.
+    refused: Versions,
+    joining: Joining,
     fresh_services: bool,
-    fresh_rules: Option<Arc<Rules>>,
+    fresh_rules: bool,
+    fetches: [Option<Fetch>; 3],
+    serve: Serve,
+    live: Vec<InstanceId>,
+    news_left: u32,
+    next_digest: Duration,
+    rng: SmallRng,
 }
 
 impl Lists {
     /// Makes lists of which nothing is known yet.
-    pub fn new(_rng: SmallRng) -> Self {
-        Self { services_version: 0, services: None, fresh_services: false, fresh_rules: None }
+    pub fn new(me: InstanceId, rng: SmallRng) -> Self {
+        Self {
+            me,
+            allowances: Held::default(),
+            plans: Held::default(),
+            services: Held::default(),
+            checked_allowances: Arc::default(),
+            checked_plans: Arc::default(),
+            checked_services: Arc::default(),
+            refused: Versions::default(),
+            joining: Joining::Alone,
+            fresh_services: false,
+            fresh_rules: false,
+            fetches: [const { None }; 3],
+            serve: Serve::default(),
+            live: Vec::new(),
+            news_left: 0,
+            next_digest: Duration::ZERO,
+            rng,
+        }
     }
 
     /// Takes an object that the platform gave; one that is no list is passed over.
     pub fn on_object(&mut self, _now: Duration, object: &Object, _out: &mut Outbox<'_>) {
-        if object.name == services::OBJECT_NAME && object.version > self.services_version {
-            self.adopt_services(object);
+        let Some(kind) = ListKind::of_object(&object.name) else { return };
+        if object.version > self.held(kind).version() {
+            match read(kind, object) {
+                Ok((content, checked)) => {
+                    self.held_mut(kind).replace(object.version, content.entries());
+                    self.adopted(kind, checked, "platform");
+                }
+                Err(findings) => self.refuse(kind, object.version, &findings),
+            }
+        }
+        if kind == ListKind::Services && self.joining == Joining::Alone {
+            self.joining = Joining::Platform(None);
         }
     }
 
     /// Takes a message of another instance.
     pub fn on_message(
         &mut self,
-        _now: Duration,
-        _from: InstanceId,
-        _message: Message,
-        _out: &mut Outbox<'_>,
+        now: Duration,
+        from: InstanceId,
+        message: Message,
+        out: &mut Outbox<'_>,
     ) {
+        match message {
+            Message::Digest { versions, asks } => self.digest(now, from, &versions, asks, out),
+            Message::Pull(pull) => {
+                self.serve.owe(from, pull);
+                self.pay(out);
+            }
+            Message::Piece(piece) => self.piece(now, from, piece, out),
+        }
     }
 
-    /// Advances time; due about ten times a second. `live` are the other live instances.
-    pub fn tick(&mut self, _now: Duration, _live: &[InstanceId], _out: &mut Outbox<'_>) {}
+    /// Advances time; due about ten times a second. `live` are the live instances.
+    pub fn tick(&mut self, now: Duration, live: &[InstanceId], out: &mut Outbox<'_>) {
+        self.live = live.iter().copied().filter(|&id| id != self.me).collect();
+        self.join(now);
+        if now >= self.next_digest {
+            self.send_digests(now, out);
+        }
+        for kind in ListKind::ALL {
+            self.ask(now, kind, None, out);
+        }
+        self.pay(out);
+    }
 
     /// Returns the services in force with their version if they have changed since the
     /// last call.
     pub fn take_services(&mut self) -> Option<(Version, Arc<Services>)> {
-        if !std::mem::take(&mut self.fresh_services) {
+        if !self.ready() || !std::mem::take(&mut self.fresh_services) {
             return None;
         }
-        Some((self.services_version, Arc::clone(self.services.as_ref()?)))
+        Some((self.services.version(), Arc::clone(&self.checked_services)))
     }
 
     /// Returns the rules of admission if they have changed since the last call. There are
     /// none, and everything is admitted, until the operators have written plans.
     pub fn take_rules(&mut self) -> Option<Arc<Rules>> {
-        self.fresh_rules.take()
+        if !self.ready() || self.plans.version() == 0 || !std::mem::take(&mut self.fresh_rules) {
+            return None;
+        }
+        let plans = Plans::clone(&self.checked_plans);
+        Some(Arc::new(Rules::join(plans, &self.checked_allowances, &self.checked_services)))
     }
 
     /// Tells whether enough is known to serve.
     pub fn ready(&self) -> bool {
-        self.services.is_some()
+        self.joining == Joining::Done && self.services.version() > 0
+    }
+
+    /// Returns the versions in force.
+    pub fn versions(&self) -> Versions {
+        Versions {
+            allowances: self.allowances.version(),
+            plans: self.plans.version(),
+            services: self.services.version(),
+        }
     }
 
-    /// Takes the services if they are valid; else the last good ones stay.
-    fn adopt_services(&mut self, object: &Object) {
-        match check_services(object) {
-            Ok(services) => {
-                log::info!(version = object.version, services = services.list().len(); "services");
-                self.services_version = object.version;
-                self.services = Some(Arc::new(services));
+    /// Returns the highest versions that the platform gave and that were refused; 0 where
+    /// none was.
+    pub fn refused(&self) -> Versions {
+        self.refused
+    }
+
+    /// Returns what a list says as it is in force.
+    pub fn content(&self, kind: ListKind) -> Content {
+        self.held(kind).content(kind)
+    }
+
+    fn held(&self, kind: ListKind) -> &Held {
+        match kind {
+            ListKind::Allowances => &self.allowances,
+            ListKind::Plans => &self.plans,
+            ListKind::Services => &self.services,
+        }
+    }
+
+    fn held_mut(&mut self, kind: ListKind) -> &mut Held {
+        match kind {
+            ListKind::Allowances => &mut self.allowances,
+            ListKind::Plans => &mut self.plans,
+            ListKind::Services => &mut self.services,
+        }
+    }
+
+    /// Puts a list in force and lets others know.
+    fn adopted(&mut self, kind: ListKind, checked: Checked, source: &str) {
+        let version = self.held(kind).version();
+        self.fetches[kind as usize] = None;
+        log::info!(object = kind.object(), version = version, source = source; "list_adopted");
+        counter!("limpetdeck_lists_adopted_total", "source" => source.to_owned()).increment(1);
+        self.fresh_rules = true;
+        match checked {
+            Checked::Services(services) => {
+                self.checked_services = services;
                 self.fresh_services = true;
             }
-            Err(findings) => refuse(object, &findings),
+            Checked::Plans(plans) => self.checked_plans = plans,
+            Checked::Allowances(allowances) => self.checked_allowances = allowances,
+        }
+        self.news_left = NEWS_ROUNDS;
+        self.next_digest = Duration::ZERO;
+    }
+
+    /// Notes a version that cannot be put in force; the last good one stays. A later one is
+    /// read afresh, and nothing of this one is spread.
+    fn refuse(&mut self, kind: ListKind, version: Version, findings: &Findings) {
+        if version <= self.refused.of(kind) {
+            return;
+        }
+        self.refused.set(kind, version);
+        counter!("limpetdeck_objects_refused_total").increment(1);
+        log::warn!(
+            object = kind.object(),
+            version = version,
+            findings = findings.to_string().as_str();
+            "object_refused"
+        );
+    }
+
+    fn digest(
+        &mut self,
+        now: Duration,
+        from: InstanceId,
+        versions: &Versions,
+        asks: bool,
+        out: &mut Outbox<'_>,
+    ) {
+        let told = versions.services > 0;
+        if told && matches!(self.joining, Joining::Alone | Joining::Platform(_)) {
+            self.joining = Joining::Peer(*versions, now);
+            self.join(now);
+        }
+        for kind in ListKind::ALL {
+            if versions.of(kind) > self.held(kind).version() {
+                self.ask(now, kind, Some(from), out);
+            }
+        }
+        if asks || !versions.covers(&self.versions()) {
+            self.send_digest(from, false, out);
+        }
+    }
+
+    /// Asks for what a list lacks if that has become known; `from` is an instance that has
+    /// it.
+    fn ask(
+        &mut self,
+        now: Duration,
+        kind: ListKind,
+        from: Option<InstanceId>,
+        out: &mut Outbox<'_>,
+    ) {
+        let have = self.held(kind).version();
+        let slot = &mut self.fetches[kind as usize];
+        if slot.as_ref().is_some_and(|fetch| fetch.is_empty() && fetch.stalled(now)) {
+            *slot = None;
+        }
+        if let Some(from) = from {
+            let fetch = slot.get_or_insert_with(|| Fetch::new(now, kind, have));
+            fetch.add_provider(from);
+        }
+        let Some(fetch) = slot else { return };
+        let providers = fetch.providers(&self.live);
+        for pull in fetch.due(now) {
+            if let Some(&to) = providers.choose(&mut self.rng) {
+                out.send(to, Class::Lists, &Body::Lists(Message::Pull(pull)));
+            }
+        }
+    }
+
+    fn piece(&mut self, now: Duration, from: InstanceId, piece: Piece, out: &mut Outbox<'_>) {
+        let kind = piece.kind;
+        let Some(fetch) = &mut self.fetches[kind as usize] else { return };
+        let payload = fetch.take(now, piece);
+        if payload.is_none() && !fetch.is_complete() {
+            return self.ask(now, kind, None, out);
+        }
+        self.fetches[kind as usize] = None;
+        match payload.map(|payload| self.adopt_payload(kind, payload)) {
+            Some(true) => self.join(now),
+            // A delta that does not fit, or pieces that make no payload: take the whole.
+            _ => {
+                self.fetches[kind as usize] = Some(Fetch::new(now, kind, 0));
+                self.ask(now, kind, Some(from), out);
+            }
         }
     }
-}
 
-fn check_services(object: &Object) -> Result<Services, Findings> {
-    let raw: RawServices = serde_json::from_value(object.value.clone())
-        .map_err(|e| Findings::one(&object.name, e.to_string()))?;
-    Services::try_from(raw)
+    /// Answers false if the payload does not fit what is held.
+    fn adopt_payload(&mut self, kind: ListKind, payload: Payload) -> bool {
+        if payload.version <= self.held(kind).version() {
+            return true;
+        }
+        let Some(entries) = self.held(kind).applied(&payload) else { return false };
+        match Content::of_entries(kind, &entries).check() {
+            Ok(checked) => {
+                self.held_mut(kind).take(payload, entries);
+                self.adopted(kind, checked, "peer");
+            }
+            Err(findings) => self.refuse(kind, payload.version, &findings),
+        }
+        true
+    }
+
+    /// Looks whether a new instance knows enough to begin.
+    fn join(&mut self, now: Duration) {
+        let done = match &mut self.joining {
+            Joining::Alone | Joining::Done => false,
+            Joining::Platform(since) => {
+                let since = *since.get_or_insert(now);
+                self.live.is_empty() || now >= since + PEER_PATIENCE
+            }
+            Joining::Peer(goal, since) => {
+                let (goal, since) = (*goal, *since);
+                let waited = self.services.version() > 0 && now >= since + JOIN_PATIENCE;
+                waited || self.versions().covers(&goal)
+            }
+        };
+        if done {
+            log::info!("lists_ready");
+            self.joining = Joining::Done;
+        }
+    }
+
+    fn send_digests(&mut self, now: Duration, out: &mut Outbox<'_>) {
+        let news = self.news_left > 0;
+        let (fanout, every) =
+            if news { (NEWS_FANOUT, NEWS_EVERY) } else { (DIGEST_FANOUT, DIGEST_EVERY) };
+        self.news_left = self.news_left.saturating_sub(1);
+        self.next_digest = now + every.mul_f64(self.rng.random_range(0.5..1.5));
+        let to: Vec<_> = self.live.choose_multiple(&mut self.rng, fanout).copied().collect();
+        let asks = self.joining != Joining::Done;
+        for id in to {
+            self.send_digest(id, asks, out);
+        }
+    }
+
+    fn send_digest(&self, to: InstanceId, asks: bool, out: &mut Outbox<'_>) {
+        let message = Message::Digest { versions: self.versions(), asks };
+        out.send(to, Class::Lists, &Body::Lists(message));
+    }
+
+    fn pay(&mut self, out: &mut Outbox<'_>) {
+        self.serve.pay([&self.allowances, &self.plans, &self.services], out);
+    }
 }
 
-fn refuse(object: &Object, findings: &Findings) {
-    counter!("limpetdeck_objects_refused_total").increment(1);
-    log::warn!(
-        object = object.name.as_str(),
-        version = object.version,
-        findings = findings.to_string().as_str();
-        "object_refused"
-    );
+fn read(kind: ListKind, object: &Object) -> Result<(Content, Checked), Findings> {
+    let (value, _) = Stamp::split(object.value.clone())?;
+    let content = Content::from_json(kind, value)?;
+    let checked = content.check()?;
+    Ok((content, checked))
 }
--- /dev/null
+++ b/src/lists/content.rs
@@ -0,0 +1,201 @@
+//! What the operators' lists say, as operators write them and as entries that are spread.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use super::rules::{ALLOWANCES, Allowances, PLANS, Plans};
+use super::rules::{RawAllowances, RawCustomer, RawPlan, RawPlans};
+use crate::services::{self, RawService, RawServices, Services};
+use crate::settings::Findings;
+
+/// The lists that operators keep.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum ListKind {
+    /// What each plan may use.
+    Allowances,
+    /// Which customer is on which plan.
+    Plans,
+    /// Which services there are. The largest list, and therefore the last.
+    Services,
+}
+
+impl ListKind {
+    /// All lists, in the order in which a new instance asks for them.
+    pub const ALL: [Self; 3] = [Self::Allowances, Self::Plans, Self::Services];
+
+    /// Returns the name of the platform's object.
+    pub fn object(self) -> &'static str {
+        match self {
+            Self::Allowances => ALLOWANCES,
+            Self::Plans => PLANS,
+            Self::Services => services::OBJECT_NAME,
+        }
+    }
+
+    /// Finds the list that an object holds.
+    pub fn of_object(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.object() == name)
+    }
+}
+
+/// One entry of a list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Entry {
+    /// A service with its targets.
+    Service(RawService),
+    /// A customer with its plan.
+    Customer(RawCustomer),
+    /// A plan with its allowances.
+    Plan(RawPlan),
+}
+
+impl Entry {
+    /// Returns what tells the entry from the others of its list.
+    pub fn key(&self) -> String {
+        match self {
+            Self::Service(service) => service.id.to_string(),
+            Self::Customer(customer) => customer.name.clone(),
+            Self::Plan(plan) => plan.name.clone(),
+        }
+    }
+}
+
+/// Entries of one list by their keys.
+pub type Entries = BTreeMap<String, Entry>;
+
+/// A list after its check.
+#[derive(Debug, Clone)]
+pub enum Checked {
+    /// The services.
+    Services(Arc<Services>),
+    /// The plans.
+    Plans(Arc<Plans>),
+    /// The allowances.
+    Allowances(Arc<Allowances>),
+}
+
+/// A list as operators write it, unchecked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Content {
+    /// The services.
+    Services(RawServices),
+    /// The plans.
+    Plans(RawPlans),
+    /// The allowances.
+    Allowances(RawAllowances),
+}
+
+impl Content {
+    /// Makes a list without entries.
+    pub fn empty(kind: ListKind) -> Self {
+        match kind {
+            ListKind::Services => Self::Services(RawServices::default()),
+            ListKind::Plans => Self::Plans(RawPlans::default()),
+            ListKind::Allowances => Self::Allowances(RawAllowances::default()),
+        }
+    }
+
+    /// Reads a list from JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns where the value is no such list.
+    pub fn from_json(kind: ListKind, value: Value) -> Result<Self, Findings> {
+        fn read<T: DeserializeOwned>(kind: ListKind, value: Value) -> Result<T, Findings> {
+            serde_json::from_value(value).map_err(|e| Findings::one(kind.object(), e.to_string()))
+        }
+        Ok(match kind {
+            ListKind::Services => Self::Services(read(kind, value)?),
+            ListKind::Plans => Self::Plans(read(kind, value)?),
+            ListKind::Allowances => Self::Allowances(read(kind, value)?),
+        })
+    }
+
+    /// Reads a list from TOML.
+    ///
+    /// # Errors
+    ///
+    /// Returns the line and column at which the text is no such list.
+    pub fn from_toml(kind: ListKind, text: &str) -> Result<Self, Findings> {
+        fn read<T: DeserializeOwned>(text: &str) -> Result<T, Findings> {
+            toml::from_str(text).map_err(|e| Findings::from_toml(text, &e))
+        }
+        Ok(match kind {
+            ListKind::Services => Self::Services(read(text)?),
+            ListKind::Plans => Self::Plans(read(text)?),
+            ListKind::Allowances => Self::Allowances(read(text)?),
+        })
+    }
+
+    /// Returns the list as JSON.
+    pub fn to_json(&self) -> Value {
+        let value = match self {
+            Self::Services(raw) => serde_json::to_value(raw),
+            Self::Plans(raw) => serde_json::to_value(raw),
+            Self::Allowances(raw) => serde_json::to_value(raw),
+        };
+        // Lists hold strings and numbers alone, which JSON can always express.
+        value.unwrap_or_default()
+    }
+
+    /// Returns the list as TOML.
+    pub fn to_toml(&self) -> String {
+        let text = match self {
+            Self::Services(raw) => toml::to_string(raw),
+            Self::Plans(raw) => toml::to_string(raw),
+            Self::Allowances(raw) => toml::to_string(raw),
+        };
+        // Lists hold strings and numbers alone, which TOML can always express.
+        text.unwrap_or_default()
+    }
+
+    /// Returns which list this is.
+    pub fn kind(&self) -> ListKind {
+        match self {
+            Self::Services(_) => ListKind::Services,
+            Self::Plans(_) => ListKind::Plans,
+            Self::Allowances(_) => ListKind::Allowances,
+        }
+    }
+
+    /// Checks the list by itself.
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings, each with its place.
+    pub fn check(&self) -> Result<Checked, Findings> {
+        Ok(match self {
+            Self::Services(raw) => Checked::Services(Arc::new(raw.clone().try_into()?)),
+            Self::Plans(raw) => Checked::Plans(Arc::new(raw.clone().try_into()?)),
+            Self::Allowances(raw) => Checked::Allowances(Arc::new(raw.clone().try_into()?)),
+        })
+    }
+
+    /// Returns the entries of a list in which no key stands twice.
+    pub fn entries(&self) -> Entries {
+        let entries: Vec<_> = match self {
+            Self::Services(raw) => raw.services.iter().cloned().map(Entry::Service).collect(),
+            Self::Plans(raw) => raw.customers.iter().cloned().map(Entry::Customer).collect(),
+            Self::Allowances(raw) => raw.plans.iter().cloned().map(Entry::Plan).collect(),
+        };
+        entries.into_iter().map(|entry| (entry.key(), entry)).collect()
+    }
+
+    /// Makes a list of entries; entries of other lists are left out.
+    pub fn of_entries(kind: ListKind, entries: &Entries) -> Self {
+        let mut content = Self::empty(kind);
+        for entry in entries.values() {
+            match (&mut content, entry.clone()) {
+                (Self::Services(raw), Entry::Service(service)) => raw.services.push(service),
+                (Self::Plans(raw), Entry::Customer(customer)) => raw.customers.push(customer),
+                (Self::Allowances(raw), Entry::Plan(plan)) => raw.plans.push(plan),
+                _ => {}
+            }
+        }
+        content
+    }
+}
--- a/src/lists/message.rs
+++ b/src/lists/message.rs
@@ -2,14 +2,87 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::ListKind;
 use crate::ids::Version;
 
+/// The versions of all lists; 0 stands for a list that is not known.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Versions {
+    /// Version of the allowances.
+    pub allowances: Version,
+    /// Version of the plans.
+    pub plans: Version,
+    /// Version of the services.
+    pub services: Version,
+}
+
+impl Versions {
+    /// Returns the version of one list.
+    pub fn of(&self, kind: ListKind) -> Version {
+        match kind {
+            ListKind::Allowances => self.allowances,
+            ListKind::Plans => self.plans,
+            ListKind::Services => self.services,
+        }
+    }
+
+    /// Sets the version of one list.
+    pub(super) fn set(&mut self, kind: ListKind, version: Version) {
+        match kind {
+            ListKind::Allowances => self.allowances = version,
+            ListKind::Plans => self.plans = version,
+            ListKind::Services => self.services = version,
+        }
+    }
+
+    /// Tells whether no list is behind the other's.
+    pub fn covers(&self, other: &Self) -> bool {
+        ListKind::ALL.into_iter().all(|kind| self.of(kind) >= other.of(kind))
+    }
+}
+
+/// A request for one piece of what the sender lacks of a list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pull {
+    /// The list.
+    pub kind: ListKind,
+    /// Version that the sender has.
+    pub have: Version,
+    /// Fingerprint of the payload that the sender has begun to fetch; 0 at first.
+    pub payload: u64,
+    /// Number of the piece.
+    pub piece: u32,
+}
+
+/// A piece of a payload.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Piece {
+    /// The list.
+    pub kind: ListKind,
+    /// Version that the whole payload brings.
+    pub version: Version,
+    /// Fingerprint of the whole payload.
+    pub payload: u64,
+    /// Pieces that the payload has.
+    pub pieces: u32,
+    /// Number of this piece.
+    pub piece: u32,
+    /// The bytes.
+    pub bytes: Vec<u8>,
+}
+
 /// A message about lists.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// The versions that the sender has.
-    Versions {
-        /// Version of the services.
-        services: Version,
+    Digest {
+        /// The versions.
+        versions: Versions,
+        /// The sender wants the receiver's versions in any case.
+        asks: bool,
     },
+    /// The sender lacks something.
+    Pull(Pull),
+    /// What the receiver lacked.
+    Piece(Piece),
 }
--- a/src/services/raw.rs
+++ b/src/services/raw.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// All services, unchecked.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawServices {
     /// The services in any order.
@@ -12,7 +12,7 @@
 }
 
 /// One service, unchecked.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawService {
     /// Number of the service.
@@ -30,7 +30,7 @@
 }
 
 /// One target, unchecked.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawTarget {
     /// Number of the target.
--- /dev/null
+++ b/tests/lists_spread.rs
@@ -0,0 +1,202 @@
+//! Lists reach every instance in rising versions, and never go back.
+
+#[path = "support/net.rs"]
+mod net;
+mod support;
+
+use std::time::Duration;
+
+use limpetdeck::ids::Version;
+use limpetdeck::lists::{Content, ListKind, Versions};
+use net::Net;
+use quickcheck::TestResult;
+use serde_json::{Value, json};
+
+/// What the budget gives to all control traffic of an instance, in bytes a second.
+const BUDGET: u32 = 3_000;
+
+/// Plans in which one customer stands for the version.
+fn plans(version: Version, customers: u64) -> Value {
+    let customer = |i: u64| {
+        let plan = format!("plan-{}", if i == version % customers { version } else { 0 });
+        let prefix = format!("10.{}.{}.0/24", i / 256, i % 256);
+        json!({ "name": format!("customer-{i}"), "plan": plan, "prefixes": [prefix] })
+    };
+    json!({ "customers": (0..customers).map(customer).collect::<Vec<_>>() })
+}
+
+/// Services with six targets each, of which one target's weight stands for the version.
+fn services(version: Version, count: u32) -> Value {
+    let target = |i: u32, j: u32| {
+        let id = i * 6 + j;
+        let weight = if id == 0 { 100 + version } else { 100 };
+        json!({
+            "id": id,
+            "address": format!("10.{}.{}.{}:7000", 100 + j, i / 250, i % 250),
+            "failure_domain": "gt-centro-a", "slots": 3, "weight": weight,
+        })
+    };
+    let service = |i: u32| {
+        json!({
+            "id": i, "name": format!("service-{i}"), "weighs": "imbalance",
+            "address": format!("10.1.{}.{}:7000", i / 250, i % 250), "idle_timeout_s": 3600,
+            "targets": (0..6).map(|j| target(i, j)).collect::<Vec<_>>(),
+        })
+    };
+    json!({ "services": (0..count).map(service).collect::<Vec<_>>() })
+}
+
+/// Makes a network whose instances all have the first versions of services and plans.
+fn settled(instances: u32, service_count: u32, seed: u64) -> Net {
+    let mut net = Net::new(instances, BUDGET, seed);
+    for id in 0..instances {
+        net.object(id, "plans", 1, plans(1, 50));
+        net.object(id, "services", 1, services(1, service_count));
+    }
+    net.run(Duration::from_secs(5));
+    net
+}
+
+fn percentile(sorted: &[usize], share: f64) -> usize {
+    sorted[((sorted.len() - 1) as f64 * share) as usize]
+}
+
+fn slowest(times: &[Option<Duration>]) -> Duration {
+    times.iter().copied().map(|time| time.expect("in force")).max().expect("an instance")
+}
+
+/// One instance alone hears of each change: the platform goes down right after it accepted.
+#[test]
+fn one_instance_hears() {
+    let mut worst = Duration::ZERO;
+    for seed in 0..10 {
+        let mut net = settled(18, 2, seed);
+        net.loss = 0.01;
+        for version in 2..7 {
+            net.object(version as u32, "plans", version, plans(version, 50));
+            let longest = Duration::from_secs(30);
+            let times = net.run_until(longest, |lists| lists.versions().plans >= version);
+            worst = worst.max(slowest(&times));
+            net.run(Duration::from_secs(2));
+        }
+        let bytes = net.bytes_per_second(Duration::from_secs(5));
+        let (p50, p99) = (percentile(&bytes, 0.5), percentile(&bytes, 0.99));
+        println!("seed={seed} bytes_per_s_p50={p50} bytes_per_s_p99={p99}");
+        assert!(p99 <= 1_500);
+    }
+    println!("instances=18 in_force_ms_max={}", worst.as_millis());
+    assert!(worst <= Duration::from_secs(5));
+}
+
+#[test]
+fn joins_from_peers() {
+    let mut net = settled(3, 40, 1);
+    let id = net.add();
+    let times = net.run_until(Duration::from_secs(60), limpetdeck::lists::Lists::ready);
+    println!("services=40 joined_ms={}", slowest(&times).as_millis());
+    assert_eq!(net.versions()[id as usize], Versions { allowances: 0, plans: 1, services: 1 });
+    let (version, services) = net.lists(id).take_services().expect("services");
+    assert_eq!((version, services.list().len()), (1, 40));
+    assert!(net.lists(id).take_rules().is_some());
+}
+
+#[test]
+fn nobody_there() {
+    let mut net = Net::new(1, BUDGET, 1);
+    net.run(Duration::from_secs(60));
+    assert!(!net.lists(0).ready());
+    net.object(0, "services", 1, services(1, 1));
+    net.run(Duration::from_secs(1));
+    assert!(net.lists(0).ready());
+    assert!(net.lists(0).take_services().is_some());
+    assert!(net.lists(0).take_rules().is_none());
+}
+
+/// An old answer of the platform to a restarted instance does not take effect.
+#[test]
+fn old_platform_answer() {
+    let mut net = settled(3, 1, 1);
+    net.object(0, "plans", 2, plans(2, 50));
+    net.run(Duration::from_secs(3));
+    net.restart(1);
+    net.object(1, "plans", 1, plans(1, 50));
+    net.object(1, "services", 1, services(1, 1));
+    assert!(net.lists(1).take_services().is_none());
+    let times = net.run_until(Duration::from_secs(5), limpetdeck::lists::Lists::ready);
+    slowest(&times);
+    assert_eq!(net.versions()[1].plans, 2);
+    net.object(1, "plans", 1, plans(1, 50));
+    assert_eq!(net.versions()[1].plans, 2);
+}
+
+/// A malformed version is not taken and not spread, and does not stand in a later one's way.
+#[test]
+fn malformed_version() {
+    let mut net = settled(3, 1, 1);
+    net.object(0, "plans", 2, json!({ "customers": [{ "name": "a" }] }));
+    net.object(0, "plans", 3, Value::Null);
+    net.run(Duration::from_secs(3));
+    assert_eq!(net.versions().iter().map(|versions| versions.plans).max(), Some(1));
+    assert_eq!(net.lists(0).refused().plans, 3);
+    net.object(0, "plans", 4, plans(4, 50));
+    net.run(Duration::from_secs(3));
+    assert!(net.versions().iter().all(|versions| versions.plans == 4));
+}
+
+#[test]
+fn healed_domain() {
+    let mut net = settled(18, 2, 1);
+    (0..6).for_each(|id| net.group(id, 1));
+    for version in 2..40 {
+        net.object(17, "plans", version, plans(version, 50));
+        net.run(Duration::from_millis(500));
+    }
+    assert!(net.versions()[..6].iter().all(|versions| versions.plans == 1));
+    (0..6).for_each(|id| net.group(id, 0));
+    let times = net.run_until(Duration::from_secs(30), |lists| lists.versions().plans >= 39);
+    println!("healed_ms={}", slowest(&times).as_millis());
+    assert!(slowest(&times) <= Duration::from_secs(5));
+}
+
+/// Whatever is lost, cut, paused and restarted, and in whatever order versions come: no
+/// instance that runs on goes back, and all end with the highest version's content.
+#[test]
+fn never_back() {
+    fn property(steps: Vec<(u8, u8, u8)>, seed: u64) -> TestResult {
+        let mut net = settled(4, 1, seed);
+        net.loss = 0.1;
+        let mut highest = 1;
+        for (what, id, n) in steps {
+            let id = u32::from(id % 4);
+            let before = net.versions();
+            let restarted = what % 6 == 4;
+            match what % 6 {
+                0 | 1 => {
+                    let version = u64::from(n % 32) + 1;
+                    highest = highest.max(version);
+                    net.object(id, "plans", version, plans(version, 50));
+                }
+                2 => net.group(id, u32::from(n % 2)),
+                3 => net.set_up(id, n % 2 == 0),
+                4 => net.restart(id),
+                _ => net.run(Duration::from_millis(u64::from(n) * 10)),
+            }
+            let after = net.versions();
+            let exempt = |i: usize| restarted && i == id as usize;
+            let fell = (0..4).any(|i| !after[i].covers(&before[i]) && !exempt(i));
+            if fell {
+                return TestResult::failed();
+            }
+        }
+        net.loss = 0.0;
+        (0..4).for_each(|id| net.group(id, 0));
+        (0..4).for_each(|id| net.set_up(id, true));
+        let known = net.versions().iter().map(|versions| versions.plans).max().unwrap_or(0);
+        net.run(Duration::from_secs(30));
+        let wanted = Content::from_json(ListKind::Plans, plans(known, 50)).expect("plans");
+        let equal =
+            |id| known == 0 || net.lists(id).content(ListKind::Plans).entries() == wanted.entries();
+        TestResult::from_bool(known <= highest && (0..4).all(equal))
+    }
+    support::checker(150).quickcheck(property as fn(Vec<(u8, u8, u8)>, u64) -> TestResult);
+}
--- /dev/null
+++ b/tests/support/net.rs
@@ -0,0 +1,249 @@
+//! Instances' lists on a small network in virtual time, with the bytes that they send.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use limpetdeck::ids::{InstanceId, Version};
+use limpetdeck::instance::Action;
+use limpetdeck::link::Link;
+use limpetdeck::lists::{Lists, Versions};
+use limpetdeck::peer::Body;
+use limpetdeck::platform::Object;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde_json::Value;
+
+/// Time between two ticks of an instance.
+const TICK: Duration = Duration::from_millis(100);
+/// Time that a message takes, and as much again at random.
+const LATENCY: Duration = Duration::from_millis(1);
+/// Bytes that IPv4 and UDP add to a message.
+const DATAGRAM_OVERHEAD: usize = 28;
+
+struct Node {
+    lists: Lists,
+    link: Link,
+    group: u32,
+    up: bool,
+    /// Bytes sent in each second.
+    sent: Vec<usize>,
+}
+
+enum Due {
+    Tick,
+    Message(SocketAddr, InstanceId, Vec<u8>),
+}
+
+/// The network.
+pub struct Net {
+    /// The time.
+    pub now: Duration,
+    /// Share of messages that is lost.
+    pub loss: f64,
+    nodes: Vec<Node>,
+    queue: BTreeMap<(Duration, u64), (InstanceId, Due)>,
+    sequence: u64,
+    budget: u32,
+    rng: SmallRng,
+}
+
+fn address(id: InstanceId) -> SocketAddr {
+    SocketAddr::from(([127, 0, (id >> 8) as u8, id as u8], 7_200))
+}
+
+fn id_at(address: SocketAddr) -> InstanceId {
+    let SocketAddr::V4(v4) = address else { panic!("IPv4 alone") };
+    let octets = v4.ip().octets();
+    InstanceId::from(octets[2]) << 8 | InstanceId::from(octets[3])
+}
+
+impl Net {
+    /// Makes a network of new instances; instance numbers start at 0.
+    pub fn new(instances: u32, budget: u32, seed: u64) -> Self {
+        let mut net = Self {
+            now: Duration::ZERO,
+            loss: 0.0,
+            nodes: Vec::new(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            budget,
+            rng: SmallRng::seed_from_u64(seed),
+        };
+        (0..instances).for_each(|_| {
+            net.add();
+        });
+        net
+    }
+
+    /// Adds a new instance.
+    pub fn add(&mut self) -> InstanceId {
+        let id = self.nodes.len() as InstanceId;
+        let node = self.fresh(id);
+        self.nodes.push(node);
+        let phase = TICK.mul_f64(self.rng.random());
+        self.push(self.now + phase, id, Due::Tick);
+        self.connect();
+        id
+    }
+
+    /// Starts an instance anew, without anything it knew.
+    #[allow(dead_code, reason = "not every test file restarts instances")]
+    pub fn restart(&mut self, id: InstanceId) {
+        self.nodes[id as usize] = self.fresh(id);
+        self.connect();
+    }
+
+    /// Puts an instance into a group; groups do not reach each other.
+    pub fn group(&mut self, id: InstanceId, group: u32) {
+        self.nodes[id as usize].group = group;
+    }
+
+    /// Freezes or thaws an instance; it misses what comes meanwhile.
+    pub fn set_up(&mut self, id: InstanceId, up: bool) {
+        self.nodes[id as usize].up = up;
+    }
+
+    /// Lets the platform give an object to an instance.
+    pub fn object(&mut self, id: InstanceId, name: &str, version: Version, value: Value) {
+        let object = Object { name: name.to_owned(), version, value };
+        self.act(id, |lists, link, now, actions| {
+            lists.on_object(now, &object, &mut link.outbox(now, actions));
+        });
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(entry) = self.queue.first_entry().filter(|entry| entry.key().0 <= end) {
+            let ((at, _), (id, due)) = entry.remove_entry();
+            self.now = at;
+            match due {
+                Due::Tick => self.tick(id),
+                Due::Message(from, to, buf) => self.deliver(from, to, &buf),
+            }
+        }
+        self.now = end;
+    }
+
+    /// Lets time pass until all instances fulfil a condition, and returns how long that took
+    /// on each of them; at most `longest`.
+    pub fn run_until(
+        &mut self,
+        longest: Duration,
+        done: impl Fn(&Lists) -> bool,
+    ) -> Vec<Option<Duration>> {
+        let start = self.now;
+        let mut times = vec![None; self.nodes.len()];
+        while self.now < start + longest && times.contains(&None) {
+            self.run(Duration::from_millis(10));
+            for (time, node) in times.iter_mut().zip(&self.nodes) {
+                if time.is_none() && done(&node.lists) {
+                    *time = Some(self.now - start);
+                }
+            }
+        }
+        times
+    }
+
+    /// Returns the lists of an instance.
+    pub fn lists(&mut self, id: InstanceId) -> &mut Lists {
+        &mut self.nodes[id as usize].lists
+    }
+
+    /// Returns the versions of all instances.
+    #[allow(dead_code, reason = "not every test file looks at all versions")]
+    pub fn versions(&self) -> Vec<Versions> {
+        self.nodes.iter().map(|node| node.lists.versions()).collect()
+    }
+
+    /// Returns the bytes that each instance sent in each second from a time on, in order.
+    #[allow(dead_code, reason = "not every test file counts bytes")]
+    pub fn bytes_per_second(&self, from: Duration) -> Vec<usize> {
+        let (first, end) = (from.as_secs() as usize, self.now.as_secs() as usize);
+        let seconds = first..end;
+        let mut all: Vec<_> = self
+            .nodes
+            .iter()
+            .flat_map(|node| seconds.clone().map(|i| node.sent.get(i).copied().unwrap_or(0)))
+            .collect();
+        all.sort_unstable();
+        all
+    }
+
+    fn fresh(&mut self, id: InstanceId) -> Node {
+        let rng = SmallRng::from_rng(&mut self.rng);
+        let incarnation = self.now.as_millis() as u64 + 1;
+        Node {
+            lists: Lists::new(id, rng),
+            link: Link::new([7; 32], id, incarnation, self.budget, self.now),
+            group: 0,
+            up: true,
+            sent: Vec::new(),
+        }
+    }
+
+    fn connect(&mut self) {
+        let all = (0..self.nodes.len() as InstanceId).map(|id| (id, address(id)));
+        let all: limpetdeck::hash::HashMap<_, _> = all.collect();
+        for node in &mut self.nodes {
+            node.link.set_addresses(all.clone());
+        }
+    }
+
+    fn tick(&mut self, id: InstanceId) {
+        self.push(self.now + TICK, id, Due::Tick);
+        let group = self.nodes[id as usize].group;
+        let same = self.nodes.iter().zip(0..).filter(|(node, _)| node.group == group);
+        let live: Vec<InstanceId> = same.map(|(_, other)| other).collect();
+        self.act(id, |lists, link, now, actions| {
+            lists.tick(now, &live, &mut link.outbox(now, actions));
+        });
+    }
+
+    fn deliver(&mut self, from: SocketAddr, to: InstanceId, buf: &[u8]) {
+        let same = self.nodes[id_at(from) as usize].group == self.nodes[to as usize].group;
+        if !same {
+            return;
+        }
+        self.act(to, |lists, link, now, actions| {
+            if let Ok((from, Body::Lists(message))) = link.open(buf) {
+                lists.on_message(now, from, message, &mut link.outbox(now, actions));
+            }
+        });
+    }
+
+    fn act(
+        &mut self,
+        id: InstanceId,
+        act: impl FnOnce(&mut Lists, &mut Link, Duration, &mut Vec<Action>),
+    ) {
+        let node = &mut self.nodes[id as usize];
+        if !node.up {
+            return;
+        }
+        let mut actions = Vec::new();
+        act(&mut node.lists, &mut node.link, self.now, &mut actions);
+        for action in actions {
+            let Action::Peer(to, buf) = action else { continue };
+            self.send(id, to, buf);
+        }
+    }
+
+    fn send(&mut self, id: InstanceId, to: SocketAddr, buf: Vec<u8>) {
+        let second = self.now.as_secs() as usize;
+        let sent = &mut self.nodes[id as usize].sent;
+        sent.resize(sent.len().max(second + 1), 0);
+        sent[second] += buf.len() + DATAGRAM_OVERHEAD;
+        if self.rng.random_bool(self.loss) {
+            return;
+        }
+        let at = self.now + LATENCY + LATENCY.mul_f64(self.rng.random());
+        self.push(at, id_at(to), Due::Message(address(id), id_at(to), buf));
+    }
+
+    fn push(&mut self, at: Duration, id: InstanceId, due: Due) {
+        self.sequence += 1;
+        self.queue.insert((at, self.sequence), (id, due));
+    }
+}
