Change lists, targets and instances with limpetctl; answer JSON-RPC

Now plans, allowances and services are shown, set, applied and have a history; targets are drained and returned; instances are listed and stopped; status tells versions in force, laggards, stale and cut-off instances, open flows and refusals.

Found on the way: an instance that stopped never deregistered. It asked for the deregistration and for its exit in one step, and the process ended before the call was made (ctl_fleet failed: the stopped instance stayed listed). The exit now waits for the call's answer or its timeout, and is asked for once.

--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -1,9 +1,14 @@
 //! The operators' command: one file for each group of subcommands.
 
 mod arguments;
+mod ask;
 mod check;
 mod error;
-mod services;
+mod instances;
+mod lists;
+mod status;
+mod table;
+mod targets;
 
 pub use error::CtlError;
 
@@ -14,7 +19,10 @@
 
 /// Runs the command as the command line says.
 pub fn main(args: Vec<OsString>) -> ExitCode {
-    match arguments::parse(args).and_then(run) {
+    let mut out = String::new();
+    let result = run(args, &mut out);
+    print!("{out}");
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("{e}");
@@ -26,13 +34,21 @@
     }
 }
 
-fn run(command: Command) -> Result<(), CtlError> {
-    match command {
-        Command::Help => print!("{HELP}"),
-        Command::Version => println!("limpetctl {}", env!("CARGO_PKG_VERSION")),
-        Command::Check { file } => check::check(&file)?,
-        Command::ServicesApply { file, platform } => services::apply(&file, platform)?,
-        Command::ServicesShow { platform } => services::show(platform)?,
+/// Runs a command line, without the program's name, and adds what it prints to `out`.
+///
+/// # Errors
+///
+/// Returns why the command failed.
+pub fn run(args: Vec<OsString>, out: &mut String) -> Result<(), CtlError> {
+    match arguments::parse(args)? {
+        Command::Help => out.push_str(HELP),
+        Command::Version => *out += concat!("limpetctl ", env!("CARGO_PKG_VERSION"), "\n"),
+        Command::Check { file } => *out += &check::check(&file)?,
+        Command::List { kind, action, common } => *out += &lists::run(kind, &action, &common)?,
+        Command::Targets { action, common } => *out += &targets::run(&action, &common)?,
+        Command::InstancesList { common } => *out += &instances::list(&common)?,
+        Command::InstancesStop { id, common } => *out += &instances::stop(id, &common)?,
+        Command::Status { common } => *out += &status::status(&common)?,
     }
     Ok(())
 }
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -7,20 +7,20 @@
 use std::time::{Duration, Instant as Clock, SystemTime, UNIX_EPOCH};
 
 use derive_more::{Display, Error};
-use hyper::StatusCode;
+use hyper::{Method, StatusCode};
 use metrics::counter;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use smol::Async;
-use smol::LocalExecutor;
 use smol::channel::{Sender, bounded};
 use smol::net::TcpListener;
+use smol::{Async, LocalExecutor, Task};
 
 use crate::http::{self, HandlerFuture, Request, Response};
 use crate::instance::{Action, Event, Instance, InstanceConfig};
 use crate::peer::{MemberInfo, MemberState};
 use crate::placement::Policy;
 use crate::platform::{Call, HttpPlatform, Platform};
+use crate::rpc::Rpc;
 use crate::settings::Settings;
 use crate::signals::StopSignals;
 use crate::telemetry::{MetricsPage, report_spans, start_logs};
@@ -58,6 +58,8 @@
     platform: HttpPlatform,
     ex: Rc<LocalExecutor<'static>>,
     exit: Sender<()>,
+    deregistration: RefCell<Option<Task<()>>>,
+    rpc: Rc<Rpc>,
 }
 
 /// Runs an instance until it is told to stop.
@@ -86,6 +88,7 @@
         .await
         .map_err(|source| DaemonError::Bind { address: settings.metrics_address, source })?;
     let (exit, stopped) = bounded(1);
+    let rpc = Rpc::new().map_err(|e| DaemonError::Setup(e.to_string()))?;
     let daemon = Rc::new(Daemon {
         started: Clock::now(),
         packets,
@@ -94,6 +97,8 @@
         platform: HttpPlatform::new(settings.platform_address),
         ex: Rc::clone(&ex),
         exit,
+        deregistration: RefCell::new(None),
+        rpc: Rc::new(rpc),
         instance: RefCell::new(instance(settings)),
     });
     ex.spawn(read(Rc::clone(&daemon), Arc::clone(&daemon.packets), Event::Packet)).detach();
@@ -153,17 +158,33 @@
             Action::Fabric(packet) => send(&self.packets, &packet, self.fabric),
             Action::Peer(to, buf) => send(&self.peers, &buf, to),
             Action::Platform(call) => self.call(call),
-            Action::Exit => {
-                let _ = self.exit.try_send(());
-            }
+            Action::Exit => self.exit(),
         }
     }
 
     fn call(self: &Rc<Self>, call: Call) {
         let daemon = Rc::clone(self);
-        let task = async move {
+        let deregisters = matches!(call, Call::Delete { .. });
+        let task = self.ex.spawn(async move {
             let result = daemon.platform.call(call.clone()).await;
             daemon.handle(Event::Platform(call, result));
+        });
+        if deregisters {
+            self.deregistration.replace(Some(task));
+        } else {
+            task.detach();
+        }
+    }
+
+    /// Ends the process once the deregistration is answered or has timed out.
+    fn exit(self: &Rc<Self>) {
+        let daemon = Rc::clone(self);
+        let task = async move {
+            let deregistration = daemon.deregistration.take();
+            if let Some(task) = deregistration {
+                task.await;
+            }
+            let _ = daemon.exit.try_send(());
         };
         self.ex.spawn(task).detach();
     }
@@ -190,6 +211,10 @@
     loop {
         smol::Timer::after(TICK).await;
         daemon.handle(Event::Tick);
+        daemon.rpc.set_status(daemon.instance.borrow().status(daemon.started.elapsed()));
+        if daemon.rpc.take_stop() {
+            daemon.handle(Event::Stop);
+        }
     }
 }
 
@@ -202,14 +227,23 @@
 
 fn handler(daemon: Rc<Daemon>, page: MetricsPage) -> impl Fn(Request) -> HandlerFuture {
     move |req| {
-        let response = match req.route() {
-            "/healthz" if daemon.instance.borrow().healthy() => {
+        let response = match (&req.method, req.route()) {
+            (&Method::POST, "/rpc") => return answer_rpc(Rc::clone(&daemon.rpc), req.body),
+            (_, "/rpc") => Response::text(StatusCode::METHOD_NOT_ALLOWED, "POST alone\n"),
+            (_, "/healthz") if daemon.instance.borrow().healthy() => {
                 Response::text(StatusCode::OK, "ok\n")
             }
-            "/healthz" => Response::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-            "/metrics" => Response::text(StatusCode::OK, page.render()),
+            (_, "/healthz") => Response::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            (_, "/metrics") => Response::text(StatusCode::OK, page.render()),
             _ => Response::text(StatusCode::NOT_FOUND, "not found\n"),
         };
         Box::pin(async move { response })
     }
 }
+
+fn answer_rpc(rpc: Rc<Rpc>, body: Vec<u8>) -> HandlerFuture {
+    Box::pin(async move {
+        let body = rpc.answer(&body).await.into_bytes();
+        Response { status: StatusCode::OK, content_type: "application/json", body }
+    })
+}
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -3,6 +3,8 @@
 mod event;
 mod registry;
 mod run;
+mod status;
 
 pub use event::{Action, Event};
 pub use run::{Instance, InstanceConfig};
+pub use status::Status;
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -1,5 +1,6 @@
 //! The wiring of the decision parts.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,7 +10,7 @@
 use rand::rngs::SmallRng;
 
 use super::registry::{INSTANCES, Registry};
-use super::{Action, Event};
+use super::{Action, Event, Status};
 use crate::link::Link;
 use crate::lists::Lists;
 use crate::membership::Membership;
@@ -58,6 +59,9 @@
     last_tick: Duration,
     stale_until: Option<Duration>,
     leaving_since: Option<Duration>,
+    gone: bool,
+    platform_answered: Option<Duration>,
+    refusals: BTreeMap<String, u64>,
 }
 
 impl Instance {
@@ -79,6 +83,9 @@
             last_tick: now,
             stale_until: None,
             leaving_since: None,
+            gone: false,
+            platform_answered: None,
+            refusals: BTreeMap::new(),
         }
     }
 
@@ -98,6 +105,26 @@
         self.leaving_since.is_none() && self.lists.ready()
     }
 
+    /// Returns the state that operators ask for.
+    pub fn status(&self, now: Duration) -> Status {
+        let me = self.membership.me();
+        let since = |answered| now.saturating_sub(answered).as_millis() as u64;
+        Status {
+            instance: me.id,
+            incarnation: me.incarnation,
+            failure_domain: me.failure_domain.clone(),
+            state: me.state,
+            healthy: self.healthy(),
+            stale: self.stale_until.is_some(),
+            versions: self.lists.versions(),
+            refused_versions: self.lists.refused(),
+            platform_answered_ms_ago: self.platform_answered.map(since),
+            live_instances: self.membership.live().len(),
+            open_flows: self.pipeline.placement.flows().len(),
+            refusals: self.refusals.clone(),
+        }
+    }
+
     /// Returns the filters, for their state.
     pub fn pipeline(&self) -> &Pipeline {
         &self.pipeline
@@ -133,6 +160,7 @@
             Outcome::Refused(service, refusal, reset) => {
                 let reason = refusal.reason.to_string();
                 counter!("limpetdeck_flows_refused_total", "reason" => reason.clone()).increment(1);
+                *self.refusals.entry(reason.clone()).or_default() += 1;
                 log::info!(
                     service = service,
                     reason = reason.as_str(),
@@ -190,7 +218,8 @@
         self.join_parts(now);
         self.call_platform(now, out);
         gauge!("limpetdeck_flows_known").set(self.pipeline.placement.flows().len() as f64);
-        if self.leaving_since.is_some_and(|since| now >= since + LINGER) {
+        if !self.gone && self.leaving_since.is_some_and(|since| now >= since + LINGER) {
+            self.gone = true;
             out.push(Action::Platform(self.registry.deregister()));
             out.push(Action::Exit);
         }
@@ -254,6 +283,9 @@
         out: &mut Vec<Action>,
     ) {
         self.registry.done(now, call, result);
+        if result.is_ok() {
+            self.platform_answered = Some(now);
+        }
         match result {
             Ok(Reply::Changes(changes)) => {
                 for object in &changes.objects {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod pipeline;
 pub mod placement;
 pub mod platform;
+pub mod rpc;
 pub mod services;
 pub mod settings;
 pub mod signals;
--- a/src/lists/message.rs
+++ b/src/lists/message.rs
@@ -27,7 +27,7 @@
     }
 
     /// Sets the version of one list.
-    pub(super) fn set(&mut self, kind: ListKind, version: Version) {
+    pub(crate) fn set(&mut self, kind: ListKind, version: Version) {
         match kind {
             ListKind::Allowances => self.allowances = version,
             ListKind::Plans => self.plans = version,
@@ -35,6 +35,15 @@
         }
     }
 
+    /// Returns the higher version of each list.
+    pub fn max(&self, other: &Self) -> Self {
+        Self {
+            allowances: self.allowances.max(other.allowances),
+            plans: self.plans.max(other.plans),
+            services: self.services.max(other.services),
+        }
+    }
+
     /// Tells whether no list is behind the other's.
     pub fn covers(&self, other: &Self) -> bool {
         ListKind::ALL.into_iter().all(|kind| self.of(kind) >= other.of(kind))
