--- a/lab/tests/support/ctl.rs
+++ b/lab/tests/support/ctl.rs
@@ -1,5 +1,7 @@
 //! The operators' command as a real process, against a platform stand-in.
 
+#![allow(dead_code, reason = "not every user needs all of it")]
+
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -32,7 +34,6 @@
     }
 
     /// Tells whether the process has ended by itself.
-    #[allow(dead_code, reason = "not every test file awaits an end")]
     pub fn ended(&mut self) -> bool {
         self.0.try_wait().expect("a state").is_some()
     }
--- /dev/null
+++ b/tests/lists_scenarios.rs
@@ -0,0 +1,190 @@
+//! Scripted races of operators and of instances.
+//!
+//! Lines for operators: `NAME [only-at N]` begins a change that sets the customer NAME, and
+//! `NAME FATE` makes its next call, which is answered, answer-lost, request-lost, delayed or
+//! stale. `deliver` lets a delayed write arrive, `overwrite` writes without a history, and
+//! `show` prints the object.
+//!
+//! Lines for instances: `object I LIST N` gives an instance version N of a list from the
+//! platform, `malformed I LIST N` one that cannot be read. `run MS`, `cut I GROUP`, `pause I`,
+//! `wake I`, `restart I`, `add`, and `show`.
+
+#[path = "support/contents.rs"]
+mod contents;
+#[path = "support/customer.rs"]
+mod customer;
+#[path = "support/net.rs"]
+mod net;
+#[path = "support/store.rs"]
+mod store;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use contents::{plans, services};
+use customer::{NEVER, set_customer};
+use limpetdeck::lists::{ListKind, Outcome, Stamp, Step, Update};
+use limpetdeck::platform::Call;
+use net::Net;
+use serde_json::{Value, json};
+use store::{Fate, Store};
+
+fn step_text(step: &Step) -> String {
+    match step {
+        Step::Call(Call::Put { if_version, .. }) => {
+            format!("put at {}", if_version.expect("a condition"))
+        }
+        Step::Call(_) => "get".to_owned(),
+        Step::Wait(_) => "wait".to_owned(),
+        Step::Done(Outcome::Applied { version, .. }) => format!("applied as {version}"),
+        Step::Done(Outcome::Conflict { ours, theirs, version }) => {
+            let (ours, theirs) = (names(ours), names(theirs));
+            format!("conflict with {version}, ours: {ours}; theirs: {theirs}")
+        }
+        Step::Done(other) => format!("{other:?}"),
+    }
+}
+
+/// Returns the names of the customers that lines of difference speak of.
+fn names(lines: &[String]) -> String {
+    let names = lines.iter().filter(|line| line.contains(".name"));
+    names.map(|line| line.split(['.', ' ']).nth(2).expect("a name")).collect::<Vec<_>>().join(" ")
+}
+
+fn next(operator: &mut (Update, Duration)) -> Step {
+    loop {
+        match operator.0.next(operator.1) {
+            Step::Wait(until) => operator.1 = until,
+            step => return step,
+        }
+    }
+}
+
+fn fate(text: &str) -> Fate {
+    match text {
+        "answered" => Fate::Answered,
+        "answer-lost" => Fate::AnswerLost,
+        "request-lost" => Fate::RequestLost,
+        "delayed" => Fate::Delayed,
+        "stale" => Fate::Stale,
+        other => panic!("unknown fate {other:?}"),
+    }
+}
+
+fn show(store: &Store) -> String {
+    let object = store.current();
+    let (value, stamp) = Stamp::split(object.value.clone()).expect("a stamp");
+    let customers = value["customers"].as_array().cloned().unwrap_or_default();
+    let customers: Vec<_> = customers.iter().filter_map(|c| c["name"].as_str()).collect();
+    let history: Vec<_> =
+        stamp.history.iter().map(|made| format!("{}={}", made.version, made.id)).collect();
+    format!("version {}: {}; made by {}\n", object.version, customers.join(" "), history.join(" "))
+}
+
+fn operate(
+    line: &str,
+    store: &mut Store,
+    operators: &mut BTreeMap<String, (Update, Duration)>,
+) -> String {
+    let words: Vec<_> = line.split_whitespace().collect();
+    match words[..] {
+        ["show"] => return show(store),
+        ["deliver"] => store.deliver(0),
+        ["overwrite"] => {
+            let name = "plans".to_owned();
+            let call = Call::Put { name, if_version: None, value: json!({ "customers": [] }) };
+            store.call(&call, Fate::Answered).expect("written");
+        }
+        [name] => {
+            let update = set_customer(name, None, NEVER, 1);
+            operators.insert(name.to_owned(), (update, Duration::ZERO));
+        }
+        [name, "only-at", version] => {
+            let only_at = Some(version.parse().expect("a version"));
+            let update = set_customer(name, only_at, NEVER, 1);
+            operators.insert(name.to_owned(), (update, Duration::ZERO));
+        }
+        [name, text] => {
+            let operator = operators.get_mut(name).expect("an operator");
+            let Step::Call(call) = next(operator) else { panic!("{name} makes no call") };
+            let made = step_text(&Step::Call(call.clone()));
+            let result = store.call(&call, fate(text));
+            operator.0.on_result(operator.1, result);
+            return format!("{name}: {made}, {text}; next: {}\n", step_text(&next(operator)));
+        }
+        _ => panic!("unknown line {line:?}"),
+    }
+    String::new()
+}
+
+#[test]
+fn operators() {
+    datadriven::walk("tests/scenarios/lists_update", |f| {
+        let (mut store, mut operators) = (Store::new("plans"), BTreeMap::new());
+        f.run(|case| {
+            let lines = case.input.lines();
+            lines.map(|line| operate(line, &mut store, &mut operators)).collect::<String>()
+        });
+    });
+}
+
+fn number(text: &str) -> u32 {
+    text.parse().expect("a number")
+}
+
+fn content(list: &str, version: u64) -> Value {
+    match list {
+        "plans" => plans(version, 5),
+        "services" => services(version, 2),
+        other => panic!("unknown list {other:?}"),
+    }
+}
+
+fn play(line: &str, net: &mut Net) -> String {
+    let words: Vec<_> = line.split_whitespace().collect();
+    match words[..] {
+        ["object", id, list, version] => {
+            let version = u64::from(number(version));
+            net.object(number(id), list, version, content(list, version));
+        }
+        ["malformed", id, list, version] => {
+            net.object(number(id), list, u64::from(number(version)), json!([1]));
+        }
+        ["run", ms] => net.run(Duration::from_millis(u64::from(number(ms)))),
+        ["cut", id, group] => net.group(number(id), number(group)),
+        ["pause", id] => net.set_up(number(id), false),
+        ["wake", id] => net.set_up(number(id), true),
+        ["restart", id] => net.restart(number(id)),
+        ["add"] => {
+            net.add();
+        }
+        ["show"] => return show_net(net),
+        _ => panic!("unknown line {line:?}"),
+    }
+    String::new()
+}
+
+fn show_net(net: &mut Net) -> String {
+    let instances = net.versions().len() as u32;
+    let lines = (0..instances).map(|id| {
+        let lists = net.lists(id);
+        let versions = lists.versions();
+        let ready = if lists.ready() { "ready" } else { "not ready" };
+        let customers = lists.content(ListKind::Plans).entries().len();
+        let (services, plans) = (versions.services, versions.plans);
+        format!("{id}: services {services}, plans {plans} ({customers} customers), {ready}\n")
+    });
+    lines.collect()
+}
+
+#[test]
+fn instances() {
+    datadriven::walk("tests/scenarios/lists_spread", |f| {
+        let mut net = None;
+        f.run(|case| {
+            let count = case.args.get("instances").map(|values| number(&values[0]));
+            let net = net.get_or_insert_with(|| Net::new(count.expect("instances"), 3_000, 1));
+            case.input.lines().map(|line| play(line, net)).collect::<String>()
+        });
+    });
+}
--- a/tests/lists_spread.rs
+++ b/tests/lists_spread.rs
@@ -1,12 +1,14 @@
 //! Lists reach every instance in rising versions, and never go back.
 
+#[path = "support/contents.rs"]
+mod contents;
 #[path = "support/net.rs"]
 mod net;
 mod support;
 
 use std::time::Duration;
 
-use limpetdeck::ids::Version;
+use contents::{plans, services};
 use limpetdeck::lists::{Content, ListKind, Versions};
 use net::Net;
 use quickcheck::TestResult;
@@ -15,37 +17,6 @@
 /// What the budget gives to all control traffic of an instance, in bytes a second.
 const BUDGET: u32 = 3_000;
 
-/// Plans in which one customer stands for the version.
-fn plans(version: Version, customers: u64) -> Value {
-    let customer = |i: u64| {
-        let plan = format!("plan-{}", if i == version % customers { version } else { 0 });
-        let prefix = format!("10.{}.{}.0/24", i / 256, i % 256);
-        json!({ "name": format!("customer-{i}"), "plan": plan, "prefixes": [prefix] })
-    };
-    json!({ "customers": (0..customers).map(customer).collect::<Vec<_>>() })
-}
-
-/// Services with six targets each, of which one target's weight stands for the version.
-fn services(version: Version, count: u32) -> Value {
-    let target = |i: u32, j: u32| {
-        let id = i * 6 + j;
-        let weight = if id == 0 { 100 + version } else { 100 };
-        json!({
-            "id": id,
-            "address": format!("10.{}.{}.{}:7000", 100 + j, i / 250, i % 250),
-            "failure_domain": "gt-centro-a", "slots": 3, "weight": weight,
-        })
-    };
-    let service = |i: u32| {
-        json!({
-            "id": i, "name": format!("service-{i}"), "weighs": "imbalance",
-            "address": format!("10.1.{}.{}:7000", i / 250, i % 250), "idle_timeout_s": 3600,
-            "targets": (0..6).map(|j| target(i, j)).collect::<Vec<_>>(),
-        })
-    };
-    json!({ "services": (0..count).map(service).collect::<Vec<_>>() })
-}
-
 /// Makes a network whose instances all have the first versions of services and plans.
 fn settled(instances: u32, service_count: u32, seed: u64) -> Net {
     let mut net = Net::new(instances, BUDGET, seed);
--- a/tests/lists_update.rs
+++ b/tests/lists_update.rs
@@ -1,57 +1,19 @@
 //! The update protocol: every order of calls, losses and delays of two operators, to a depth.
 
+#[path = "support/customer.rs"]
+mod customer;
 #[path = "support/store.rs"]
 mod store;
 
 use std::collections::HashSet;
 use std::hash::{Hash, Hasher};
-use std::sync::Arc;
 use std::time::Duration;
 
-use limpetdeck::lists::rules::RawCustomer;
-use limpetdeck::lists::{Edit, ListChange, ListEdit, ListKind, Outcome, Stamp, Step, Update};
+use customer::{NEVER, set_customer};
+use limpetdeck::lists::{Outcome, Stamp, Step, Update};
 use limpetdeck::platform::{Call, PlatformError};
-use limpetdeck::settings::Findings;
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
-use serde_json::Value;
 use store::{Fate, Store};
 
-/// A time that no check reaches.
-const NEVER: Duration = Duration::from_secs(1 << 40);
-
-/// Sets a customer without a look at the other lists.
-#[derive(Debug)]
-struct SetCustomer(ListEdit);
-
-impl SetCustomer {
-    fn new(name: &str, net: u8) -> Self {
-        let prefixes = vec![format!("10.0.{net}.0/24")];
-        let customer = RawCustomer { name: name.to_owned(), plan: "basic".to_owned(), prefixes };
-        let plans = limpetdeck::lists::Content::from_toml(
-            ListKind::Allowances,
-            "plans = [{ name = \"basic\" }]",
-        );
-        let change = ListChange::SetCustomer(customer);
-        Self(ListEdit::new(ListKind::Plans, change, vec![plans.expect("valid")]))
-    }
-}
-
-impl Edit for SetCustomer {
-    fn object(&self) -> &str {
-        self.0.object()
-    }
-
-    fn edit(&self, old: &Value) -> Result<Value, Findings> {
-        self.0.edit(old)
-    }
-}
-
-fn update(name: &str, net: u8, deadline: Duration, seed: u64) -> Update {
-    let rng = SmallRng::seed_from_u64(seed);
-    Update::new(name.to_owned(), Arc::new(SetCustomer::new(name, net)), None, deadline, rng)
-}
-
 /// Two operators, the store between them, and what may still go wrong.
 #[derive(Debug, Clone)]
 struct World {
@@ -75,8 +37,7 @@
     fn new(faults_left: u32, conditional: bool) -> Self {
         let mut store = Store::new("plans");
         store.conditional = conditional;
-        let operators =
-            ["a", "b"].map(|name| (update(name, name.as_bytes()[0], NEVER, 1), Duration::ZERO));
+        let operators = ["a", "b"].map(|name| (set_customer(name, None, NEVER, 1), Duration::ZERO));
         Self { store, operators, faults_left }
     }
 
@@ -209,7 +170,7 @@
 /// how many calls failed.
 fn run_outage(outage: Duration, seed: u64) -> (Outcome, u32) {
     let mut store = Store::new("plans");
-    let mut update = update("a", 1, Duration::from_secs(60), seed);
+    let mut update = set_customer("a", None, Duration::from_secs(60), seed);
     let (mut now, mut failed) = (Duration::ZERO, 0);
     loop {
         match update.next(now) {
@@ -247,7 +208,7 @@
 #[test]
 fn attempts_spent() {
     let mut store = Store::new("plans");
-    let mut update = update("a", 1, NEVER, 1);
+    let mut update = set_customer("a", None, NEVER, 1);
     let (mut now, mut writes) = (Duration::ZERO, 0);
     let outcome = loop {
         match update.next(now) {
@@ -268,7 +229,7 @@
 
 #[test]
 fn refused_write() {
-    let mut update = update("a", 1, NEVER, 1);
+    let mut update = set_customer("a", None, NEVER, 1);
     update.on_result(Duration::ZERO, Err(PlatformError::NotFound));
     let refused = PlatformError::Refused("too large".to_owned());
     update.on_result(Duration::ZERO, Err(refused));
--- a/tests/support/net.rs
+++ b/tests/support/net.rs
@@ -1,5 +1,7 @@
 //! Instances' lists on a small network in virtual time, with the bytes that they send.
 
+#![allow(dead_code, reason = "not every user needs all of it")]
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -71,24 +73,29 @@
             rng: SmallRng::seed_from_u64(seed),
         };
         (0..instances).for_each(|_| {
-            net.add();
+            net.push_node();
         });
+        net.connect();
         net
     }
 
     /// Adds a new instance.
     pub fn add(&mut self) -> InstanceId {
+        let id = self.push_node();
+        self.connect();
+        id
+    }
+
+    fn push_node(&mut self) -> InstanceId {
         let id = self.nodes.len() as InstanceId;
         let node = self.fresh(id);
         self.nodes.push(node);
         let phase = TICK.mul_f64(self.rng.random());
         self.push(self.now + phase, id, Due::Tick);
-        self.connect();
         id
     }
 
     /// Starts an instance anew, without anything it knew.
-    #[allow(dead_code, reason = "not every test file restarts instances")]
     pub fn restart(&mut self, id: InstanceId) {
         self.nodes[id as usize] = self.fresh(id);
         self.connect();
@@ -152,13 +159,11 @@
     }
 
     /// Returns the versions of all instances.
-    #[allow(dead_code, reason = "not every test file looks at all versions")]
     pub fn versions(&self) -> Vec<Versions> {
         self.nodes.iter().map(|node| node.lists.versions()).collect()
     }
 
     /// Returns the bytes that each instance sent in each second from a time on, in order.
-    #[allow(dead_code, reason = "not every test file counts bytes")]
     pub fn bytes_per_second(&self, from: Duration) -> Vec<usize> {
         let (first, end) = (from.as_secs() as usize, self.now.as_secs() as usize);
         let seconds = first..end;
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -1,5 +1,7 @@
 //! One object of a platform, with the faults that a writer can meet.
 
+#![allow(dead_code, reason = "not every user needs all of it")]
+
 use limpetdeck::platform::{Call, Object, PlatformError, Reply};
 use serde_json::Value;
 
