--- a/src/ctl/targets.rs
+++ b/src/ctl/targets.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use serde_json::Value;
 
 use super::CtlError;
@@ -10,39 +10,12 @@
 use super::ask;
 use super::lists::report;
 use super::table::{json, table};
-use crate::ids::{TargetId, Version};
-use crate::lists::{Edit, ListKind, Stamp};
+use crate::ids::TargetId;
+use crate::lists::{Content, Edit, ListKind, Stamp};
+use crate::placement::TargetState;
 use crate::services::{RawTarget, Services};
 use crate::settings::Findings;
-
-/// Name of the object that says what operators want of targets.
-const OBJECT_NAME: &str = "targets";
-
-/// What operators want of a target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum Wanted {
-    Serving,
-    Draining,
-}
-
-/// What operators want of all targets.
-#[derive(Debug, Default, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct RawWanted {
-    #[serde(default)]
-    targets: Vec<RawWantedTarget>,
-}
-
-/// What operators want of one target.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct RawWantedTarget {
-    id: TargetId,
-    state: Wanted,
-    /// Rises with each change of this target.
-    version: Version,
-}
+use crate::targets::{OBJECT_NAME, RawTargetState, RawTargetStates};
 
 /// A row of the list of targets.
 #[derive(Debug, Serialize)]
@@ -53,14 +26,14 @@
     failure_domain: String,
     slots: u32,
     weight: u32,
-    state: Wanted,
+    state: TargetState,
 }
 
 /// The wish that a target is in a state.
 #[derive(Debug)]
 struct SetWanted {
     id: TargetId,
-    state: Wanted,
+    state: TargetState,
 }
 
 impl Edit for SetWanted {
@@ -78,7 +51,7 @@
             }
             None => {
                 let (id, state) = (self.id, self.state);
-                raw.targets.push(RawWantedTarget { id, state, version: 1 });
+                raw.targets.push(RawTargetState { id, state, version: 1 });
             }
         }
         raw.targets.sort_by_key(|target| target.id);
@@ -90,14 +63,14 @@
 pub(super) fn run(action: &TargetAction, common: &Common) -> Result<String, CtlError> {
     match *action {
         TargetAction::List => list(common),
-        TargetAction::Drain(id) => set(id, Wanted::Draining, common),
-        TargetAction::Return(id) => set(id, Wanted::Serving, common),
+        TargetAction::Drain(id) => set(id, TargetState::Draining, common),
+        TargetAction::Return(id) => set(id, TargetState::Serving, common),
     }
 }
 
-fn set(id: TargetId, state: Wanted, common: &Common) -> Result<String, CtlError> {
+fn set(id: TargetId, state: TargetState, common: &Common) -> Result<String, CtlError> {
     let (_, services, _) = ask::list(common, ListKind::Services)?;
-    let crate::lists::Content::Services(raw) = services else { return Ok(String::new()) };
+    let Content::Services(raw) = services else { return Ok(String::new()) };
     if Services::try_from(raw)?.target(id).is_none() {
         return Err(Findings::one(format!("targets.{id}"), "no service has this target").into());
     }
@@ -109,10 +82,10 @@
     let (_, services, _) = ask::list(common, ListKind::Services)?;
     let (value, _) = Stamp::split(ask::object(common, OBJECT_NAME)?.value)?;
     let wanted = read(value)?;
-    let crate::lists::Content::Services(raw) = services else { return Ok(String::new()) };
+    let Content::Services(raw) = services else { return Ok(String::new()) };
     let state = |id| {
         let found = wanted.targets.iter().find(|target| target.id == id);
-        found.map_or(Wanted::Serving, |target| target.state)
+        found.map_or(TargetState::Serving, |target| target.state)
     };
     let rows = raw.services.iter().flat_map(|service| {
         service.targets.iter().map(|target| row(&service.name, target, state(target.id)))
@@ -126,7 +99,7 @@
     Ok(table(&heading, &cells))
 }
 
-fn row(service: &str, target: &RawTarget, state: Wanted) -> Row {
+fn row(service: &str, target: &RawTarget, state: TargetState) -> Row {
     Row {
         id: target.id,
         service: service.to_owned(),
@@ -140,10 +113,6 @@
 
 impl Row {
     fn cells(&self) -> Vec<String> {
-        let state = match self.state {
-            Wanted::Serving => "serving",
-            Wanted::Draining => "draining",
-        };
         vec![
             self.id.to_string(),
             self.service.clone(),
@@ -151,14 +120,14 @@
             self.failure_domain.clone(),
             self.slots.to_string(),
             self.weight.to_string(),
-            state.to_owned(),
+            self.state.to_string(),
         ]
     }
 }
 
-fn read(value: Value) -> Result<RawWanted, Findings> {
+fn read(value: Value) -> Result<RawTargetStates, Findings> {
     if value.is_null() {
-        return Ok(RawWanted::default());
+        return Ok(RawTargetStates::default());
     }
     serde_json::from_value(value).map_err(|e| Findings::one(OBJECT_NAME, e.to_string()))
 }
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -23,6 +23,8 @@
 
 /// Time for which a leaving instance keeps forwarding what still reaches it.
 const LINGER: Duration = Duration::from_secs(4);
+/// Longest time that a leaving instance takes to hand over its records.
+const LONGEST_LINGER: Duration = Duration::from_secs(15);
 /// Gap between two ticks after which the instance was paused.
 const PAUSED_AFTER: Duration = Duration::from_secs(1);
 /// Time after a pause until the instance has heard of all changes again.
@@ -95,6 +97,10 @@
             Event::Packet(packet) => self.packet(now, packet, Route::ENTRY, 0, out),
             Event::Peer(buf) => self.peer(now, &buf, out),
             Event::Platform(call, result) => self.platform(now, &call, &result, out),
+            Event::Probed(target, result) => {
+                self.targets.on_probed(now, target, result, &mut self.link.outbox(now, out));
+                self.join_parts(now);
+            }
             Event::Tick => self.tick(now, out),
             Event::Stop => self.stop(now),
         }
@@ -217,14 +223,23 @@
         }
         self.join_parts(now);
         self.call_platform(now, out);
+        gauge!("limpetdeck_replicas_waiting")
+            .set(self.pipeline.placement.replicas_waiting() as f64);
         gauge!("limpetdeck_flows_known").set(self.pipeline.placement.flows().len() as f64);
-        if !self.gone && self.leaving_since.is_some_and(|since| now >= since + LINGER) {
+        if !self.gone && self.leaving_since.is_some_and(|since| self.may_exit(now, since)) {
             self.gone = true;
             out.push(Action::Platform(self.registry.deregister()));
             out.push(Action::Exit);
         }
     }
 
+    /// A leaving instance goes when nothing reaches it any more and its records are handed
+    /// over, or when the longest time for that is up.
+    fn may_exit(&self, now: Duration, since: Duration) -> bool {
+        let handed_over = self.pipeline.placement.handed_over();
+        now >= since + LONGEST_LINGER || (now >= since + LINGER && handed_over)
+    }
+
     /// A gap between ticks means that this instance was paused and may have missed changes.
     fn notice_pause(&mut self, now: Duration) {
         let gap = now.saturating_sub(self.last_tick);
@@ -247,6 +262,9 @@
             log::info!(live = live.len(), owners = owners.len(); "members");
             gauge!("limpetdeck_instances_live").set(live.len() as f64);
             self.link.set_addresses(self.membership.addresses());
+            let domains =
+                self.membership.infos().map(|info| (info.id, info.failure_domain.clone()));
+            self.targets.set_members(domains);
             self.pipeline.placement.set_members(now, owners, live);
         }
         if let Some((version, services)) = self.lists.take_services() {
--- a/src/services/checked.rs
+++ b/src/services/checked.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use super::{RawService, RawServices, RawTarget};
+use super::{RawService, RawServices, RawTarget, ReportAddress};
 use crate::hash::{HashMap, HashSet};
 use crate::ids::{FailureDomain, ServiceId, TargetId};
 use crate::settings::Findings;
@@ -49,6 +49,10 @@
     pub slots: u32,
     /// Share of new flows relative to the service's other targets.
     pub weight: u32,
+    /// Whether operators have removed the target while flows may still be open on it.
+    pub former: bool,
+    /// Where the target is probed, if it is.
+    pub report: Option<ReportAddress>,
 }
 
 /// One service.
@@ -100,6 +104,27 @@
         Some((&self.list[service], &self.list[service].targets[target]))
     }
 
+    /// Returns these services with the targets that only the older ones have, marked as
+    /// former: open flows on them go on, and they get no new ones.
+    pub fn with_former(&self, older: &Self) -> Self {
+        let mut list = self.list.clone();
+        for service in &mut list {
+            let Some(before) = older.list.iter().find(|other| other.id == service.id) else {
+                continue;
+            };
+            let gone = before.targets.iter().filter(|target| !self.has(target));
+            service.targets.extend(gone.map(|target| Target { former: true, ..target.clone() }));
+        }
+        Self::index(list)
+    }
+
+    /// Tells whether a target's number or address is in use.
+    fn has(&self, target: &Target) -> bool {
+        self.by_target.contains_key(&target.id)
+            || self.by_target_address.contains_key(&target.address)
+            || self.by_address.contains_key(&target.address)
+    }
+
     fn index(mut list: Vec<Service>) -> Self {
         list.sort_by_key(|service| service.id);
         let mut services = Self::default();
@@ -152,12 +177,17 @@
     if raw.weight == 0 || raw.weight > LARGEST_WEIGHT {
         f.add(format!("{place}.weight"), format!("is not from 1 to {LARGEST_WEIGHT}"));
     }
+    let report = raw.report.as_deref().map(ReportAddress::try_from).transpose();
+    let report = f.check(format!("{place}.report"), report);
+    let address = f.check(format!("{place}.address"), address(&raw.address));
     Some(Target {
         id: raw.id,
-        address: f.check(format!("{place}.address"), address(&raw.address))?,
+        address: address?,
         failure_domain: raw.failure_domain.clone(),
         slots: raw.slots,
         weight: raw.weight,
+        former: false,
+        report: report?,
     })
 }
 
--- a/tests/support/contents.rs
+++ b/tests/support/contents.rs
@@ -22,6 +22,7 @@
             "id": id,
             "address": format!("10.{}.{}.{}:7000", 100 + j, i / 250, i % 250),
             "failure_domain": "gt-centro-a", "slots": 3, "weight": weight,
+            "report": (j == 0).then(|| format!("10.99.{}.{}:80/load", i / 250, i % 250)),
         })
     };
     let service = |i: u32| {
