Ask before guessing, and hand records over once

Heartbeats use up the control budget, so questions for unknown flows were counted as asked without being sent, and a new owner sent each record that it was handed back to the instance that handed it over.

Ruled out: the way of the records itself.

Change: a question goes out whole or waits, before replicas, and giving up counts from the first question; a record that a former owner hands over counts as replicated there. The placer of a service is read from the table of ranks instead of being ranked anew for packets.

--- a/src/pipeline/run.rs
+++ b/src/pipeline/run.rs
@@ -102,6 +102,9 @@
         route: Route,
         root: &Span,
     ) -> Result<(), Refusal> {
+        if !segment.flags.opens() && !segment.flags.ends() {
+            return Ok(());
+        }
         let placing = match route.stage {
             Stage::Placer => true,
             Stage::Entry => self.placement.places(class.service.id),
--- a/src/placement/lookup.rs
+++ b/src/placement/lookup.rs
@@ -20,6 +20,10 @@
 const ASK_EVERY: Duration = Duration::from_millis(200);
 /// Flows in one question.
 const LARGEST_BATCH: usize = 32;
+/// Bytes of a question without its flows, datagram and seal included.
+const QUESTION_LEN: usize = 70;
+/// Bytes of one flow in a question.
+const FLOW_LEN: usize = 10;
 /// Flows that are remembered as asked for; a flood of unknown flows is bounded by it.
 const MOST_ASKED: usize = 4_096;
 
@@ -37,7 +41,10 @@
 /// How far the search for a flow has come.
 #[derive(Debug)]
 struct Asked {
-    began: Duration,
+    /// When the first packet of the flow came here.
+    seen: Duration,
+    /// When all live instances were first asked; none if that is still to come.
+    began: Option<Duration>,
     next: Duration,
     pause: Duration,
     queued: bool,
@@ -59,12 +66,13 @@
             return Search::Full;
         }
         let asked = self.asked.entry(flow).or_insert(Asked {
-            began: now,
+            seen: now,
+            began: None,
             next: now,
             pause: ASK_AGAIN,
             queued: false,
         });
-        if now >= asked.began + GIVE_UP_AFTER {
+        if asked.began.is_some_and(|began| now >= began + GIVE_UP_AFTER) {
             return Search::NobodyKnows;
         }
         if now >= asked.next && !asked.queued {
@@ -83,26 +91,31 @@
     pub(super) fn ask(&mut self, now: Duration, peers: &[InstanceId], out: &mut Outbox<'_>) {
         if now >= self.next_forgetting {
             self.next_forgetting = now + FORGET_AFTER;
-            self.asked.retain(|_, asked| now < asked.began + FORGET_AFTER);
+            self.asked.retain(|_, asked| now < asked.seen + FORGET_AFTER);
         }
         if now < self.next_question || self.waiting.is_empty() {
             return;
         }
         self.next_question = now + ASK_EVERY;
         let count = self.waiting.len().min(LARGEST_BATCH);
+        let cost = peers.len() * (QUESTION_LEN + count * FLOW_LEN);
+        if out.available(Class::Epochs) < cost {
+            return;
+        }
         let flows: Vec<_> = self.waiting.drain(..count).collect();
         for flow in &flows {
             self.note_question(now, *flow);
         }
         let question = Body::Flows(Message::Lookup(flows));
         for &peer in peers {
-            out.send(peer, Class::Replicas, &question);
+            out.send(peer, Class::Epochs, &question);
         }
     }
 
     fn note_question(&mut self, now: Duration, flow: FlowId) {
         if let Some(asked) = self.asked.get_mut(&flow) {
             asked.queued = false;
+            asked.began = asked.began.or(Some(now));
             asked.next = now + asked.pause;
             asked.pause *= 2;
         }
--- a/src/placement/ranks.rs
+++ b/src/placement/ranks.rs
@@ -40,7 +40,7 @@
 
     /// Returns the instance that places new flows of a service.
     pub fn placer(&self, service: ServiceId) -> Option<InstanceId> {
-        top(&self.members, SERVICE_SALT | u64::from(service))[0]
+        self.of(stable_pair(SERVICE_SALT, u64::from(service)), 0)
     }
 }
 
--- a/src/placement/records.rs
+++ b/src/placement/records.rs
@@ -47,7 +47,7 @@
         match message {
             Message::Records(records) => {
                 for record in records {
-                    self.take_record(now, record);
+                    self.take_record(now, from, record);
                 }
             }
             Message::Ended(flows) => {
@@ -76,15 +76,15 @@
 
     /// Sends and settles what is due.
     pub(super) fn keep_records(&mut self, now: Duration, out: &mut Outbox<'_>) {
+        let me = self.me;
+        let peers: Vec<_> = self.live.iter().copied().filter(|&peer| peer != me).collect();
+        self.lookups.ask(now, &peers, out);
         for flow in self.replicator.grown(now) {
             self.replicate(flow);
         }
         self.review_shards(now, out);
         let class = if self.review.done() { Class::Replicas } else { Class::Bulk };
         self.replicator.flush(now, class, out);
-        let me = self.me;
-        let peers: Vec<_> = self.live.iter().copied().filter(|&peer| peer != me).collect();
-        self.lookups.ask(now, &peers, out);
         self.settle_epochs(now, &peers, out);
     }
 
@@ -121,7 +121,7 @@
         ranked.find(|&instance| instance != self.me)
     }
 
-    fn take_record(&mut self, now: Duration, record: Record) {
+    fn take_record(&mut self, now: Duration, from: InstanceId, record: Record) {
         self.lookups.found(record.flow);
         let role = self.role_by_rank(record.flow);
         let known = self.flows.get(record.flow).copied();
@@ -136,6 +136,8 @@
         let caller = known.and_then(|known| known.caller());
         let mut binding = Binding::new(now, record.target, role, caller);
         binding.mark_answered();
+        // A former owner that hands over keeps the record as its replica.
+        binding.set_replicated(self.replica_holder(record.flow) == Some(from));
         if self.flows.insert(record.flow, binding) && role == Role::Owner {
             self.replicate(record.flow);
         }
