Ping a few, doubt before burying, and know when cut off

Cause: heartbeats of all to all cost each instance more with every other one, a silence of 2 s was a death without doubt or objection, an entry in the platform's lagging list counted as life, and every instance held a watch that each renewal of every other one woke.

Ruled out: gossip of counters (grows with the instances too, finds a death late).

Change: one ping each 500 ms in a shuffled round, indirect pings, suspicion with refutation by a higher announcement, news on pings and answers a bounded number of times, fingerprints that find what was lost, a pull of the table in pieces. Listed entries and seeds are addresses to try only. A pause postpones doubts and ends with a fresh pull; whatever event comes first after it meets a stale instance. isolated() tells of a cut. The earlier of two starts with one number gives way without deleting the registration. Three of each failure domain watch the platform, the others look in each 150 to 300 s; renewals come each 30 to 60 s and at changes.

--- a/src/instance/registry.rs
+++ b/src/instance/registry.rs
@@ -1,4 +1,7 @@
-//! The instance's standing with the platform: its registration and its one watch.
+//! The instance's standing with the platform: its registration and its reads.
+//!
+//! The platform counts each call of all instances. A few of each failure domain hold a
+//! watch of everything; the others learn from peers, and only look in now and then.
 
 use std::time::Duration;
 
@@ -9,8 +12,13 @@
 
 /// Beginning of the names under which instances register.
 pub(super) const INSTANCES: &str = "instances/";
-/// Time between two renewals of the registration.
-const RENEW_EVERY: Duration = Duration::from_secs(10);
+/// Longest time between two renewals of a registration that has not changed. Each renewal
+/// wakes all watches, so they are rare: 800 instances make 18 of them a second at most.
+const RENEW_EVERY: Duration = Duration::from_secs(60);
+/// Time between an answer to a watch and the next one, so that changes come together.
+const WATCH_PAUSE: Duration = Duration::from_millis(500);
+/// Longest time between two reads of an instance that does not watch.
+const LOOK_EVERY: Duration = Duration::from_secs(300);
 /// Time that a watch waits for a change.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 /// Longest delay before the first retry.
@@ -44,9 +52,12 @@
 pub(super) struct Registry {
     name: String,
     revision: Option<Revision>,
-    watching: bool,
+    /// The registration as it was last written.
+    written: Option<serde_json::Value>,
+    reading: bool,
     writing: bool,
-    watch: Backoff,
+    watches: bool,
+    read: Backoff,
     renewal: Backoff,
     rng: SmallRng,
 }
@@ -56,23 +67,33 @@
         Self {
             name: format!("{INSTANCES}{id}"),
             revision: None,
-            watching: false,
+            written: None,
+            reading: false,
             writing: false,
-            watch: Backoff::default(),
+            watches: true,
+            read: Backoff::default(),
             renewal: Backoff::default(),
             rng,
         }
     }
 
-    /// Returns the calls that are due; `me` is what the registration says.
-    pub(super) fn due(&mut self, now: Duration, me: &serde_json::Value) -> Vec<Call> {
+    /// Returns the calls that are due; `me` is what the registration says, and `watches`
+    /// tells whether this instance watches the platform for its failure domain.
+    pub(super) fn due(
+        &mut self,
+        now: Duration,
+        me: &serde_json::Value,
+        watches: bool,
+    ) -> Vec<Call> {
+        self.set_watches(now, watches);
         let mut calls = Vec::new();
-        if !self.watching && now >= self.watch.next {
-            self.watching = true;
-            calls.push(self.read());
+        if !self.reading && now >= self.read.next {
+            self.reading = true;
+            calls.push(self.read_call());
         }
-        if !self.writing && now >= self.renewal.next {
+        if !self.writing && self.renewal_due(now, me) {
             self.writing = true;
+            self.written = Some(me.clone());
             let name = self.name.clone();
             calls.push(Call::Put { name, if_version: None, value: me.clone() });
         }
@@ -95,11 +116,13 @@
         let (backoff, next) = match call {
             Call::Put { .. } => {
                 self.writing = false;
-                (&mut self.renewal, now + RENEW_EVERY)
+                (&mut self.renewal, now + spread(RENEW_EVERY, &mut self.rng))
             }
             Call::List { .. } | Call::Watch { .. } => {
-                self.watching = false;
-                (&mut self.watch, now)
+                self.reading = false;
+                let pause =
+                    if self.watches { WATCH_PAUSE } else { spread(LOOK_EVERY, &mut self.rng) };
+                (&mut self.read, now + pause)
             }
             Call::Get { .. } | Call::Delete { .. } => return,
         };
@@ -108,20 +131,48 @@
         } else {
             backoff.failed(now, &mut self.rng);
         }
-        if let Ok(Reply::Changes(changes)) = result {
-            self.revision = Some(changes.revision);
+        self.note_revision(call, result);
+    }
+
+    /// A change of state is told at once, but not faster than failures allow.
+    fn renewal_due(&self, now: Duration, me: &serde_json::Value) -> bool {
+        let changed = self.renewal.failures == 0 && self.written.as_ref() != Some(me);
+        changed || now >= self.renewal.next
+    }
+
+    /// An instance that begins to watch reads at once, unless reads fail just now.
+    fn set_watches(&mut self, now: Duration, watches: bool) {
+        if watches && !self.watches && self.read.failures == 0 {
+            self.read.next = now;
         }
-        if !ok && matches!(call, Call::Watch { .. }) {
-            // The platform may have restarted: its revisions mean nothing now.
-            self.revision = None;
+        self.watches = watches;
+    }
+
+    fn note_revision(&mut self, call: &Call, result: &Result<Reply, PlatformError>) {
+        let is_watch = matches!(call, Call::Watch { .. });
+        match result {
+            Ok(Reply::Changes(changes)) if is_watch && Some(changes.revision) < self.revision => {
+                // The platform has restarted or answers with old data: its revisions mean
+                // something else now.
+                self.revision = None;
+            }
+            Ok(Reply::Changes(changes)) => self.revision = Some(changes.revision),
+            Err(_) if is_watch => self.revision = None,
+            _ => {}
         }
     }
 
-    fn read(&self) -> Call {
+    fn read_call(&self) -> Call {
         let prefix = String::new();
+        let wait = if self.watches { WATCH_WAIT } else { Duration::ZERO };
         match self.revision {
-            Some(after) => Call::Watch { prefix, after, wait: WATCH_WAIT },
+            Some(after) => Call::Watch { prefix, after, wait },
             None => Call::List { prefix },
         }
     }
 }
+
+/// Draws from the upper half of an interval, so that callers spread.
+fn spread(longest: Duration, rng: &mut SmallRng) -> Duration {
+    longest.mul_f64(rng.random_range(0.5..=1.0))
+}
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -28,7 +28,7 @@
 const LONGEST_LINGER: Duration = Duration::from_secs(15);
 /// Gap between two ticks after which the instance was paused.
 const PAUSED_AFTER: Duration = Duration::from_secs(1);
-/// Time after a pause until the instance has heard of all changes again.
+/// Least time after a pause until the instance has heard of all changes again.
 const REFRESH: Duration = Duration::from_secs(2);
 
 /// What an instance is made of.
@@ -97,6 +97,7 @@
 
     /// Takes an event and adds what is to be done to `out`.
     pub fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
+        self.notice_pause(now);
         match event {
             Event::Packet(packet) => self.packet(now, packet, Route::ENTRY, 0, out),
             Event::Peer(buf) => self.peer(now, &buf, out),
@@ -222,9 +223,14 @@
     }
 
     fn tick(&mut self, now: Duration, out: &mut Vec<Action>) {
-        self.notice_pause(now);
         let mut outbox = self.link.outbox(now, out);
         self.membership.tick(now, &mut outbox);
+        self.last_tick = now;
+        self.end_refresh(now);
+        if self.membership.superseded() {
+            self.stop(now);
+        }
+        let mut outbox = self.link.outbox(now, out);
         let live = self.membership.live();
         self.lists.tick(now, &live, &mut outbox);
         self.targets.tick(now, &live, &mut outbox);
@@ -239,7 +245,9 @@
         gauge!("limpetdeck_flows_known").set(self.pipeline.placement.flows().len() as f64);
         if !self.gone && self.leaving_since.is_some_and(|since| self.may_exit(now, since)) {
             self.gone = true;
-            out.push(Action::Platform(self.registry.deregister()));
+            if !self.membership.superseded() {
+                out.push(Action::Platform(self.registry.deregister()));
+            }
             out.push(Action::Exit);
         }
     }
@@ -252,15 +260,23 @@
     }
 
     /// A gap between ticks means that this instance was paused and may have missed changes.
+    /// Whatever comes first after the gap meets an instance that knows it.
     fn notice_pause(&mut self, now: Duration) {
         let gap = now.saturating_sub(self.last_tick);
-        self.last_tick = now;
         if gap > PAUSED_AFTER {
             log::warn!(gap_ms = gap.as_millis() as u64; "paused");
+            self.last_tick = now;
             self.stale_until = Some(now + REFRESH);
             self.pipeline.placement.set_stale(true);
         }
-        if self.stale_until.is_some_and(|until| now >= until) {
+    }
+
+    /// The instance is stale until it has compared with a peer, or nobody is there.
+    fn end_refresh(&mut self, now: Duration) {
+        let isolated = self.membership.isolated(now);
+        gauge!("limpetdeck_isolated").set(f64::from(u8::from(isolated)));
+        let waits = self.membership.refreshing(now);
+        if !waits && self.stale_until.is_some_and(|until| now >= until) {
             self.stale_until = None;
             self.pipeline.placement.set_stale(false);
         }
@@ -307,7 +323,8 @@
     fn call_platform(&mut self, now: Duration, out: &mut Vec<Action>) {
         if self.leaving_since.is_none() {
             let me = serde_json::to_value(self.membership.me()).unwrap_or_default();
-            out.extend(self.registry.due(now, &me).into_iter().map(Action::Platform));
+            let calls = self.registry.due(now, &me, self.membership.watches(now));
+            out.extend(calls.into_iter().map(Action::Platform));
         }
     }
 
