Part the judgement of paths and reports from the probes

Cause: one file had grown to hold the probes, what follows from a report and whether a path is broken; and each change of membership ranked the probers of all targets.

Change: path.rs and conclusion.rs hold the two judgements; an instance ranks only the targets of its own failure domain and of those that have fewer than two instances.

--- a/src/targets.rs
+++ b/src/targets.rs
@@ -4,9 +4,11 @@
 //! Each has a register of its own for each target, in which versions only rise. In force is
 //! the one of the two states that takes less new work.
 
+mod conclusion;
 mod flapping;
 mod message;
 mod object;
+mod path;
 mod probers;
 mod probing;
 mod reach;
--- a/src/targets/probers.rs
+++ b/src/targets/probers.rs
@@ -25,6 +25,7 @@
             found.domains.entry(domain).or_default().push(id);
             found.all.push(id);
         }
+        found.domains.values_mut().for_each(|ids| ids.sort_unstable());
         found
     }
 
@@ -33,6 +34,13 @@
         self.domains.keys()
     }
 
+    /// Tells at little cost that an instance is no prober of a target, as that one's failure
+    /// domain has enough others.
+    pub(super) fn may_probe(&self, me: InstanceId, target: &Target) -> bool {
+        let near = self.domains.get(&target.failure_domain);
+        near.is_none_or(|near| near.len() < PROBERS || near.binary_search(&me).is_ok())
+    }
+
     /// Returns the probers of a target: of its own failure domain, and of others only if
     /// that one has too few.
     pub(super) fn probers(&self, target: &Target) -> Vec<InstanceId> {
--- a/src/targets/probing.rs
+++ b/src/targets/probing.rs
@@ -8,6 +8,8 @@
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 
+use super::conclusion::{Reported, next_state};
+use super::path::{self, ENOUGH, Path};
 use super::probers::Members;
 use super::watch::Watch;
 use super::{Flapping, Message, Origin, ProbeResult, Registers};
@@ -27,61 +29,15 @@
 const ASK_EVERY: Duration = Duration::from_millis(500);
 /// The same once the target has failed for long.
 const ASK_SELDOM: Duration = Duration::from_secs(5);
-/// Time after which targets may be dead although most of their failure domain fails, as
-/// long as not all of it does.
-const DOUBT_TIME: Duration = Duration::from_secs(10);
 /// Time for which a target of other probers is probed too.
 const EXTRA_TIME: Duration = Duration::from_secs(10);
 /// Targets of other probers that are probed when an own one fails.
 const EXTRA_TARGETS: usize = 3;
-/// Targets of a failure domain whose probes say whether the path to it is broken.
-const ENOUGH: usize = 3;
-/// Reports in a row before a target may take more work than before.
-const AGREEING: u32 = 2;
 /// Reports in a row before a target that died once is back.
 const ALIVE_AGAIN: u32 = 3;
 /// Time that a target counts as cold after it came back.
 const WARM_UP: Duration = Duration::from_secs(30);
 
-/// What is known of the path to a target that does not answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Path {
-    Works,
-    Broken,
-    /// Too few other probes have ended since.
-    Unknown,
-}
-
-/// How many of some targets fail.
-#[derive(Debug, Clone, Copy, Default)]
-struct Sample {
-    fails: usize,
-    all: usize,
-}
-
-impl Sample {
-    fn of<'a>(watches: impl Iterator<Item = (&'a TargetId, &'a Watch)>) -> Self {
-        let mut sample = Self::default();
-        for (_, watch) in watches {
-            sample.add(watch);
-        }
-        sample
-    }
-
-    fn add(&mut self, watch: &Watch) {
-        self.fails += usize::from(watch.fails());
-        self.all += 1;
-    }
-
-    fn most_fail(&self) -> bool {
-        self.fails * 2 > self.all
-    }
-
-    fn all_fail(&self) -> bool {
-        self.fails == self.all
-    }
-}
-
 /// The probes of one instance.
 #[derive(Debug)]
 pub(super) struct Probing {
@@ -225,10 +181,10 @@
         for (&target, watch) in self.watches.iter().filter(|(_, watch)| watch.until.is_none()) {
             let known = registers.get(target, Origin::Observed).state;
             let state = match watch.reported() {
-                Some((reported, times)) => {
+                Some((state, times)) => {
                     let needed = ALIVE_AGAIN * flapping.factor(now, target);
                     let warm = flapping.cold_for(now, target) >= WARM_UP;
-                    next_state(known, reported, times, needed, warm)
+                    next_state(known, Reported { state, times, needed, warm })
                 }
                 None if self.is_dead(now, watch, registers) => TargetState::Dead,
                 None => known,
@@ -246,32 +202,19 @@
             && self.path(now, watch, registers) == Path::Works
     }
 
-    /// Judges the path to a target that does not answer, by other targets of its failure
-    /// domain that were probed since. If most of them fail, it is rather the path, or this
-    /// instance, that is broken.
     fn path(&self, now: Duration, watch: &Watch, registers: &Registers) -> Path {
         let age = self.every * 2;
-        let proves = |id: TargetId, other: &Watch| {
-            other.fresh(now, age) && other.ended_since(watch) && !is_known_dead(registers, id)
-        };
-        let all = || self.watches.iter().filter(|(id, other)| proves(**id, other));
-        let near = Sample::of(all().filter(|(_, other)| other.domain == watch.domain));
-        if near.all < ENOUGH {
-            let expected = probed(&self.services)
-                .filter(|target| target.failure_domain == watch.domain)
-                .filter(|target| !is_known_dead(registers, target.id));
-            if expected.count() > near.all {
-                return Path::Unknown;
-            }
-        }
-        let sample = if near.all > 1 { near } else { Sample::of(all()) };
-        let broken = match sample.all {
-            // There is nothing to compare with, but the other prober has to agree.
-            0 | 1 => watch.probers.len() < 2,
-            _ if watch.failing_for(now) < DOUBT_TIME => sample.most_fail(),
-            _ => sample.all_fail(),
-        };
-        if broken { Path::Broken } else { Path::Works }
+        let alive = |id| !is_known_dead(registers, id);
+        let since = self
+            .watches
+            .iter()
+            .filter(|(id, other)| other.fresh(now, age) && other.ended_since(watch) && alive(**id));
+        let since: Vec<_> = since.map(|(_, other)| other).collect();
+        path::judge(now, watch, &since, || {
+            let near = probed(&self.services)
+                .filter(|target| target.failure_domain == watch.domain && alive(target.id));
+            near.count()
+        })
     }
 
     /// Finds out whether it is the path that is broken where targets do not answer.
@@ -316,6 +259,10 @@
 
     /// Probes targets of other probers too, so that there is enough to compare with.
     fn choose_extra(&mut self, now: Duration, domain: &FailureDomain, registers: &Registers) {
+        let extra = self.watches.values().filter(|watch| watch.until.is_some());
+        if extra.filter(|watch| watch.domain == *domain).count() >= EXTRA_TARGETS {
+            return;
+        }
         let services = Arc::clone(&self.services);
         let unknown = probed(&services).filter(|target| {
             !self.watches.contains_key(&target.id) && !is_known_dead(registers, target.id)
@@ -354,21 +301,13 @@
         let services = Arc::clone(&self.services);
         let mut old = std::mem::take(&mut self.watches);
         for target in probed(&services) {
-            let probers = self.members.probers(target);
-            if !probers.contains(&self.me) {
+            if !self.members.may_probe(self.me, target) {
                 continue;
             }
-            let kept = old
-                .remove(&target.id)
-                .filter(|watch| Some(&watch.report) == target.report.as_ref());
-            let watch = match kept {
-                Some(mut watch) => {
-                    watch.assign(probers);
-                    Some(watch)
-                }
-                None => self.begin(now, target, probers),
-            };
-            self.watches.extend(watch.map(|watch| (target.id, watch)));
+            let probers = self.members.probers(target);
+            if probers.contains(&self.me) {
+                self.assign_one(now, target, probers, old.remove(&target.id));
+            }
         }
         let own = u32::try_from(self.watches.len()).unwrap_or(u32::MAX);
         self.every = PROBE_EVERY.max(PROBE_PAUSE * own);
@@ -376,11 +315,23 @@
         self.watches.extend(extra);
     }
 
-    /// Begins to probe a target at a random time, so that probes spread.
-    fn begin(&mut self, now: Duration, target: &Target, probers: Vec<InstanceId>) -> Option<Watch> {
-        let next = now + PROBE_EVERY.mul_f64(self.rng.random());
-        let report = target.report.clone()?;
-        Some(Watch::new(report, target.failure_domain.clone(), probers, next))
+    /// Goes on to probe a target, or begins at a random time, so that probes spread.
+    fn assign_one(
+        &mut self,
+        now: Duration,
+        target: &Target,
+        probers: Vec<InstanceId>,
+        old: Option<Watch>,
+    ) {
+        let Some(report) = target.report.clone() else { return };
+        let watch = match old.filter(|watch| watch.report == report) {
+            Some(watch) => watch.assigned(probers),
+            None => {
+                let next = now + PROBE_EVERY.mul_f64(self.rng.random());
+                Watch::new(report, target.failure_domain.clone(), probers, next)
+            }
+        };
+        self.watches.insert(target.id, watch);
     }
 }
 
@@ -400,28 +351,3 @@
         out.send(other, Class::Epochs, &body);
     }
 }
-
-/// Joins what is known of a target with what it reports. Less work is believed at once,
-/// more work only after some reports.
-fn next_state(
-    known: TargetState,
-    reported: TargetState,
-    times: u32,
-    needed: u32,
-    warm: bool,
-) -> TargetState {
-    use TargetState::{Cold, Dead, Draining, Serving, Shedding};
-    match (known, reported) {
-        (Dead, _) if times < needed => Dead,
-        (_, Draining) => Draining,
-        (Dead, Serving | Cold) => Cold,
-        (Dead | Serving | Cold, Shedding) => Shedding,
-        (Serving, Cold) => Cold,
-        (Cold, Serving) if warm => Serving,
-        (Draining | Shedding, _) if times < AGREEING => known,
-        (Draining, Serving | Cold) | (Shedding, Cold) => Cold,
-        (Draining | Shedding, Shedding) => Shedding,
-        (Shedding, Serving) => Serving,
-        _ => known,
-    }
-}
--- a/src/targets/watch.rs
+++ b/src/targets/watch.rs
@@ -123,10 +123,9 @@
         self.next = now + pause;
     }
 
-    /// Goes on with the probes of a target whose probers have changed.
-    pub(super) fn assign(&mut self, probers: Vec<InstanceId>) {
-        self.probers = probers;
-        self.until = None;
+    /// Returns the watch for other probers of the target, this instance among them.
+    pub(super) fn assigned(self, probers: Vec<InstanceId>) -> Self {
+        Self { probers, until: None, ..self }
     }
 
     /// Probes as soon as possible, unless the last result is fresh.
