--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -35,6 +35,7 @@
     let open: Vec<_> = service
         .targets
         .iter()
+        .filter(|target| !target.former)
         .map(|target| (target, share(now, views.get(target.id))))
         .filter(|(_, share)| *share > 0.0)
         .map(|(target, share)| Candidate::new(flow, target, share, loads.get(target.id)))
@@ -90,7 +91,7 @@
 }
 
 /// Weighted rendezvous: each target wins a share of flows equal to its share of weight.
-fn hash_score(flow: FlowId, target: TargetId, weight: f64) -> f64 {
+pub(super) fn hash_score(flow: FlowId, target: TargetId, weight: f64) -> f64 {
     let hash = stable_pair(flow, u64::from(target)) >> 11;
     let uniform = (hash as f64 + 0.5) / (1u64 << 53) as f64;
     -weight / uniform.ln()
