--- a/lab/src/measure/node.rs
+++ b/lab/src/measure/node.rs
@@ -14,7 +14,7 @@
 use limpetdeck::peer::{Body, MemberInfo, MemberState, Sealer};
 use limpetdeck::placement::{Binding, Policy as Placing, TargetState, preferred};
 use limpetdeck::services::{Service, Services};
-use limpetdeck::targets::{Message, StateChange};
+use limpetdeck::targets::{Message, Origin, StateChange, Statement};
 use rand::rngs::SmallRng;
 
 use super::settings::Policy;
@@ -112,7 +112,12 @@
     }
 
     fn probed(&mut self, now: Duration, change: StateChange, out: &mut Vec<Action>) {
-        let buf = self.prober.seal(&Body::Targets(Message::States(vec![change])));
+        let buf = self.prober.seal(&Body::Targets(Message::States(vec![Statement {
+            target: change.target,
+            origin: Origin::Observed,
+            version: change.version,
+            state: change.state,
+        }])));
         self.instance.handle(now, Event::Peer(buf), out);
     }
 
@@ -143,7 +148,7 @@
         match event {
             Event::Packet(packet) => out.extend(stateless(&self.services, packet, choose)),
             Event::Stop => out.push(Action::Exit),
-            Event::Peer(_) | Event::Platform(..) | Event::Tick => {}
+            Event::Peer(_) | Event::Platform(..) | Event::Probed(..) | Event::Tick => {}
         }
     }
 
@@ -277,7 +282,7 @@
         match event {
             Event::Packet(packet) => out.extend(stateless(&services, packet, choose)),
             Event::Stop => out.push(Action::Exit),
-            Event::Peer(_) | Event::Platform(..) | Event::Tick => {}
+            Event::Peer(_) | Event::Platform(..) | Event::Probed(..) | Event::Tick => {}
         }
     }
 
--- a/lab/src/measure/world/members.rs
+++ b/lab/src/measure/world/members.rs
@@ -208,6 +208,8 @@
                     self.send_peer(index, to, buf);
                 }
                 Action::Platform(call) => self.call(index, call),
+                // Targets here have no report address, so none is probed.
+                Action::Probe(..) => {}
                 Action::Exit => self.kill_member(index),
             }
         }
