Send no new flows to a failure domain whose targets have all gone

Cause: when all targets of a failure domain die and its instances live on, the path counts as broken and nothing is declared dead; new flows went there for ever (test whole_domain_killed failed: after 12 s the 6 targets were still serving).

Ruled out: declaring them dead (a cut looks the same to a prober, and their flows live).

Change: probers tell peers when the path to a failure domain seems broken; two of them make it out of reach, as silence of its instances does, until a probe from this side reaches a target there. An instance that alone reaches no target changes nothing for the others, nor, as they tell it, for itself.

--- a/src/targets.rs
+++ b/src/targets.rs
@@ -45,8 +45,8 @@
 use crate::platform::Object;
 use crate::services::Services;
 
-/// Time between two messages that a silent failure domain is reached.
-const REACHED_EVERY: Duration = Duration::from_secs(2);
+/// Time between two messages about failure domains whose reach is in doubt.
+const PATHS_EVERY: Duration = Duration::from_secs(2);
 
 /// What was last handed on about a target.
 #[derive(Debug, Clone, Copy, Default)]
@@ -64,7 +64,7 @@
     probing: Probing,
     flapping: Flapping,
     reach: Reach,
-    next_reached: Duration,
+    next_paths: Duration,
     services: Arc<Services>,
     handed_on: BTreeMap<TargetId, HandedOn>,
     news: Vec<StateChange>,
@@ -85,7 +85,7 @@
             probing: Probing::new(me, rng),
             flapping: Flapping::default(),
             reach: Reach::default(),
-            next_reached: Duration::ZERO,
+            next_paths: Duration::ZERO,
             services: Arc::default(),
             handed_on: BTreeMap::default(),
             news: Vec::new(),
@@ -147,7 +147,8 @@
             Message::Suspect { target } => {
                 self.probing.suspected(now, from, target, &self.registers, out);
             }
-            Message::Reached { domain } => self.reach.reached(now, &domain),
+            Message::Path { domain, works: true } => self.reach.reached(now, &domain),
+            Message::Path { domain, works: false } => self.reach.broken(now, from, &domain),
             Message::Reports(reports) => {
                 self.reports.extend(reports.into_iter().map(|said| (said.target, said.report)));
             }
@@ -285,12 +286,13 @@
         }
     }
 
-    /// Judges which failure domains are out of reach, and tells others of silent ones that
-    /// probes still reach.
+    /// Judges which failure domains are out of reach.
     fn judge_reach(&mut self, now: Duration, out: &mut Outbox<'_>) {
-        let reached: Vec<_> = self.probing.reached(now).into_iter().cloned().collect();
-        for domain in &reached {
-            self.reach.reached(now, domain);
+        for (domain, at) in self.probing.reached() {
+            self.reach.reached(at, domain);
+        }
+        for domain in self.probing.broken() {
+            self.reach.broken(now, self.me, domain);
         }
         for domain in self.reach.update(now) {
             let is_out = self.reach.is_out(&domain);
@@ -302,12 +304,22 @@
             );
             self.hand_on_domain(&domain);
         }
-        if now < self.next_reached {
-            return;
+        if now >= self.next_paths {
+            self.next_paths = now + PATHS_EVERY;
+            self.tell_paths(now, out);
         }
-        self.next_reached = now + REACHED_EVERY;
-        for domain in reached.into_iter().filter(|domain| self.reach.is_silent(domain)) {
-            let body = Body::Targets(Message::Reached { domain });
+    }
+
+    /// Tells what probes show of the failure domains whose reach is in doubt.
+    fn tell_paths(&mut self, now: Duration, out: &mut Outbox<'_>) {
+        let fresh = |at: Duration| now.saturating_sub(at) <= PATHS_EVERY;
+        let reached = self.probing.reached().into_iter();
+        let works = reached
+            .filter(|(domain, at)| fresh(*at) && self.reach.in_doubt(domain))
+            .map(|(domain, _)| Message::Path { domain: domain.clone(), works: true });
+        let broken = self.probing.broken().iter();
+        let broken = broken.map(|domain| Message::Path { domain: domain.clone(), works: false });
+        for body in works.chain(broken).map(Body::Targets).collect::<Vec<_>>() {
             for peer in self.spread.audience() {
                 out.send(peer, Class::Epochs, &body);
             }
--- a/src/targets/message.rs
+++ b/src/targets/message.rs
@@ -77,10 +77,13 @@
         /// Whether the target answers the sender.
         reachable: bool,
     },
-    /// The sender's probes reach a failure domain whose instances are silent.
-    Reached {
+    /// Whether the sender's probes reach the targets of a failure domain, where that is in
+    /// doubt.
+    Path {
         /// Name of the failure domain.
         domain: FailureDomain,
+        /// Whether targets there answer the sender.
+        works: bool,
     },
     /// Load reports, for the instance that places the new flows of these targets.
     Reports(Vec<TargetReport>),
--- a/src/targets/probing.rs
+++ b/src/targets/probing.rs
@@ -45,6 +45,8 @@
     services: Arc<Services>,
     members: Members,
     watches: BTreeMap<TargetId, Watch>,
+    /// Failure domains to which the path seems broken.
+    broken: BTreeSet<FailureDomain>,
     every: Duration,
     stale: bool,
     rng: SmallRng,
@@ -57,6 +59,7 @@
             services: Arc::default(),
             members: Members::default(),
             watches: BTreeMap::default(),
+            broken: BTreeSet::default(),
             every: PROBE_EVERY,
             stale: false,
             rng,
@@ -110,10 +113,21 @@
         }
     }
 
-    /// Returns the failure domains of the targets that answered of late.
-    pub(super) fn reached(&self, now: Duration) -> BTreeSet<&FailureDomain> {
-        let answers = |watch: &&Watch| !watch.fails() && watch.fresh(now, self.every * 2);
-        self.watches.values().filter(answers).map(|watch| &watch.domain).collect()
+    /// Returns when a target of each failure domain last answered.
+    pub(super) fn reached(&self) -> BTreeMap<&FailureDomain, Duration> {
+        let mut reached = BTreeMap::default();
+        for watch in self.watches.values() {
+            if let Some(at) = watch.answered_at() {
+                let last = reached.entry(&watch.domain).or_insert(at);
+                *last = at.max(*last);
+            }
+        }
+        reached
+    }
+
+    /// Returns the failure domains to which the path seems broken.
+    pub(super) fn broken(&self) -> &BTreeSet<FailureDomain> {
+        &self.broken
     }
 
     /// Tells whether this instance is the first prober of a target.
@@ -225,6 +239,7 @@
             .filter(|(id, watch)| watch.fails() && !is_known_dead(registers, **id))
             .map(|(&id, watch)| (id, self.path(now, watch, registers)))
             .collect();
+        self.broken.clear();
         let mut domains = BTreeSet::default();
         for (target, path) in failing {
             let Some(watch) = self.watches.get_mut(&target) else { continue };
@@ -234,6 +249,9 @@
                 Path::Unknown => {}
             }
             let domain = watch.domain.clone();
+            if path == Path::Broken {
+                self.broken.insert(domain.clone());
+            }
             self.hurry_others(now, target);
             domains.insert(domain);
         }
--- a/src/targets/watch.rs
+++ b/src/targets/watch.rs
@@ -175,6 +175,11 @@
         }
     }
 
+    /// Returns when the target last answered, if it answers.
+    pub(super) fn answered_at(&self) -> Option<Duration> {
+        self.ended.filter(|_| self.failures == 0)
+    }
+
     /// Tells whether the last probe ended after another target began to fail.
     pub(super) fn ended_since(&self, other: &Self) -> bool {
         self.ended.is_some_and(|ended| ended >= other.failing_since)
--- a/tests/targets_probing.rs
+++ b/tests/targets_probing.rs
@@ -120,7 +120,9 @@
     let mut fleet = settled(1);
     fleet.blind = Some(4);
     fleet.run(MINUTE);
-    assert_eq!(deaths(&fleet), 0);
+    for target in 1..=18 {
+        assert!(fleet.all_are(target, Serving), "{target}: {:?}", fleet.states(target));
+    }
 }
 
 #[test]
@@ -207,6 +209,23 @@
     assert_eq!(deaths(&fleet), 4 * 18);
 }
 
+#[test]
+fn whole_domain_killed() {
+    // It looks like a cut: nothing is declared dead, but no new flows go there.
+    let mut fleet = settled(1);
+    let gone: Vec<_> = (1..=18).filter(|&target| domain(target) == domain(1)).collect();
+    gone.iter().for_each(|&target| fleet.kill(target));
+    let all_are = |fleet: &Fleet, state| gone.iter().all(|&target| fleet.all_are(target, state));
+    let avoided = fleet.until(Duration::from_secs(12), |fleet| all_are(fleet, Shedding));
+    assert!(avoided.is_some());
+    fleet.run(MINUTE);
+    assert!(all_are(&fleet, Shedding));
+    assert!(fleet.all_are(2, Serving));
+    gone.iter().for_each(|&target| fleet.set_state(target, Serving));
+    let back = fleet.until(Duration::from_secs(12), |fleet| all_are(fleet, Serving));
+    assert!(back.is_some());
+}
+
 #[test]
 fn flapping_target() {
     let mut fleet = settled(1);
