--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -1,5 +1,6 @@
 //! The wiring of the decision parts.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,7 +10,7 @@
 use rand::rngs::SmallRng;
 
 use super::registry::{INSTANCES, Registry};
-use super::{Action, Event};
+use super::{Action, Event, Status};
 use crate::admission::{RuleAdmission, TakeOvers};
 use crate::link::Link;
 use crate::lists::Lists;
@@ -62,6 +63,9 @@
     last_tick: Duration,
     stale_until: Option<Duration>,
     leaving_since: Option<Duration>,
+    gone: bool,
+    platform_answered: Option<Duration>,
+    refusals: BTreeMap<String, u64>,
 }
 
 impl Instance {
@@ -78,13 +82,16 @@
             pipeline: Pipeline::new(placement, Box::new(admission), tracer),
             link,
             membership: Membership::new(now, cfg.me, cfg.seeds, SmallRng::from_rng(&mut rng)),
-            lists: Lists::new(SmallRng::from_rng(&mut rng)),
+            lists: Lists::new(id, SmallRng::from_rng(&mut rng)),
             targets: Targets::new(id, SmallRng::from_rng(&mut rng)),
             registry: Registry::new(id, rng),
             take_overs: TakeOvers::default(),
             last_tick: now,
             stale_until: None,
             leaving_since: None,
+            gone: false,
+            platform_answered: None,
+            refusals: BTreeMap::new(),
         }
     }
 
@@ -108,6 +115,26 @@
         self.leaving_since.is_none() && self.lists.ready()
     }
 
+    /// Returns the state that operators ask for.
+    pub fn status(&self, now: Duration) -> Status {
+        let me = self.membership.me();
+        let since = |answered| now.saturating_sub(answered).as_millis() as u64;
+        Status {
+            instance: me.id,
+            incarnation: me.incarnation,
+            failure_domain: me.failure_domain.clone(),
+            state: me.state,
+            healthy: self.healthy(),
+            stale: self.stale_until.is_some(),
+            versions: self.lists.versions(),
+            refused_versions: self.lists.refused(),
+            platform_answered_ms_ago: self.platform_answered.map(since),
+            live_instances: self.membership.live().len(),
+            open_flows: self.pipeline.placement.flows().len(),
+            refusals: self.refusals.clone(),
+        }
+    }
+
     /// Returns the filters, for their state.
     pub fn pipeline(&self) -> &Pipeline {
         &self.pipeline
@@ -145,6 +172,7 @@
                 counter!("limpetdeck_flows_refused_total", "reason" => reason.clone()).increment(1);
                 histogram!("limpetdeck_retry_after_seconds", "reason" => reason.clone())
                     .record(refusal.retry_after);
+                *self.refusals.entry(reason.clone()).or_default() += 1;
                 log::info!(
                     service = service,
                     reason = reason.as_str(),
@@ -209,7 +237,8 @@
         gauge!("limpetdeck_replicas_waiting")
             .set(self.pipeline.placement.replicas_waiting() as f64);
         gauge!("limpetdeck_flows_known").set(self.pipeline.placement.flows().len() as f64);
-        if self.leaving_since.is_some_and(|since| self.may_exit(now, since)) {
+        if !self.gone && self.leaving_since.is_some_and(|since| self.may_exit(now, since)) {
+            self.gone = true;
             out.push(Action::Platform(self.registry.deregister()));
             out.push(Action::Exit);
         }
@@ -299,6 +328,9 @@
         out: &mut Vec<Action>,
     ) {
         self.registry.done(now, call, result);
+        if result.is_ok() {
+            self.platform_answered = Some(now);
+        }
         match result {
             Ok(Reply::Changes(changes)) => {
                 for object in &changes.objects {
