Leave a list alone for a while that cannot be used

An instance that could not read a payload, because the sender is of another release or the version is refused here, asked for the whole list again at once and for ever. It now leaves the list alone for 30 s after a whole one that could not be used, and counts that. Pieces longer than any that is sent are dropped, so that what is fetched stays within 2 MB.

The status calls an instance cut off after 90 s without an answer of the platform instead of 30 s, since not every instance watches.

--- a/src/ctl/status.rs
+++ b/src/ctl/status.rs
@@ -14,8 +14,9 @@
 use crate::lists::{ListKind, Versions};
 use crate::rpc::STATUS;
 
-/// Silence of the platform after which an instance counts as cut off: a watch ends sooner.
-const CUT_OFF_MS: u64 = 30_000;
+/// Silence of the platform after which an instance counts as cut off: even one that does not
+/// watch renews its registration sooner.
+const CUT_OFF_MS: u64 = 90_000;
 
 /// The fleet as it answers now.
 #[derive(Debug, Serialize)]
--- a/src/lists.rs
+++ b/src/lists.rs
@@ -60,6 +60,9 @@
 /// Time after which a new instance serves with what it has, though another one told of more.
 const JOIN_PATIENCE: Duration = Duration::from_secs(30);
 
+/// Time for which nothing is fetched after a whole list that could not be used.
+const HOLD_OFF: Duration = Duration::from_secs(30);
+
 /// How far a new instance has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Joining {
@@ -89,6 +92,8 @@
     fresh_services: bool,
     fresh_rules: bool,
     fetches: [Option<Fetch>; 3],
+    /// Times before which a list is not fetched.
+    held_off: [Duration; 3],
     serve: Serve,
     live: Vec<InstanceId>,
     news_left: u32,
@@ -112,6 +117,7 @@
             fresh_services: false,
             fresh_rules: false,
             fetches: [const { None }; 3],
+            held_off: [Duration::ZERO; 3],
             serve: Serve::default(),
             live: Vec::new(),
             news_left: 0,
@@ -277,7 +283,8 @@
             self.join(now);
         }
         for kind in ListKind::ALL {
-            if versions.of(kind) > self.held(kind).version() {
+            let behind = versions.of(kind) > self.held(kind).version();
+            if behind && now >= self.held_off[kind as usize] {
                 self.ask(now, kind, Some(from), out);
             }
         }
@@ -320,18 +327,23 @@
         if payload.is_none() && !fetch.is_complete() {
             return self.ask(now, kind, None, out);
         }
+        let was_whole = fetch.is_whole();
         self.fetches[kind as usize] = None;
-        match payload.map(|payload| self.adopt_payload(kind, payload)) {
-            Some(true) => self.join(now),
+        if payload.is_some_and(|payload| self.adopt_payload(kind, payload)) {
+            self.join(now);
+        } else if was_whole {
+            // The other instance may be of another release, or this version is refused here.
+            counter!("limpetdeck_lists_unusable_total").increment(1);
+            log::warn!(object = kind.object(), from = from; "list_unusable");
+            self.held_off[kind as usize] = now + HOLD_OFF;
+        } else {
             // A delta that does not fit, or pieces that make no payload: take the whole.
-            _ => {
-                self.fetches[kind as usize] = Some(Fetch::new(now, kind, 0));
-                self.ask(now, kind, Some(from), out);
-            }
+            self.fetches[kind as usize] = Some(Fetch::new(now, kind, 0));
+            self.ask(now, kind, Some(from), out);
         }
     }
 
-    /// Answers false if the payload does not fit what is held.
+    /// Answers false if the payload cannot be used.
     fn adopt_payload(&mut self, kind: ListKind, payload: Payload) -> bool {
         if payload.version <= self.held(kind).version() {
             return true;
@@ -341,10 +353,13 @@
             Ok(checked) => {
                 self.held_mut(kind).take(payload, entries);
                 self.adopted(kind, checked, "peer");
+                true
+            }
+            Err(findings) => {
+                self.refuse(kind, payload.version, &findings);
+                false
             }
-            Err(findings) => self.refuse(kind, payload.version, &findings),
         }
-        true
     }
 
     /// Looks whether a new instance knows enough to begin.
--- a/src/lists/fetch.rs
+++ b/src/lists/fetch.rs
@@ -5,6 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::held::Payload;
+use super::serve::PIECE_LEN;
 use super::{ListKind, Piece, Pull};
 use crate::ids::{InstanceId, Version};
 
@@ -98,7 +99,8 @@
     /// Takes a piece, and returns the payload once it is whole.
     pub(super) fn take(&mut self, now: Duration, piece: Piece) -> Option<Payload> {
         let i = piece.piece as usize;
-        if piece.pieces == 0 || piece.pieces > MOST_PIECES || piece.piece >= piece.pieces {
+        let fits = piece.pieces <= MOST_PIECES && piece.bytes.len() <= PIECE_LEN;
+        if !fits || piece.piece >= piece.pieces {
             return None;
         }
         let known = self.pieces.as_ref().map(|pieces| pieces.payload);
@@ -122,6 +124,11 @@
         pieces.whole()
     }
 
+    /// Tells whether the whole list is fetched rather than a delta.
+    pub(super) fn is_whole(&self) -> bool {
+        self.have == 0
+    }
+
     /// Tells whether there is nothing here that would be lost.
     pub(super) fn is_empty(&self) -> bool {
         self.pieces.is_none()
--- a/src/lists/serve.rs
+++ b/src/lists/serve.rs
@@ -12,7 +12,7 @@
 use crate::peer::Body;
 
 /// Bytes of a payload in one message; a datagram then fits into any path.
-const PIECE_LEN: usize = 1_024;
+pub(super) const PIECE_LEN: usize = 1_024;
 /// Pieces up to which a payload is urgent. Larger ones must not starve other control
 /// traffic, so they wait.
 const URGENT_PIECES: usize = 8;
