--- a/examples/lists_measure.rs
+++ b/examples/lists_measure.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant as Clock};
 
 use contents::{plans, services};
-use limpetdeck::lists::Lists;
+use limpetdeck::lists::{Content, ListKind, Lists};
 use net::Net;
 
 /// What the budget gives to all control traffic of an instance, in bytes a second.
@@ -35,6 +35,9 @@
     println!(
         "instances={instances} services={service_count} changes={changes} loss={loss} busy={busy} seed={seed}"
     );
+    let list = Content::from_json(ListKind::Services, services(1, service_count));
+    let bytes = list.ok().and_then(|list| postcard::to_stdvec(&list.entries()).ok());
+    println!("services_bytes={}", bytes.map_or(0, |bytes| bytes.len()));
     let mut net = settled(instances, service_count, loss, seed);
     quiet(&mut net);
     net.busy = busy;
--- a/src/lists.rs
+++ b/src/lists.rs
@@ -9,6 +9,8 @@
 mod edit;
 mod fetch;
 mod held;
+mod in_force;
+mod joining;
 mod message;
 pub mod rules;
 mod serve;
@@ -40,8 +42,9 @@
 use crate::settings::Findings;
 
 use fetch::Fetch;
-use held::{Held, Payload};
-use rules::{Allowances, Plans};
+use held::Payload;
+use in_force::InForce;
+use joining::Joining;
 use serve::Serve;
 
 /// Time between two digests, on average.
@@ -54,43 +57,17 @@
 const NEWS_FANOUT: usize = 3;
 /// Digests after which a change is no longer new.
 const NEWS_ROUNDS: u32 = 3;
-/// Time for which a new instance that has the platform's answer waits for another instance,
-/// since the platform may have answered with an old state.
-const PEER_PATIENCE: Duration = Duration::from_secs(1);
-/// Time after which a new instance serves with what it has, though another one told of more.
-const JOIN_PATIENCE: Duration = Duration::from_secs(30);
-
 /// Time for which nothing is fetched after a whole list that could not be used.
 const HOLD_OFF: Duration = Duration::from_secs(30);
 
-/// How far a new instance has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Joining {
-    /// Nobody has told anything yet.
-    Alone,
-    /// The platform has answered; an instance that knows more may still answer.
-    Platform(Option<Duration>),
-    /// An instance has told its versions at a time; they have to be reached first.
-    Peer(Versions, Duration),
-    /// All that others had at the start is known here.
-    Done,
-}
-
 /// The operators' objects as this instance has them.
 #[derive(Debug)]
 pub struct Lists {
     me: InstanceId,
-    allowances: Held,
-    plans: Held,
-    services: Held,
-    checked_allowances: Arc<Allowances>,
-    checked_plans: Arc<Plans>,
-    checked_services: Arc<Services>,
+    in_force: InForce,
     /// The highest versions that the platform gave and that were refused.
     refused: Versions,
     joining: Joining,
-    fresh_services: bool,
-    fresh_rules: bool,
     fetches: [Option<Fetch>; 3],
     /// Times before which a list is not fetched.
     held_off: [Duration; 3],
@@ -106,16 +83,9 @@
     pub fn new(me: InstanceId, rng: SmallRng) -> Self {
         Self {
             me,
-            allowances: Held::default(),
-            plans: Held::default(),
-            services: Held::default(),
-            checked_allowances: Arc::default(),
-            checked_plans: Arc::default(),
-            checked_services: Arc::default(),
+            in_force: InForce::default(),
             refused: Versions::default(),
             joining: Joining::Alone,
-            fresh_services: false,
-            fresh_rules: false,
             fetches: [const { None }; 3],
             held_off: [Duration::ZERO; 3],
             serve: Serve::default(),
@@ -129,17 +99,17 @@
     /// Takes an object that the platform gave; one that is no list is passed over.
     pub fn on_object(&mut self, _now: Duration, object: &Object, _out: &mut Outbox<'_>) {
         let Some(kind) = ListKind::of_object(&object.name) else { return };
-        if object.version > self.held(kind).version() {
+        if object.version > self.in_force.held(kind).version() {
             match read(kind, object) {
                 Ok((content, checked)) => {
-                    self.held_mut(kind).replace(object.version, content.entries());
+                    self.in_force.held_mut(kind).replace(object.version, content.entries());
                     self.adopted(kind, checked, "platform");
                 }
                 Err(findings) => self.refuse(kind, object.version, &findings),
             }
         }
-        if kind == ListKind::Services && self.joining == Joining::Alone {
-            self.joining = Joining::Platform(None);
+        if kind == ListKind::Services {
+            self.joining.on_platform();
         }
     }
 
@@ -164,7 +134,7 @@
     /// Advances time; due about ten times a second. `live` are the live instances.
     pub fn tick(&mut self, now: Duration, live: &[InstanceId], out: &mut Outbox<'_>) {
         self.live = live.iter().copied().filter(|&id| id != self.me).collect();
-        self.join(now);
+        self.join(now, self.live.is_empty());
         if now >= self.next_digest {
             self.send_digests(now, out);
         }
@@ -177,34 +147,23 @@
     /// Returns the services in force with their version if they have changed since the
     /// last call.
     pub fn take_services(&mut self) -> Option<(Version, Arc<Services>)> {
-        if !self.ready() || !std::mem::take(&mut self.fresh_services) {
-            return None;
-        }
-        Some((self.services.version(), Arc::clone(&self.checked_services)))
+        if self.ready() { self.in_force.take_services() } else { None }
     }
 
     /// Returns the rules of admission if they have changed since the last call. There are
     /// none, and everything is admitted, until the operators have written plans.
     pub fn take_rules(&mut self) -> Option<Arc<Rules>> {
-        if !self.ready() || self.plans.version() == 0 || !std::mem::take(&mut self.fresh_rules) {
-            return None;
-        }
-        let plans = Plans::clone(&self.checked_plans);
-        Some(Arc::new(Rules::join(plans, &self.checked_allowances, &self.checked_services)))
+        if self.ready() { self.in_force.take_rules() } else { None }
     }
 
     /// Tells whether enough is known to serve.
     pub fn ready(&self) -> bool {
-        self.joining == Joining::Done && self.services.version() > 0
+        self.joining == Joining::Done && self.versions().services > 0
     }
 
     /// Returns the versions in force.
     pub fn versions(&self) -> Versions {
-        Versions {
-            allowances: self.allowances.version(),
-            plans: self.plans.version(),
-            services: self.services.version(),
-        }
+        self.in_force.versions()
     }
 
     /// Returns the highest versions that the platform gave and that were refused; 0 where
@@ -215,40 +174,16 @@
 
     /// Returns what a list says as it is in force.
     pub fn content(&self, kind: ListKind) -> Content {
-        self.held(kind).content(kind)
-    }
-
-    fn held(&self, kind: ListKind) -> &Held {
-        match kind {
-            ListKind::Allowances => &self.allowances,
-            ListKind::Plans => &self.plans,
-            ListKind::Services => &self.services,
-        }
-    }
-
-    fn held_mut(&mut self, kind: ListKind) -> &mut Held {
-        match kind {
-            ListKind::Allowances => &mut self.allowances,
-            ListKind::Plans => &mut self.plans,
-            ListKind::Services => &mut self.services,
-        }
+        self.in_force.held(kind).content(kind)
     }
 
     /// Puts a list in force and lets others know.
     fn adopted(&mut self, kind: ListKind, checked: Checked, source: &str) {
-        let version = self.held(kind).version();
+        let version = self.in_force.held(kind).version();
         self.fetches[kind as usize] = None;
         log::info!(object = kind.object(), version = version, source = source; "list_adopted");
         counter!("limpetdeck_lists_adopted_total", "source" => source.to_owned()).increment(1);
-        self.fresh_rules = true;
-        match checked {
-            Checked::Services(services) => {
-                self.checked_services = services;
-                self.fresh_services = true;
-            }
-            Checked::Plans(plans) => self.checked_plans = plans,
-            Checked::Allowances(allowances) => self.checked_allowances = allowances,
-        }
+        self.in_force.put(checked);
         self.news_left = NEWS_ROUNDS;
         self.next_digest = Duration::ZERO;
     }
@@ -277,13 +212,10 @@
         asks: bool,
         out: &mut Outbox<'_>,
     ) {
-        let told = versions.services > 0;
-        if told && matches!(self.joining, Joining::Alone | Joining::Platform(_)) {
-            self.joining = Joining::Peer(*versions, now);
-            self.join(now);
-        }
+        self.joining.on_peer(now, versions);
+        self.join(now, false);
         for kind in ListKind::ALL {
-            let behind = versions.of(kind) > self.held(kind).version();
+            let behind = versions.of(kind) > self.in_force.held(kind).version();
             if behind && now >= self.held_off[kind as usize] {
                 self.ask(now, kind, Some(from), out);
             }
@@ -302,7 +234,7 @@
         from: Option<InstanceId>,
         out: &mut Outbox<'_>,
     ) {
-        let have = self.held(kind).version();
+        let have = self.in_force.held(kind).version();
         let slot = &mut self.fetches[kind as usize];
         if slot.as_ref().is_some_and(|fetch| fetch.is_empty() && fetch.stalled(now)) {
             *slot = None;
@@ -330,7 +262,7 @@
         let was_whole = fetch.is_whole();
         self.fetches[kind as usize] = None;
         if payload.is_some_and(|payload| self.adopt_payload(kind, payload)) {
-            self.join(now);
+            self.join(now, false);
         } else if was_whole {
             // The other instance may be of another release, or this version is refused here.
             counter!("limpetdeck_lists_unusable_total").increment(1);
@@ -345,13 +277,13 @@
 
     /// Answers false if the payload cannot be used.
     fn adopt_payload(&mut self, kind: ListKind, payload: Payload) -> bool {
-        if payload.version <= self.held(kind).version() {
+        if payload.version <= self.in_force.held(kind).version() {
             return true;
         }
-        let Some(entries) = self.held(kind).applied(&payload) else { return false };
+        let Some(entries) = self.in_force.held(kind).applied(&payload) else { return false };
         match Content::of_entries(kind, &entries).check() {
             Ok(checked) => {
-                self.held_mut(kind).take(payload, entries);
+                self.in_force.held_mut(kind).take(payload, entries);
                 self.adopted(kind, checked, "peer");
                 true
             }
@@ -362,27 +294,9 @@
         }
     }
 
-    /// Looks whether a new instance knows enough to begin.
-    fn join(&mut self, now: Duration) {
-        let done = match &mut self.joining {
-            Joining::Alone | Joining::Done => false,
-            Joining::Platform(since) => {
-                let since = *since.get_or_insert(now);
-                self.live.is_empty() || now >= since + PEER_PATIENCE
-            }
-            Joining::Peer(goal, since) => {
-                let (goal, since) = (*goal, *since);
-                // Without any plans everything would be admitted, so old ones are the least.
-                let known = self.versions();
-                let some = ListKind::ALL.map(|kind| goal.of(kind) == 0 || known.of(kind) > 0);
-                let waited = !some.contains(&false) && now >= since + JOIN_PATIENCE;
-                waited || known.covers(&goal)
-            }
-        };
-        if done {
-            log::info!("lists_ready");
-            self.joining = Joining::Done;
-        }
+    fn join(&mut self, now: Duration, alone: bool) {
+        let known = self.versions();
+        self.joining.advance(now, &known, alone);
     }
 
     fn send_digests(&mut self, now: Duration, out: &mut Outbox<'_>) {
@@ -404,7 +318,8 @@
     }
 
     fn pay(&mut self, now: Duration, out: &mut Outbox<'_>) {
-        self.serve.pay(now, [&self.allowances, &self.plans, &self.services], out);
+        let lists = ListKind::ALL.map(|kind| self.in_force.held(kind));
+        self.serve.pay(now, lists, out);
     }
 }
 
