--- a/src/admission/take_over.rs
+++ b/src/admission/take_over.rs
@@ -89,6 +89,11 @@
         });
     }
 
+    /// Tells whether no report waits.
+    pub fn all_sent(&self) -> bool {
+        self.reports.is_empty()
+    }
+
     fn report(
         &mut self,
         now: Duration,
