--- a/examples/allowance_trial/placer.rs
+++ b/examples/allowance_trial/placer.rs
@@ -120,16 +120,24 @@
     fn deliver(&mut self, now: Duration, from: usize, actions: Vec<Action>) {
         for action in actions {
             let Action::Peer(to, buf) = action else { continue };
-            self.bytes += buf.len() as u64 + DATAGRAM_OVERHEAD;
             let to = usize::from(to.port());
             if !self.network.joins(from, to) {
                 continue;
             }
             let Instance { pipeline, take_overs, link } = &mut self.instances[to];
             let Pipeline { placement, admission, .. } = pipeline;
-            if let Ok((_, Body::Admission(message))) = link.open(&buf) {
-                take_overs.on_message(now, message, placement, admission.as_mut());
+            let mut answers = Vec::new();
+            match link.open(&buf) {
+                Ok((_, Body::Admission(message))) => {
+                    take_overs.on_message(now, message, placement, admission.as_mut());
+                }
+                Ok((from, Body::Flows(message))) => {
+                    let mut out = link.outbox(now, &mut answers);
+                    placement.on_message(now, from, message, &mut out);
+                }
+                _ => {}
             }
+            self.deliver(now, to, answers);
         }
     }
 
@@ -174,15 +182,16 @@
 
     fn tick(&mut self, now: Duration) {
         for i in 0..INSTANCES {
-            let mut actions = Vec::new();
+            let (mut records, mut reports) = (Vec::new(), Vec::new());
             let Instance { pipeline, take_overs, link } = &mut self.instances[i];
             let Pipeline { placement, admission, .. } = pipeline;
-            let mut out = link.outbox(now, &mut actions);
-            placement.tick(now, &mut out);
+            placement.tick(now, &mut link.outbox(now, &mut records));
             admission.tick(now, placement.flows());
-            take_overs.send(placement, &mut out);
+            take_overs.send(placement, &mut link.outbox(now, &mut reports));
             if self.network.alive(i) {
-                self.deliver(now, i, actions);
+                self.bytes += reports.iter().map(bytes).sum::<u64>();
+                self.deliver(now, i, records);
+                self.deliver(now, i, reports);
             }
         }
     }
@@ -241,6 +250,14 @@
     Arc::new(Rules::join(plans, &allowances, services))
 }
 
+/// Bytes of a message on the network.
+fn bytes(action: &Action) -> u64 {
+    match action {
+        Action::Peer(_, buf) => buf.len() as u64 + DATAGRAM_OVERHEAD,
+        _ => 0,
+    }
+}
+
 fn packet(from: SocketAddrV4, to: SocketAddrV4, sequence: u32, kind: Kind) -> Vec<u8> {
     let ip = PacketBuilder::ipv4(from.ip().octets(), to.ip().octets(), 64);
     let tcp = ip.tcp(from.port(), to.port(), sequence, 100);
