Report waiting flows whose records have got other owners

Cause: a report that waits for the budget dropped flows whose records were given other owners meanwhile, as a change of members does within a second. The new placer then never counted them.

Change: a waiting flow is reported unless it has ended.

Test: take_over_counts, with ten ticks between the change and the report, failed before (no report at all).

--- a/src/admission/take_over.rs
+++ b/src/admission/take_over.rs
@@ -135,8 +135,9 @@
             return self.send_ends(service, out);
         }
         let rest = self.open.len().saturating_sub(FLOWS_PER_MESSAGE);
-        // The part may have waited, and flows may have ended since.
-        let is_open = |open: &&OpenFlow| placement.flows().get(open.flow).is_some_and(is_owned);
+        // The part may have waited: flows may have ended, or have got other owners, since.
+        let known = |open: &&OpenFlow| placement.flows().get(open.flow);
+        let is_open = |open: &&OpenFlow| known(open).is_some_and(|binding| !binding.closing());
         let part: Vec<_> = self.open[rest..].iter().filter(is_open).copied().collect();
         let sent = part.is_empty() || self.send_message(Message::Open(service, part), out);
         self.open.truncate(if sent { rest } else { self.open.len() });
--- a/tests/admission_pipeline.rs
+++ b/tests/admission_pipeline.rs
@@ -184,6 +184,12 @@
     let [first, second] = &mut nodes;
     let owned = first.pipeline.placement.flows().len();
     assert!((1..10).contains(&owned), "{owned}");
+    // The report has to wait, and the records get other owners meanwhile.
+    let mut actions = Vec::new();
+    for _ in 0..10 {
+        let mut out = second.link.outbox(START, &mut actions);
+        second.pipeline.placement.tick(START, &mut out);
+    }
     let reports = second.send();
     assert!(!reports.is_empty());
     // One flow ends while the reports are under way.
