Ask the owner before a quiet flow leaves the count

Cause: a counted flow was dropped when no packet of it had passed the placer within the idle timeout. Among 800 instances that would be a tenth of the flows each hour (by calculation), and so overshoot.

Change: the placer asks the flow's owner, up to three times, and drops the flow only if the owner does not know it.

--- a/examples/allowance_trial/placer.rs
+++ b/examples/allowance_trial/placer.rs
@@ -128,8 +128,8 @@
             let Pipeline { placement, admission, .. } = pipeline;
             let mut answers = Vec::new();
             match link.open(&buf) {
-                Ok((_, Body::Admission(message))) => {
-                    take_overs.on_message(now, message, placement, admission.as_mut());
+                Ok((from, Body::Admission(message))) => {
+                    take_overs.on_message(now, from, message, placement, admission.as_mut());
                 }
                 Ok((from, Body::Flows(message))) => {
                     let mut out = link.outbox(now, &mut answers);
@@ -187,7 +187,8 @@
             let Pipeline { placement, admission, .. } = pipeline;
             placement.tick(now, &mut link.outbox(now, &mut records));
             admission.tick(now, placement.flows());
-            take_overs.send(placement, &mut link.outbox(now, &mut reports));
+            let mut out = link.outbox(now, &mut reports);
+            take_overs.send(placement, admission.as_mut(), &mut out);
             if self.network.alive(i) {
                 self.bytes += reports.iter().map(bytes).sum::<u64>();
                 self.deliver(now, i, records);
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -16,7 +16,7 @@
 mod take_over;
 mod tombstones;
 
-pub use crate::pipeline::{Admission, AdmitAll, OpenFlow, Refusal};
+pub use crate::pipeline::{Admission, AdmitAll, OpenFlow, Question, Refusal};
 pub use message::Message;
 pub use retry::RetryAfter;
 pub use rule_admission::RuleAdmission;
--- a/src/admission/ledger.rs
+++ b/src/admission/ledger.rs
@@ -5,11 +5,17 @@
 use super::account::Account;
 use crate::hash::HashMap;
 use crate::ids::{Customer, FlowId, ServiceId};
+use crate::pipeline::Question;
 use crate::placement::FlowTable;
 
 /// Shards of the counted flows; one is looked through at a time.
 const SHARDS: usize = 64;
 
+/// Time that an owner has for an answer.
+const ANSWER_TIME: Duration = Duration::from_secs(20);
+/// Times that an owner is asked before the flow counts as ended.
+const MOST_ASKED: u8 = 3;
+
 /// Place of an account in the ledger.
 type AccountId = u32;
 
@@ -21,6 +27,19 @@
     due: u32,
     /// Another placer has counted the flow before, and may still do so behind a cut.
     found: bool,
+    /// Times that the flow's owner was asked whether the flow is open.
+    asked: u8,
+}
+
+/// What is known of a counted flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Check {
+    /// It is open.
+    Open,
+    /// Its owner has to be asked.
+    Ask,
+    /// Nobody knows it any more.
+    Gone,
 }
 
 /// Where a flow that has ended was counted.
@@ -99,11 +118,18 @@
         self.insert(now, flow, account, false);
     }
 
+    /// Notes that a flow is open still; answers whether it is counted.
+    pub fn confirm(&mut self, now: Duration, flow: FlowId) -> bool {
+        let Some(entry) = self.flows[shard(flow)].get_mut(&flow) else { return false };
+        if let Some(account) = &self.accounts[entry.account as usize] {
+            entry.due = seconds(now + account.idle_timeout());
+            entry.asked = 0;
+        }
+        true
+    }
+
     /// Counts a flow that was open before this instance placed its service.
     pub fn found(&mut self, now: Duration, flow: FlowId, account: AccountId) {
-        if self.counts(flow) {
-            return;
-        }
         if let Some(account) = &mut self.accounts[account as usize] {
             account.found();
         }
@@ -131,18 +157,19 @@
     }
 
     /// Looks through one shard for flows whose end nobody has told, and drops accounts
-    /// that are not used.
-    pub fn sweep(&mut self, now: Duration, known: &FlowTable) {
+    /// that are not used. Adds the flows whose owners have to be asked.
+    pub fn sweep(&mut self, now: Duration, known: &FlowTable, ask: &mut Vec<Question>) {
         let i = self.next_sweep;
         self.next_sweep = (i + 1) % SHARDS;
         let accounts = &mut self.accounts;
         self.flows[i].retain(|&flow, entry| {
             let Some(account) = &mut accounts[entry.account as usize] else { return false };
-            let keep = entry.still_open(now, flow, account.idle_timeout(), known);
-            if !keep {
-                account.forgotten();
+            match entry.check(now, flow, account.idle_timeout(), known) {
+                Check::Open => {}
+                Check::Ask => ask.push(Question { service: account.service, flow }),
+                Check::Gone => account.forgotten(),
             }
-            keep
+            entry.asked <= MOST_ASKED
         });
         if i == 0 {
             self.drop_accounts(|account| account.unused(now));
@@ -152,7 +179,7 @@
     fn insert(&mut self, now: Duration, flow: FlowId, account: AccountId, found: bool) {
         let known = self.accounts[account as usize].as_ref();
         let idle_timeout = known.map_or(Duration::ZERO, Account::idle_timeout);
-        let entry = Entry { account, due: seconds(now + idle_timeout), found };
+        let entry = Entry { account, due: seconds(now + idle_timeout), found, asked: 0 };
         self.flows[shard(flow)].insert(flow, entry);
     }
 
@@ -178,25 +205,27 @@
 }
 
 impl Entry {
-    /// Tells whether the flow may still be open: a packet of it must have passed here within
-    /// the idle timeout.
-    fn still_open(
+    /// Tells whether the flow is open as far as this instance knows: a packet of it has
+    /// passed here, or the owner has confirmed it, within the idle timeout.
+    fn check(
         &mut self,
         now: Duration,
         flow: FlowId,
         idle_timeout: Duration,
         known: &FlowTable,
-    ) -> bool {
+    ) -> Check {
         if seconds(now) < self.due {
-            return true;
+            return Check::Open;
         }
-        let Some(binding) = known.get(flow) else { return false };
-        let quiet = binding.unconfirmed(now);
-        if binding.closing() || quiet >= idle_timeout {
-            return false;
+        let quiet = known.get(flow).map_or(idle_timeout, |binding| binding.unconfirmed(now));
+        if quiet < idle_timeout {
+            self.due = seconds(now + idle_timeout.saturating_sub(quiet));
+            self.asked = 0;
+            return Check::Open;
         }
-        self.due = seconds(now + idle_timeout.saturating_sub(quiet));
-        true
+        self.due = seconds(now + ANSWER_TIME);
+        self.asked += 1;
+        if self.asked <= MOST_ASKED { Check::Ask } else { Check::Gone }
     }
 }
 
--- a/src/admission/rule_admission.rs
+++ b/src/admission/rule_admission.rs
@@ -14,7 +14,7 @@
 use crate::flow::Classified;
 use crate::ids::{Customer, FlowId, ServiceId};
 use crate::lists::{Allowance, Rules};
-use crate::pipeline::{Admission, OpenFlow, Refusal};
+use crate::pipeline::{Admission, OpenFlow, Question, Refusal};
 use crate::placement::{FlowTable, RefuseReason};
 use crate::services::Service;
 
@@ -32,6 +32,7 @@
     /// Flows that ended lately, which a report that was under way must not count again.
     ended: Tombstones,
     ends: EndsElsewhere,
+    questions: Vec<Question>,
     rng: SmallRng,
 }
 
@@ -43,6 +44,7 @@
             ledger: Ledger::default(),
             ended: Tombstones::default(),
             ends: EndsElsewhere::default(),
+            questions: Vec::new(),
             rng,
         }
     }
@@ -111,7 +113,7 @@
     ) {
         let Some(rules) = self.rules.clone() else { return };
         for OpenFlow { flow, caller } in flows {
-            if self.ended.contains(flow) {
+            if self.ledger.confirm(now, flow) || self.ended.contains(flow) {
                 continue;
             }
             let Some(customer) = rules.customer_of(caller) else { continue };
@@ -126,8 +128,12 @@
         self.ends.keep_services(placed);
     }
 
+    fn take_questions(&mut self) -> Vec<Question> {
+        std::mem::take(&mut self.questions)
+    }
+
     fn tick(&mut self, now: Duration, known: &FlowTable) {
-        self.ledger.sweep(now, known);
+        self.ledger.sweep(now, known, &mut self.questions);
         self.ended.age(now);
     }
 }
--- a/src/admission/take_over.rs
+++ b/src/admission/take_over.rs
@@ -1,5 +1,6 @@
 //! Take-over of a service by a new placer: owners tell it the flows that are open already.
 
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use super::Message;
@@ -8,7 +9,7 @@
 use crate::ids::{FlowId, InstanceId, ServiceId};
 use crate::link::Outbox;
 use crate::peer::Body;
-use crate::pipeline::{Admission, OpenFlow};
+use crate::pipeline::{Admission, OpenFlow, Question};
 use crate::placement::{Binding, Placement, Role};
 
 /// Flows in one message, so that it fits into one datagram.
@@ -64,6 +65,7 @@
     pub fn on_message(
         &mut self,
         now: Duration,
+        from: InstanceId,
         message: Message,
         placement: &Placement,
         admission: &mut dyn Admission,
@@ -78,17 +80,43 @@
             Message::Ended(id, flows) => {
                 flows.into_iter().for_each(|flow| admission.closed(now, id, flow));
             }
+            Message::Ask(id, flows) => self.answer(id, flows, from, placement),
         }
     }
 
-    /// Sends what the budget allows of the reports; due about ten times a second.
-    pub fn send(&mut self, placement: &Placement, out: &mut Outbox<'_>) {
+    /// Sends what the budget allows of questions and reports; due about ten times a second.
+    pub fn send(
+        &mut self,
+        placement: &Placement,
+        admission: &mut dyn Admission,
+        out: &mut Outbox<'_>,
+    ) {
+        ask(admission.take_questions(), placement, out);
         self.reports.retain(|&service, report| {
             while !report.is_sent() && report.send_part(service, placement, out) {}
             !report.is_sent()
         });
     }
 
+    /// Adds the answer to what the placer has to be told.
+    fn answer(
+        &mut self,
+        service: ServiceId,
+        flows: Vec<FlowId>,
+        to: InstanceId,
+        placement: &Placement,
+    ) {
+        let known = |&flow: &FlowId| placement.flows().get(flow).is_some_and(is_owned);
+        // A flow that is counted is known by its fingerprint alone.
+        let open = |flow| OpenFlow { flow, caller: Ipv4Addr::UNSPECIFIED };
+        let open = flows.into_iter().filter(known).map(open);
+        let report =
+            self.reports.entry(service).or_insert(Report { to, open: vec![], ended: vec![] });
+        if report.to == to {
+            report.open.extend(open);
+        }
+    }
+
     /// Tells whether no report waits.
     pub fn all_sent(&self) -> bool {
         self.reports.is_empty()
@@ -157,6 +185,22 @@
     }
 }
 
+/// Asks the owners of flows; what the budget does not allow is asked again later.
+fn ask(questions: Vec<Question>, placement: &Placement, out: &mut Outbox<'_>) {
+    let mut by_owner: HashMap<_, Vec<_>> = HashMap::default();
+    for Question { service, flow } in questions {
+        if let Some(owner) = placement.owner(flow) {
+            by_owner.entry((owner, service)).or_default().push(flow);
+        }
+    }
+    for ((owner, service), flows) in by_owner {
+        for part in flows.chunks(FLOWS_PER_MESSAGE) {
+            let body = Body::Admission(Message::Ask(service, part.to_vec()));
+            out.send(owner, Class::Replicas, &body);
+        }
+    }
+}
+
 /// Returns the open flows of some services that this instance owns.
 fn owned_flows(
     placement: &Placement,
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -215,7 +215,7 @@
             }
             Body::Admission(message) => {
                 let Pipeline { placement, admission, .. } = &mut self.pipeline;
-                self.take_overs.on_message(now, message, placement, admission.as_mut());
+                self.take_overs.on_message(now, from, message, placement, admission.as_mut());
             }
         }
         self.join_parts(now);
@@ -232,7 +232,8 @@
         self.join_parts(now);
         let Pipeline { placement, admission, .. } = &mut self.pipeline;
         admission.tick(now, placement.flows());
-        self.take_overs.send(placement, &mut self.link.outbox(now, out));
+        let mut outbox = self.link.outbox(now, out);
+        self.take_overs.send(placement, admission.as_mut(), &mut outbox);
         self.call_platform(now, out);
         gauge!("limpetdeck_replicas_waiting")
             .set(self.pipeline.placement.replicas_waiting() as f64);
--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -9,5 +9,5 @@
 mod forward;
 mod run;
 
-pub use admit::{Admission, AdmitAll, OpenFlow, Refusal};
+pub use admit::{Admission, AdmitAll, OpenFlow, Question, Refusal};
 pub use run::{Discard, Outcome, Pipeline};
--- a/src/pipeline/admit.rs
+++ b/src/pipeline/admit.rs
@@ -30,6 +30,15 @@
     pub caller: Ipv4Addr,
 }
 
+/// Asks the owner of a flow whether the flow is open still.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Question {
+    /// Service of the flow.
+    pub service: ServiceId,
+    /// Fingerprint of the flow.
+    pub flow: FlowId,
+}
+
 /// Decides whether a new flow may be opened. It is asked on the instance that places the
 /// service's new flows, so that all flows of the service are counted in one place.
 pub trait Admission: std::fmt::Debug {
@@ -65,6 +74,11 @@
     /// of their flows.
     fn keep_services(&mut self, _placed: &dyn Fn(ServiceId) -> bool) {}
 
+    /// Returns what the owners of flows have to be asked, and forgets it.
+    fn take_questions(&mut self) -> Vec<Question> {
+        Vec::new()
+    }
+
     /// Advances time; due about ten times a second. `known` are the flows whose packets
     /// pass this instance.
     fn tick(&mut self, _now: Duration, _known: &FlowTable) {}
--- a/src/placement/core.rs
+++ b/src/placement/core.rs
@@ -199,6 +199,11 @@
         self.ranks.placer(service)
     }
 
+    /// Returns the instance that owns a flow.
+    pub fn owner(&self, flow: FlowId) -> Option<InstanceId> {
+        self.ranks.of(flow, 0)
+    }
+
     /// Decides about a packet from the fabric or from another instance.
     pub fn decide(
         &mut self,
