--- a/src/admission/take_over.rs
+++ b/src/admission/take_over.rs
@@ -159,7 +159,8 @@
         placement: &Placement,
         out: &mut Outbox<'_>,
     ) -> bool {
-        if self.open.is_empty() {
+        // Ends go first: they make room for the open flows that are told after them.
+        if !self.ended.is_empty() {
             return self.send_ends(service, out);
         }
         let rest = self.open.len().saturating_sub(FLOWS_PER_MESSAGE);
