Measure how long list changes take, and test the driver with short runs

Operators change the services object, collide, or wake late; the idle timeouts of two services show on each instance which changes are in force.

--- a/lab/src/measure.rs
+++ b/lab/src/measure.rs
@@ -3,6 +3,7 @@
 mod faults;
 mod figures;
 mod node;
+mod operators;
 mod platform;
 mod settings;
 mod traffic;
--- a/lab/src/measure/faults.rs
+++ b/lab/src/measure/faults.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 
 use super::node::takes_new;
+use super::operators;
 use super::platform::Mode;
 use super::settings::Settings;
 use super::world::{Cut, WARM, World};
@@ -23,6 +24,14 @@
 const RESTART_GAP: Duration = Duration::from_secs(2);
 /// Time that a graceful stop takes at most, with the start after it.
 const RESTART: Duration = Duration::from_secs(6);
+/// Changes of a list, one a second.
+const CHANGES: u32 = 16;
+/// Times that two operators collide.
+const COLLISIONS: u32 = 5;
+/// Time that an operator sleeps between read and write.
+const OVERSLEEP: Duration = Duration::from_secs(6);
+/// Faults that change lists.
+const LIST_FAULTS: [&str; 3] = ["list-change", "two-operators", "lapsed-lease"];
 /// Time after a fault from which the balance counts.
 const SETTLE: Duration = Duration::from_secs(10);
 
@@ -58,6 +67,9 @@
     fault("domain-and-platform-cut", "the same, from the platform too", domain_and_platform_cut),
     fault("uneven-updates", "news reaches instances up to 4 s apart", uneven_updates),
     fault("port-reused", "callers use the ports of ended flows", port_reused),
+    fault("list-change", "a list is changed each second for 16 s", list_change),
+    fault("two-operators", "two operators change a list at once, 5 times", two_operators),
+    fault("lapsed-lease", "an operator sleeps for 6 s between read and write", lapsed_lease),
 ];
 
 const fn fault(name: &'static str, about: &'static str, begin: fn(&mut World)) -> Fault {
@@ -89,6 +101,7 @@
 pub fn schedule(world: &mut World) {
     let faults = world.settings.faults.0.clone();
     world.planned = faults.iter().any(|fault| fault.planned);
+    world.lists_change = faults.iter().any(|fault| LIST_FAULTS.contains(&fault.name));
     let conditions =
         |fault: &&Fault| matches!(fault.name, "uneven-updates" | "port-reused" | "target-cold");
     // What holds from the start has to meet the first change.
@@ -192,6 +205,10 @@
 
 fn platform_mode(world: &mut World, mode: Mode) {
     let now = world.now;
+    if world.lists_change {
+        // The hardest change is the last one before the platform fails.
+        operators::change(world, 0);
+    }
     let answers = world.platform.set_mode(now, mode);
     world.deliver(answers);
     world.later(LASTS, |world| {
@@ -221,7 +238,7 @@
 fn cut(world: &mut World, platform: bool) {
     let domain = any(world, &[0, 1, 2]).map(|i| world.hosts[i].failure_domain.clone());
     world.cut = domain.map(|domain| Cut { domain, platform });
-    world.later(LASTS, |world| world.cut = None);
+    world.later(LASTS, World::heal);
 }
 
 fn domain_cut(world: &mut World) {
@@ -239,3 +256,22 @@
 fn port_reused(world: &mut World) {
     world.reuse_ports = true;
 }
+
+fn list_change(world: &mut World) {
+    for i in 0..CHANGES {
+        world.later(Duration::from_secs(1) * i, |world| operators::change(world, 0));
+    }
+}
+
+fn two_operators(world: &mut World) {
+    for i in 0..COLLISIONS {
+        world.later(Duration::from_secs(2) * i, operators::collide);
+    }
+}
+
+fn lapsed_lease(world: &mut World) {
+    operators::oversleep(world, OVERSLEEP);
+    for i in 1..4 {
+        world.later(Duration::from_secs(1) * i, |world| operators::change(world, 0));
+    }
+}
--- a/lab/src/measure/node.rs
+++ b/lab/src/measure/node.rs
@@ -13,10 +13,13 @@
 use limpetdeck::packet::{Segment, decode, reset_answer, rewrite_destination, rewrite_source};
 use limpetdeck::peer::{Body, MemberInfo, MemberState, Sealer};
 use limpetdeck::placement::{Binding, Policy as Placing, TargetState, preferred};
-use limpetdeck::services::{Service, Services};
+use limpetdeck::platform::{Call, Object, Reply};
+use limpetdeck::services::{OBJECT_NAME, RawServices, Service, Services};
 use limpetdeck::targets::{Message, StateChange};
+use rand::Rng;
 use rand::rngs::SmallRng;
 
+use super::operators::Marks;
 use super::settings::Policy;
 
 /// Key of the messages between instances.
@@ -28,6 +31,9 @@
 /// Number under which the driver tells instances what they would find by probing.
 const PROBER: u32 = 60_000;
 
+/// Time between two reads of the services by the naive policy.
+const POLL_EVERY: Duration = Duration::from_secs(1);
+
 /// One instance as the fabric and the platform meet it.
 pub trait Node {
     /// Takes an event and adds what is to be done to `out`.
@@ -36,6 +42,8 @@
     fn probed(&mut self, now: Duration, change: StateChange, out: &mut Vec<Action>);
     /// Tells whether the fabric should send packets here.
     fn healthy(&self) -> bool;
+    /// Returns the marks of the services that are in force.
+    fn marks(&self) -> Marks;
     /// Returns the bytes of state about open flows.
     fn state_bytes(&self) -> usize;
 }
@@ -67,7 +75,11 @@
     central: &Rc<RefCell<Central>>,
 ) -> Box<dyn Node> {
     match policy {
-        Policy::Naive => Box::new(Naive { services: Rc::clone(services), gone: Vec::new() }),
+        Policy::Naive => Box::new(Naive {
+            services: Rc::clone(services),
+            gone: Vec::new(),
+            next_poll: now + POLL_EVERY.mul_f64(cfg.rng.clone().random()),
+        }),
         Policy::Ideal => Box::new(Ideal(Rc::clone(central))),
         Policy::Owner => Box::new(Real::new(now, cfg, Placing::Owner)),
         Policy::Epochs => Box::new(Real::new(now, cfg, Placing::Epochs)),
@@ -120,6 +132,10 @@
         self.instance.healthy()
     }
 
+    fn marks(&self) -> Marks {
+        marks(self.instance.pipeline().placement.services())
+    }
+
     /// A table of n entries has a power of two of buckets, at most seven eighths full.
     fn state_bytes(&self) -> usize {
         let flows = self.instance.pipeline().placement.flows().len();
@@ -133,17 +149,37 @@
 struct Naive {
     services: Rc<Services>,
     gone: Vec<TargetId>,
+    next_poll: Duration,
+}
+
+impl Naive {
+    fn poll(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if now >= self.next_poll {
+            self.next_poll = now + POLL_EVERY;
+            out.push(Action::Platform(Call::Get { name: OBJECT_NAME.to_owned() }));
+        }
+    }
+
+    /// Takes whatever has come last.
+    fn adopt(&mut self, object: Object) {
+        let raw = serde_json::from_value::<RawServices>(object.value).ok();
+        if let Some(services) = raw.and_then(|raw| Services::try_from(raw).ok()) {
+            self.services = Rc::new(services);
+        }
+    }
 }
 
 impl Node for Naive {
-    fn handle(&mut self, _now: Duration, event: Event, out: &mut Vec<Action>) {
+    fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
         let choose = |service: &Service, flow: FlowId, _: &Segment| {
             preferred(flow, service.targets.iter().filter(|target| !self.gone.contains(&target.id)))
         };
         match event {
             Event::Packet(packet) => out.extend(stateless(&self.services, packet, choose)),
             Event::Stop => out.push(Action::Exit),
-            Event::Peer(_) | Event::Platform(..) | Event::Tick => {}
+            Event::Tick => self.poll(now, out),
+            Event::Platform(_, Ok(Reply::Object(object))) => self.adopt(object),
+            Event::Peer(_) | Event::Platform(..) => {}
         }
     }
 
@@ -158,11 +194,20 @@
         true
     }
 
+    fn marks(&self) -> Marks {
+        marks(&self.services)
+    }
+
     fn state_bytes(&self) -> usize {
         0
     }
 }
 
+fn marks(services: &Services) -> Marks {
+    let mark = |i: usize| services.list().get(i).map_or(0, |s| s.idle_timeout.as_secs());
+    [mark(0), mark(1)]
+}
+
 /// Decodes, asks for the target, rewrites and forwards.
 fn stateless(
     services: &Services,
@@ -287,6 +332,11 @@
         true
     }
 
+    fn marks(&self) -> Marks {
+        // The central placer has every change at once.
+        [u64::MAX; 2]
+    }
+
     fn state_bytes(&self) -> usize {
         0
     }
--- a/lab/src/measure/world.rs
+++ b/lab/src/measure/world.rs
@@ -24,6 +24,7 @@
 
 use super::figures::Figures;
 use super::node::Central;
+use super::operators::Changes;
 use super::platform::{Answer, FakePlatform};
 use super::settings::Settings;
 use super::traffic::{Callers, Effects, End, Host, Kind, Timer};
@@ -140,6 +141,10 @@
     pub reuse_ports: bool,
     /// Whether a planned change is part of the run.
     pub planned: bool,
+    /// Whether operators change lists.
+    pub lists_change: bool,
+    /// What operators have changed, and where it is in force.
+    pub changes: Changes,
     /// When the balance counts.
     pub balance_from: Duration,
     services: Rc<Services>,
@@ -181,6 +186,8 @@
             uneven: false,
             reuse_ports: false,
             planned: false,
+            lists_change: false,
+            changes: Changes::default(),
             balance_from: WARM,
             central: Rc::new(RefCell::new(Central::new(services.clone()))),
             services: Rc::new(services),
@@ -205,6 +212,10 @@
             self.now = next.at;
             self.happen(next.what);
         }
+        if self.lists_change {
+            let running = self.running();
+            self.changes.finish(self.now, &running, &mut self.figures);
+        }
         self.figures
     }
 
--- a/lab/src/measure/world/members.rs
+++ b/lab/src/measure/world/members.rs
@@ -98,12 +98,23 @@
     /// Lets a paused instance run again, with all that has waited for it.
     pub fn resume_member(&mut self, index: usize) {
         self.members[index].paused = false;
+        self.changes.reachable(self.now, index);
         let backlog = std::mem::take(&mut self.members[index].backlog);
         for event in backlog {
             self.give(index, event);
         }
     }
 
+    /// Ends a cut.
+    pub fn heal(&mut self) {
+        let Some(cut) = self.cut.take() else { return };
+        for (index, member) in self.members.iter().enumerate() {
+            if member.domain == cut.domain {
+                self.changes.reachable(self.now, index);
+            }
+        }
+    }
+
     /// Returns the instances that run.
     pub fn running(&self) -> Vec<usize> {
         let runs = |&index: &usize| self.members[index].node.is_some();
@@ -186,12 +197,17 @@
             return;
         }
         let entered = matches!(event, Event::Packet(_));
+        let start = member.start;
         let mut out = Vec::new();
         let began = Instant::now();
         node.handle(now, event, &mut out);
         if entered && now >= WARM && matches!(out[..], [Action::Fabric(_)]) {
             self.figures.decide.add(began.elapsed().as_nanos() as u64);
         }
+        if self.lists_change && !entered {
+            let marks = node.marks();
+            self.changes.note(now, (index, start), marks, &mut self.figures);
+        }
         self.act(index, out);
     }
 
--- /dev/null
+++ b/lab/tests/measure_driver.rs
@@ -0,0 +1,56 @@
+//! The measuring driver itself: it repeats, and it sees what the naive policy breaks.
+
+mod measuring;
+
+use measuring::measure;
+
+const SEEDS: [u64; 2] = [1, 2];
+
+/// A line without the timings, which come from the wall clock.
+fn repeatable(line: &str) -> String {
+    line.split(' ').filter(|word| !word.starts_with("decide_ns")).collect::<Vec<_>>().join(" ")
+}
+
+#[test]
+fn same_line() {
+    for policy in ["naive", "epochs"] {
+        let run = || repeatable(&measure(policy, "target-leaves+instance-killed", 1).to_string());
+        assert_eq!(run(), run());
+    }
+}
+
+#[test]
+fn naive_breaks() {
+    for seed in SEEDS {
+        for faults in ["target-leaves", "target-returns", "target-leaves+uneven-updates"] {
+            assert!(measure("naive", faults, seed).broken_planned > 0);
+        }
+    }
+}
+
+#[test]
+fn ideal_keeps() {
+    for faults in ["target-leaves", "target-returns+target-leaves", "instance-leaves"] {
+        let figures = measure("ideal", faults, 1);
+        assert_eq!(figures.broken_planned + figures.refused + figures.late_new_work, 0);
+    }
+}
+
+#[test]
+fn nothing_changes() {
+    for seed in SEEDS {
+        let (naive, epochs) = (measure("naive", "none", seed), measure("epochs", "none", seed));
+        assert_eq!(naive.flows, epochs.flows);
+        for figures in [naive, epochs] {
+            assert_eq!(figures.broken_planned + figures.broken_unplanned + figures.refused, 0);
+            assert!(figures.runs.len() as u64 * 10 > figures.flows * 9);
+        }
+    }
+}
+
+#[test]
+fn naive_loses_changes() {
+    let figures = measure("naive", "two-operators+lapsed-lease", 1);
+    assert!(figures.lost_changes > 0);
+    assert!(figures.reverts > 0);
+}
--- /dev/null
+++ b/lab/tests/measure_epochs.rs
@@ -0,0 +1,49 @@
+//! What must always hold, measured for the policy that the daemon uses.
+
+mod measuring;
+
+use measuring::measure;
+
+/// Faults under which work must stay whole, each with the seed of its run.
+const CASES: &[(&str, u64)] = &[
+    ("none", 1),
+    ("target-leaves", 2),
+    ("target-returns+target-leaves", 3),
+    ("target-leaves+uneven-updates", 4),
+    ("target-leaves+platform-down", 5),
+    ("instance-leaves", 6),
+    ("instance-joins+instance-leaves", 7),
+    ("instance-killed+instance-killed", 8),
+    ("instance-paused+target-killed", 9),
+    ("target-sheds+port-reused", 10),
+    ("domain-and-platform-cut", 11),
+    ("answer-lost+instance-joins", 12),
+];
+
+#[test]
+fn work_runs_once() {
+    for &(faults, seed) in CASES {
+        let figures = measure("epochs", faults, seed);
+        assert_eq!(figures.executed_twice(), 0);
+        assert_eq!(figures.refused_but_ran(), 0);
+        assert_eq!(figures.wrong_service, 0);
+        assert_eq!(figures.late_new_work, 0);
+    }
+}
+
+#[test]
+fn planned_changes_keep_flows() {
+    let planned = ["target-leaves", "target-returns", "target-cold", "instance-leaves"];
+    for (faults, seed) in planned.into_iter().zip(1..) {
+        assert_eq!(measure("epochs", faults, seed).broken_planned, 0);
+    }
+}
+
+#[test]
+fn changes_stay() {
+    let faults = ["two-operators", "lapsed-lease", "list-change+platform-slow"];
+    for (faults, seed) in faults.into_iter().zip(1..) {
+        let figures = measure("epochs", faults, seed);
+        assert_eq!((figures.reverts, figures.lost_changes), (0, 0));
+    }
+}
