--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod measure;
 pub mod platform;
 pub mod protocol;
+pub mod report;
 pub mod result;
 pub mod stack;
 pub mod target;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use limpetdeck_lab::arguments::{Args, Usage};
-use limpetdeck_lab::{caller, fabric, measure, platform, result, target};
+use limpetdeck_lab::{caller, fabric, measure, platform, report, result, target};
 
 /// Text for `--help`.
 const HELP: &str = "\
@@ -17,6 +17,7 @@
   caller     TCP callers that hold feeds and send sales
   result     compares the journals of callers and targets
   measure    steps the decision parts under load and faults, in virtual time
+  report     measures policies, faults and deployments, and writes a page
 
   COMMAND --help    arguments of a command
   --version         print the version
@@ -31,6 +32,7 @@
         Some("caller") => caller::main(args),
         Some("result") => result::main(args),
         Some("measure") => measure::main(args),
+        Some("report") => report::main(args),
         _ if args.flag("--version") => {
             println!("limpetdeck-lab {}", env!("CARGO_PKG_VERSION"));
             Ok(ExitCode::SUCCESS)
--- a/lab/src/measure/figures.rs
+++ b/lab/src/measure/figures.rs
@@ -72,6 +72,8 @@
     pub control: HashMap<(u32, u64), u64>,
     /// Bytes of state of each instance, the largest seen.
     pub state_bytes: usize,
+    /// Open flows, the most that were seen at once.
+    pub open_flows: usize,
     /// Wall time of decisions about known flows, in nanoseconds.
     pub decide: Values,
     /// Times until a change was in force on an instance, in microseconds.
--- a/lab/src/measure/world/targets.rs
+++ b/lab/src/measure/world/targets.rs
@@ -111,6 +111,8 @@
             let nodes = self.members.iter().filter_map(|member| member.node.as_ref());
             let largest = nodes.map(|node| node.state_bytes()).max().unwrap_or(0);
             self.figures.state_bytes = self.figures.state_bytes.max(largest);
+            let open = self.hosts.iter().map(Host::open).sum();
+            self.figures.open_flows = self.figures.open_flows.max(open);
         }
         self.schedule(SAMPLE_EVERY, What::Sample);
     }
