--- a/lab/src/measure/node.rs
+++ b/lab/src/measure/node.rs
@@ -11,11 +11,11 @@
 use limpetdeck::ids::{FlowId, TargetId};
 use limpetdeck::instance::{Action, Event, Instance, InstanceConfig};
 use limpetdeck::packet::{Segment, decode, reset_answer, rewrite_destination, rewrite_source};
-use limpetdeck::peer::{Body, MemberInfo, MemberState, Sealer};
+use limpetdeck::peer::{MemberInfo, MemberState};
 use limpetdeck::placement::{Binding, Policy as Placing, TargetState, preferred};
 use limpetdeck::platform::{Call, Object, Reply};
 use limpetdeck::services::{OBJECT_NAME, RawServices, Service, Services};
-use limpetdeck::targets::{Message, StateChange};
+use limpetdeck::targets::StateChange;
 use rand::Rng;
 use rand::rngs::SmallRng;
 
@@ -28,9 +28,6 @@
 const CONTROL_BUDGET: u32 = 3_000;
 /// Flows that an instance's table holds at most.
 const FLOW_CAPACITY: usize = 1 << 20;
-/// Number under which the driver tells instances what they would find by probing.
-const PROBER: u32 = 60_000;
-
 /// Time between two reads of the services by the naive policy.
 const POLL_EVERY: Duration = Duration::from_secs(1);
 
@@ -38,8 +35,8 @@
 pub trait Node {
     /// Takes an event and adds what is to be done to `out`.
     fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>);
-    /// Tells the instance what it would find by probing a target.
-    fn probed(&mut self, now: Duration, change: StateChange, out: &mut Vec<Action>);
+    /// Tells the instance the state of a target, if it does not probe by itself.
+    fn told(&mut self, change: StateChange);
     /// Tells whether the fabric should send packets here.
     fn healthy(&self) -> bool;
     /// Returns the marks of the services that are in force.
@@ -89,7 +86,6 @@
 /// The product's own decision parts.
 struct Real {
     instance: Instance,
-    prober: Sealer,
 }
 
 impl Real {
@@ -111,10 +107,7 @@
             trace_one_in: 0,
             policy,
         };
-        Self {
-            instance: Instance::new(now, instance_cfg, cfg.rng),
-            prober: Sealer::new(PEER_KEY, PROBER, 1),
-        }
+        Self { instance: Instance::new(now, instance_cfg, cfg.rng) }
     }
 }
 
@@ -123,10 +116,7 @@
         self.instance.handle(now, event, out);
     }
 
-    fn probed(&mut self, now: Duration, change: StateChange, out: &mut Vec<Action>) {
-        let buf = self.prober.seal(&Body::Targets(Message::States(vec![change])));
-        self.instance.handle(now, Event::Peer(buf), out);
-    }
+    fn told(&mut self, _change: StateChange) {}
 
     fn healthy(&self) -> bool {
         self.instance.healthy()
@@ -179,11 +169,11 @@
             Event::Stop => out.push(Action::Exit),
             Event::Tick => self.poll(now, out),
             Event::Platform(_, Ok(Reply::Object(object))) => self.adopt(object),
-            Event::Peer(_) | Event::Platform(..) => {}
+            Event::Peer(_) | Event::Platform(..) | Event::Probed(..) => {}
         }
     }
 
-    fn probed(&mut self, _now: Duration, change: StateChange, _out: &mut Vec<Action>) {
+    fn told(&mut self, change: StateChange) {
         self.gone.retain(|&target| target != change.target);
         if !takes_new(change.state) {
             self.gone.push(change.target);
@@ -322,11 +312,11 @@
         match event {
             Event::Packet(packet) => out.extend(stateless(&services, packet, choose)),
             Event::Stop => out.push(Action::Exit),
-            Event::Peer(_) | Event::Platform(..) | Event::Tick => {}
+            Event::Peer(_) | Event::Platform(..) | Event::Probed(..) | Event::Tick => {}
         }
     }
 
-    fn probed(&mut self, _now: Duration, _change: StateChange, _out: &mut Vec<Action>) {}
+    fn told(&mut self, _change: StateChange) {}
 
     fn healthy(&self) -> bool {
         true
--- a/lab/src/measure/world.rs
+++ b/lab/src/measure/world.rs
@@ -17,7 +17,7 @@
 use limpetdeck::packet::{Segment, decode};
 use limpetdeck::platform::{Call, PlatformError, Reply};
 use limpetdeck::services::Services;
-use limpetdeck::targets::StateChange;
+use limpetdeck::targets::{ProbeResult, StateChange};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp1};
@@ -58,8 +58,10 @@
     Peer(usize, Vec<u8>),
     /// The platform's answer arrives at the given start of an instance.
     Answer(usize, u64, Call, Result<Reply, PlatformError>),
-    /// A target's state is found by an instance.
-    Probed(usize, StateChange),
+    /// A target's state is told to an instance that does not probe.
+    Told(usize, StateChange),
+    /// The probe of a target ends, at the given start of an instance.
+    Probed(usize, u64, usize, ProbeResult),
     /// Time passes for the given start of an instance.
     Tick(usize, u64),
     /// A packet reaches a caller.
@@ -145,6 +147,8 @@
     pub lists_change: bool,
     /// What operators have changed, and where it is in force.
     pub changes: Changes,
+    /// Until when a fault still takes steps.
+    pub busy_until: Duration,
     /// When the balance counts.
     pub balance_from: Duration,
     services: Rc<Services>,
@@ -188,6 +192,7 @@
             planned: false,
             lists_change: false,
             changes: Changes::default(),
+            busy_until: Duration::ZERO,
             balance_from: WARM,
             central: Rc::new(RefCell::new(Central::new(services.clone()))),
             services: Rc::new(services),
@@ -206,7 +211,7 @@
     /// Runs until the end and returns what was counted.
     pub fn run(mut self) -> Figures {
         while let Some(Reverse(next)) = self.queue.pop() {
-            if next.at > self.settings.length {
+            if next.at > self.settings.length.max(self.busy_until) {
                 break;
             }
             self.now = next.at;
@@ -233,7 +238,11 @@
     }
 
     fn begin(&mut self) -> Result<(), Usage> {
-        let raw = self.settings.deployment.raw_services()?;
+        let mut raw = self.settings.deployment.raw_services()?;
+        for target in raw.services.iter_mut().flat_map(|service| &mut service.targets) {
+            // No request is made, so only the form of the address matters.
+            target.report = Some(format!("{}/report", target.address));
+        }
         let value = serde_json::to_value(raw).map_err(Usage::new)?;
         // The store is empty, so the write cannot conflict.
         let _ = self.platform.store.put(limpetdeck::services::OBJECT_NAME, None, value);
@@ -261,7 +270,8 @@
             What::Packet(member, packet) => self.packet(member, packet),
             What::Peer(member, buf) => self.peer(member, buf),
             What::Answer(member, start, call, result) => self.answer(member, start, call, result),
-            What::Probed(member, change) => self.probed(member, change),
+            What::Told(member, change) => self.tell(member, change),
+            What::Probed(member, start, host, result) => self.probed(member, start, host, result),
             What::Tick(member, start) => self.tick(member, start),
             What::ToCaller(segment) => self.reach_caller(&segment),
             What::ToHost(host, segment) => self.reach_host(host, &segment),
