--- a/lab/src/measure.rs
+++ b/lab/src/measure.rs
@@ -1,5 +1,6 @@
 //! The measuring driver: the decision parts under load and faults, in virtual time.
 
+mod burst;
 mod faults;
 mod figures;
 mod node;
--- a/lab/src/measure/faults.rs
+++ b/lab/src/measure/faults.rs
@@ -8,10 +8,10 @@
 use rand::Rng;
 
 use super::node::takes_new;
-use super::operators;
 use super::platform::Mode;
 use super::settings::Settings;
 use super::world::{Cut, WARM, World};
+use super::{burst, operators};
 
 /// Length of a run that is not given one.
 const LENGTH: Duration = Duration::from_secs(40);
@@ -75,6 +75,7 @@
     fault("uneven-updates", "news reaches instances up to 4 s apart", uneven_updates),
     fault("port-reused", "callers use the ports of ended flows", port_reused),
     fault("list-change", "a list is changed each second for 16 s", list_change),
+    fault("burst", "a customer opens 3 times what its plan allows for 16 s", burst::begin),
     fault("two-operators", "two operators change a list at once, 5 times", two_operators),
     fault("lapsed-lease", "an operator sleeps for 6 s between read and write", lapsed_lease),
 ];
@@ -106,6 +107,9 @@
 pub fn schedule(world: &mut World) {
     let faults = world.settings.faults.0.clone();
     world.planned = faults.iter().any(|fault| fault.planned);
+    if faults.iter().any(|fault| fault.name == "burst") {
+        burst::write_lists(world);
+    }
     world.lists_change = faults.iter().any(|fault| LIST_FAULTS.contains(&fault.name));
     let conditions =
         |fault: &&Fault| matches!(fault.name, "uneven-updates" | "port-reused" | "target-cold");
--- a/lab/src/measure/figures.rs
+++ b/lab/src/measure/figures.rs
@@ -80,6 +80,10 @@
     pub list_change: Option<Values>,
     /// Times that an instance went back to an older version.
     pub reverts: u64,
+    /// How far a customer came over its allowance, as a part of it.
+    pub overshoot: Option<f64>,
+    /// Part of the flows of customers within their allowances that were refused.
+    pub wrong_refusals: Option<f64>,
     /// Accepted changes that some instance lacks in the end.
     pub lost_changes: u64,
 }
@@ -137,6 +141,9 @@
             write!(f, " list_change_ms_p99={:.3}", millis(list_change))?;
             write!(f, " reverts={} lost_changes={}", self.reverts, self.lost_changes)?;
         }
+        if let (Some(overshoot), Some(wrong)) = (self.overshoot, self.wrong_refusals) {
+            write!(f, " overshoot={overshoot:.4} wrong_refusals={wrong:.4}")?;
+        }
         Ok(())
     }
 }
--- a/lab/src/measure/traffic/caller.rs
+++ b/lab/src/measure/traffic/caller.rs
@@ -14,10 +14,6 @@
 const STALLED: Duration = Duration::from_secs(20);
 /// Time between two looks.
 const WATCH_EVERY: Duration = Duration::from_secs(5);
-/// First octet of the callers that hold feeds.
-const FEEDS: u8 = 100;
-/// First octet of the callers that use a slot.
-const SALES: u8 = 101;
 /// Callers on one IPv4 number.
 const PORTS: usize = 20_000;
 
@@ -28,6 +24,22 @@
     Feed,
     /// Asks once, waits for a slot and the answer, and closes.
     Sale,
+    /// Like a feed, of a customer that opens more than it may.
+    Burst,
+    /// Like a feed, of a customer that keeps to its plan.
+    Steady,
+}
+
+impl Kind {
+    /// Returns the first octet of the callers, by which their customer is known.
+    pub fn octet(self) -> u8 {
+        match self {
+            Self::Feed => 100,
+            Self::Sale => 101,
+            Self::Burst => 102,
+            Self::Steady => 103,
+        }
+    }
 }
 
 /// How a flow ended, as its caller saw it.
@@ -51,7 +63,7 @@
 
 /// Tells whether a caller's flow uses a slot.
 pub fn uses_slot(caller: SocketAddrV4) -> bool {
-    caller.ip().octets()[0] == SALES
+    caller.ip().octets()[0] == Kind::Sale.octet()
 }
 
 /// One flow, as its caller sees it.
@@ -133,9 +145,8 @@
 }
 
 fn fresh_address(kind: Kind, index: usize) -> SocketAddrV4 {
-    let first = if kind == Kind::Feed { FEEDS } else { SALES };
     let [_, a, b, c] = ((index / PORTS) as u32 + 1).to_be_bytes();
-    SocketAddrV4::new(Ipv4Addr::new(first, a, b, c), (index % PORTS) as u16 + 2_000)
+    SocketAddrV4::new(Ipv4Addr::new(kind.octet(), a, b, c), (index % PORTS) as u16 + 2_000)
 }
 
 impl Caller {
@@ -264,7 +275,7 @@
         if segment.payload_len > 0 {
             match self.kind {
                 Kind::Sale => self.close(out),
-                Kind::Feed => self.send_ack(out),
+                Kind::Feed | Kind::Burst | Kind::Steady => self.send_ack(out),
             }
         }
     }
--- a/lab/src/measure/traffic/host.rs
+++ b/lab/src/measure/traffic/host.rs
@@ -14,7 +14,7 @@
 use rand::rngs::SmallRng;
 
 use super::{
-    ACK, Effects, FIN_ACK, Numbers, RETRANSMITS, SYN_ACK, Timer, packet, retransmit_after,
+    ACK, Effects, FIN_ACK, Kind, Numbers, RETRANSMITS, SYN_ACK, Timer, packet, retransmit_after,
     uses_slot,
 };
 
@@ -117,6 +117,12 @@
         self.connections.len()
     }
 
+    /// Returns the open connections of one kind of callers.
+    pub fn open_of(&self, kind: Kind) -> usize {
+        let octet = kind.octet();
+        self.connections.keys().filter(|caller| caller.ip().octets()[0] == octet).count()
+    }
+
     /// Returns the work in slots and before them.
     pub fn work(&self) -> usize {
         self.busy as usize + self.waiting.len()
--- a/lab/src/measure/world.rs
+++ b/lab/src/measure/world.rs
@@ -22,6 +22,7 @@
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp1};
 
+use super::burst::Burst;
 use super::figures::Figures;
 use super::node::Central;
 use super::operators::Changes;
@@ -147,6 +148,8 @@
     pub lists_change: bool,
     /// What operators have changed, and where it is in force.
     pub changes: Changes,
+    /// What is counted about a burst.
+    pub burst: Burst,
     /// Until when a fault still takes steps.
     pub busy_until: Duration,
     /// When the balance counts.
@@ -192,6 +195,7 @@
             planned: false,
             lists_change: false,
             changes: Changes::default(),
+            burst: Burst::default(),
             busy_until: Duration::ZERO,
             balance_from: WARM,
             central: Rc::new(RefCell::new(Central::new(services.clone()))),
@@ -221,6 +225,7 @@
             let running = self.running();
             self.changes.finish(self.now, &running, &mut self.figures);
         }
+        self.burst.finish(&mut self.figures);
         self.figures
     }
 
@@ -310,13 +315,11 @@
             return;
         }
         let index = self.load_rng.random_range(0..self.callers.list.len().max(1));
-        if let Some(caller) = self.callers.list.get_mut(index)
+        if let Some(caller) = self.callers.list.get(index)
             && caller.kind == Kind::Feed
             && caller.open()
         {
-            let mut out = Effects::default();
-            caller.close(&mut out);
-            self.caller_sends(out);
+            self.close(index);
             self.open(Kind::Feed);
         }
         self.schedule(Duration::from_secs_f64(1.0 / rate), What::Churn);
@@ -328,12 +331,37 @@
         let service = self.hosts[host].service;
         let services = Rc::clone(&self.services);
         let service = services.list().iter().find(|s| s.id == service);
-        let Some(service) = service else { return };
+        if let Some(service) = service {
+            self.open_at(kind, service.address);
+        }
+    }
+
+    /// Opens a flow to a service and returns the caller's index.
+    pub fn open_at(&mut self, kind: Kind, service: SocketAddrV4) -> usize {
         let mut out = Effects::default();
         let (now, reuse) = (self.now, self.reuse_ports);
-        self.callers.open(now, kind, service.address, reuse, &mut self.load_rng, &mut out);
+        let index = self.callers.open(now, kind, service, reuse, &mut self.load_rng, &mut out);
         self.figures.flows += 1;
         self.caller_sends(out);
+        index
+    }
+
+    /// Closes a flow if it is open.
+    pub fn close(&mut self, index: usize) {
+        let mut out = Effects::default();
+        self.callers.list[index].close(&mut out);
+        self.caller_sends(out);
+    }
+
+    /// Returns the address of the first service.
+    pub fn first_service(&self) -> Option<SocketAddrV4> {
+        self.services.list().first().map(|service| service.address)
+    }
+
+    /// Returns the names of all services, joined by spaces.
+    pub fn service_names(&self) -> String {
+        let names: Vec<_> = self.services.list().iter().map(|s| s.name.as_str()).collect();
+        names.join(" ")
     }
 
     /// Sprays a caller's packets over the instances.
@@ -405,7 +433,12 @@
     fn reach_caller(&mut self, segment: &Segment) {
         if let Some(index) = self.callers.at(segment.destination) {
             let mut out = Effects::default();
-            self.callers.list[index].receive(self.now, segment, &mut out);
+            let caller = &mut self.callers.list[index];
+            let before = caller.open();
+            caller.receive(self.now, segment, &mut out);
+            if caller.open() && !before {
+                self.burst.note(self.now, caller.kind, None);
+            }
             self.caller_sends(out);
             self.note_end(index);
         }
@@ -444,6 +477,7 @@
         let caller = &mut self.callers.list[index];
         let Some(end) = caller.end.take() else { return };
         let (flow, host) = ((caller.address, caller.opening), caller.host);
+        self.burst.note(self.now, caller.kind, Some(end));
         if caller.kind == Kind::Sale && !std::mem::replace(&mut caller.finished, true) {
             host.iter().for_each(|&host| self.central.borrow_mut().done(self.hosts[host].id));
         }
--- a/lab/src/measure/world/targets.rs
+++ b/lab/src/measure/world/targets.rs
@@ -13,7 +13,7 @@
 use crate::measure::figures::add_ratio;
 use crate::measure::node::takes_new;
 use crate::measure::settings::Policy;
-use crate::measure::traffic::{Effects, Host, Report};
+use crate::measure::traffic::{Effects, Host, Kind, Report};
 
 /// Time after a leaving is known from which its target gets no new work.
 const LATE: Duration = Duration::from_secs(3);
@@ -148,6 +148,10 @@
             add_ratio(&mut self.figures.imbalance, open);
             add_ratio(&mut self.figures.slot_imbalance, work);
         }
+        if self.burst.began() {
+            let bursting = self.hosts.iter().map(|host| host.open_of(Kind::Burst)).sum();
+            self.burst.note_open(bursting);
+        }
         if self.now >= WARM && self.now.subsec_millis() == 0 {
             let nodes = self.members.iter().filter_map(|member| member.node.as_ref());
             let largest = nodes.map(|node| node.state_bytes()).max().unwrap_or(0);
--- a/lab/src/report/cases.rs
+++ b/lab/src/report/cases.rs
@@ -107,8 +107,8 @@
     let twice = PLANNED.iter().map(|fault| format!("{fault}+{fault}"));
     let beside = PLANNED.iter().flat_map(|a| BESIDE.map(|b| format!("{a}+{b}")));
     let lists = BESIDE_LISTS.map(|b| format!("list-change+{b}"));
-    let operators = ["two-operators+lapsed-lease".to_owned()];
-    twice.chain(beside).chain(lists).chain(operators).collect()
+    let others = ["two-operators+lapsed-lease", "burst+instance-killed", "burst+domain-cut"];
+    twice.chain(beside).chain(lists).chain(others.map(str::to_owned)).collect()
 }
 
 /// Runs all cases, some at once, and returns them in their order.
--- a/lab/src/report/page.rs
+++ b/lab/src/report/page.rs
@@ -27,7 +27,7 @@
 ";
 
 /// Columns of the tables.
-const COLUMNS: [&str; 14] = [
+const COLUMNS: [&str; 15] = [
     "policy",
     "broken planned",
     "broken unplanned",
@@ -42,6 +42,7 @@
     "control B/s",
     "state KB",
     "change in force ms / reverts / lost",
+    "overshoot / wrong refusals",
 ];
 
 /// Writes the page.
@@ -101,7 +102,9 @@
     write!(page, "| {twice} / {ran} / {wrong} | {} | {delay} ", f.late_new_work)?;
     write!(page, "| {:.3} | {:.2} ", ratio(&f.imbalance), ratio(&f.slot_imbalance))?;
     write!(page, "| {:.1} | {:.2} ", ratio(&f.slot_wait), f.extra_hops())?;
-    writeln!(page, "| {} | {} | {lists} |", f.control_bytes(), f.state_bytes / 1_024)
+    let shares = f.overshoot.zip(f.wrong_refusals);
+    let shares = shares.map_or("-".to_owned(), |(over, wrong)| format!("{over:.3} / {wrong:.4}"));
+    writeln!(page, "| {} | {} | {lists} | {shares} |", f.control_bytes(), f.state_bytes / 1_024)
 }
 
 fn write_decisions(page: &mut String, alone: &[Row]) -> std::fmt::Result {
--- a/lab/src/report/verdicts.rs
+++ b/lab/src/report/verdicts.rs
@@ -49,6 +49,8 @@
         state(rows),
         in_force(rows),
         versions(rows),
+        overshoot(rows),
+        wrong_refusals(rows),
     ]);
     all
 }
@@ -186,3 +188,13 @@
     let rows = of(rows, Policy::Epochs);
     each("no change reverts or is lost", rows, |f| over(f.reverts + f.lost_changes, 0))
 }
+
+fn overshoot(rows: &[Row]) -> Verdict {
+    let rows = of(rows, Policy::Epochs).filter(|row| row.case.fault == "burst");
+    each("overshoot of an allowance <= 5% in steady state", rows, |f| over(f.overshoot?, 0.05))
+}
+
+fn wrong_refusals(rows: &[Row]) -> Verdict {
+    let rows = of(rows, Policy::Epochs).filter(|row| row.figures.wrong_refusals.is_some());
+    each("wrong refusals <= 1% below 90% of the allowance", rows, |f| over(f.wrong_refusals?, 0.01))
+}
--- a/lab/tests/measure_epochs.rs
+++ b/lab/tests/measure_epochs.rs
@@ -47,3 +47,12 @@
         assert_eq!((figures.reverts, figures.lost_changes), (0, 0));
     }
 }
+
+#[test]
+fn burst_is_held() {
+    let figures = measure("epochs", "burst", 1);
+    assert!(figures.overshoot.is_some_and(|overshoot| overshoot <= 0.05));
+    assert!(figures.wrong_refusals.is_some_and(|wrong| wrong <= 0.01));
+    let naive = measure("naive", "burst", 1);
+    assert!(naive.overshoot.is_some_and(|overshoot| overshoot > 0.05));
+}
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -4,6 +4,7 @@
 
 pub use message::Message;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -35,7 +36,8 @@
     me: MemberInfo,
     started: Duration,
     next_heartbeat: Duration,
-    peers: HashMap<InstanceId, Peer>,
+    /// In the order of their numbers, so that equal runs ask peers in equal order.
+    peers: BTreeMap<InstanceId, Peer>,
     seeds: Vec<SocketAddr>,
     changed: bool,
 }
@@ -47,7 +49,7 @@
             me,
             started: now,
             next_heartbeat: now,
-            peers: HashMap::default(),
+            peers: BTreeMap::default(),
             seeds,
             changed: true,
         }
