--- a/lab/src/measure/faults.rs
+++ b/lab/src/measure/faults.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use limpetdeck::placement::TargetState;
+use limpetdeck::targets::Report;
 use rand::Rng;
 
 use super::node::takes_new;
 use super::platform::Mode;
 use super::settings::Settings;
 use super::world::{Cut, WARM, World};
+use super::{burst, operators};
 
 /// Length of a run that is not given one.
 const LENGTH: Duration = Duration::from_secs(40);
@@ -19,10 +21,18 @@
 const GAP: Duration = Duration::from_secs(4);
 /// Time for which passing faults last.
 const LASTS: Duration = Duration::from_secs(10);
-/// Time between two steps of a rolling restart.
+/// Time from the start of one instance to the stop of the next.
 const RESTART_GAP: Duration = Duration::from_secs(2);
-/// Time that a graceful stop takes at most, with the start after it.
-const RESTART: Duration = Duration::from_secs(6);
+/// Time between two looks whether an instance has stopped.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+/// Changes of a list, one a second.
+const CHANGES: u32 = 16;
+/// Times that two operators collide.
+const COLLISIONS: u32 = 5;
+/// Time that an operator sleeps between read and write.
+const OVERSLEEP: Duration = Duration::from_secs(6);
+/// Faults that change lists.
+const LIST_FAULTS: [&str; 3] = ["list-change", "two-operators", "lapsed-lease"];
 /// Time after a fault from which the balance counts.
 const SETTLE: Duration = Duration::from_secs(10);
 
@@ -44,12 +54,18 @@
     fault("instance-paused", "an instance stops for 10 s and gets what waited", instance_paused),
     planned("instance-leaves", "an instance stops gracefully", instance_leaves),
     planned("instance-joins", "an instance starts", instance_joins),
-    planned("rolling-restart", "all instances are restarted, 2 s apart", rolling_restart),
-    planned("target-leaves", "a target drains", target_leaves),
+    planned(
+        "rolling-restart",
+        "instances are restarted, the next 2 s after the last",
+        rolling_restart,
+    ),
+    planned("target-leaves", "a target drains, and says so when it is probed", target_leaves),
     fault("target-killed", "a target ends without notice", target_killed),
-    planned("target-returns", "a target drains and serves again 10 s later", target_returns),
+    planned("target-returns", "operators drain a target and return it 10 s later", target_returns),
     planned("target-cold", "a target that was away from the start comes cold", target_cold),
     fault("target-sheds", "a target refuses new work for 10 s", target_sheds),
+    fault("load-report-frozen", "a target reports the load of that time for ever", load_frozen),
+    fault("load-report-false", "a target reports that it has no load", load_false),
     fault("platform-down", "the platform closes all calls for 10 s", platform_down),
     fault("platform-slow", "the platform answers after 2 s for 10 s", platform_slow),
     fault("answer-lost", "writes take effect unanswered for 10 s", answer_lost),
@@ -58,6 +74,10 @@
     fault("domain-and-platform-cut", "the same, from the platform too", domain_and_platform_cut),
     fault("uneven-updates", "news reaches instances up to 4 s apart", uneven_updates),
     fault("port-reused", "callers use the ports of ended flows", port_reused),
+    fault("list-change", "a list is changed each second for 16 s", list_change),
+    fault("burst", "a customer opens 3 times what its plan allows for 16 s", burst::begin),
+    fault("two-operators", "two operators change a list at once, 5 times", two_operators),
+    fault("lapsed-lease", "an operator sleeps for 6 s between read and write", lapsed_lease),
 ];
 
 const fn fault(name: &'static str, about: &'static str, begin: fn(&mut World)) -> Fault {
@@ -80,15 +100,17 @@
 /// Returns how long a run has to be for its faults.
 pub fn length(settings: &Settings) -> Duration {
     let last = GAP * settings.faults.0.len() as u32;
-    let rolling = settings.faults.0.iter().any(|fault| fault.name == "rolling-restart");
-    let restarts = if rolling { RESTART_GAP * settings.instances } else { Duration::ZERO };
-    (FIRST + last + restarts + SETTLE * 2).max(LENGTH)
+    (FIRST + last + SETTLE * 2).max(LENGTH)
 }
 
 /// Schedules all faults of a run.
 pub fn schedule(world: &mut World) {
     let faults = world.settings.faults.0.clone();
     world.planned = faults.iter().any(|fault| fault.planned);
+    if faults.iter().any(|fault| fault.name == "burst") {
+        burst::write_lists(world);
+    }
+    world.lists_change = faults.iter().any(|fault| LIST_FAULTS.contains(&fault.name));
     let conditions =
         |fault: &&Fault| matches!(fault.name, "uneven-updates" | "port-reused" | "target-cold");
     // What holds from the start has to meet the first change.
@@ -148,14 +170,25 @@
 }
 
 fn rolling_restart(world: &mut World) {
-    for (i, index) in world.running().into_iter().enumerate() {
-        let at = RESTART_GAP * i as u32;
-        world.later(at, move |world| world.stop_member(index));
-        world.later(at + RESTART, move |world| {
-            world.kill_member(index);
-            world.start_member(index);
-        });
+    let running = world.running();
+    restart_next(world, running);
+}
+
+fn restart_next(world: &mut World, mut rest: Vec<usize>) {
+    world.busy_until = world.now + SETTLE * 2;
+    world.balance_from = world.now + SETTLE;
+    let Some(index) = rest.pop() else { return };
+    world.stop_member(index);
+    world.later(LOOK_EVERY, move |world| start_stopped(world, index, rest));
+}
+
+fn start_stopped(world: &mut World, index: usize, rest: Vec<usize>) {
+    world.busy_until = world.now + SETTLE * 2;
+    if world.members[index].node.is_some() {
+        return world.later(LOOK_EVERY, move |world| start_stopped(world, index, rest));
     }
+    world.start_member(index);
+    world.later(RESTART_GAP, move |world| restart_next(world, rest));
 }
 
 fn target_leaves(world: &mut World) {
@@ -172,8 +205,8 @@
 
 fn target_returns(world: &mut World) {
     if let Some(index) = any_host(world) {
-        world.set_host(index, TargetState::Draining);
-        world.later(LASTS, move |world| world.set_host(index, TargetState::Serving));
+        world.operate_host(index, TargetState::Draining);
+        world.later(LASTS, move |world| world.operate_host(index, TargetState::Serving));
     }
 }
 
@@ -190,8 +223,24 @@
     }
 }
 
+fn load_frozen(world: &mut World) {
+    if let Some(index) = any_host(world) {
+        world.hosts[index].claims = world.hosts[index].report();
+    }
+}
+
+fn load_false(world: &mut World) {
+    if let Some(index) = any_host(world) {
+        world.hosts[index].claims = Some(Report::default());
+    }
+}
+
 fn platform_mode(world: &mut World, mode: Mode) {
     let now = world.now;
+    if world.lists_change {
+        // The hardest change is the last one before the platform fails.
+        operators::change(world, 0);
+    }
     let answers = world.platform.set_mode(now, mode);
     world.deliver(answers);
     world.later(LASTS, |world| {
@@ -221,7 +270,7 @@
 fn cut(world: &mut World, platform: bool) {
     let domain = any(world, &[0, 1, 2]).map(|i| world.hosts[i].failure_domain.clone());
     world.cut = domain.map(|domain| Cut { domain, platform });
-    world.later(LASTS, |world| world.cut = None);
+    world.later(LASTS, World::heal);
 }
 
 fn domain_cut(world: &mut World) {
@@ -239,3 +288,22 @@
 fn port_reused(world: &mut World) {
     world.reuse_ports = true;
 }
+
+fn list_change(world: &mut World) {
+    for i in 0..CHANGES {
+        world.later(Duration::from_secs(1) * i, |world| operators::change(world, 0));
+    }
+}
+
+fn two_operators(world: &mut World) {
+    for i in 0..COLLISIONS {
+        world.later(Duration::from_secs(2) * i, operators::collide);
+    }
+}
+
+fn lapsed_lease(world: &mut World) {
+    operators::oversleep(world, OVERSLEEP);
+    for i in 1..4 {
+        world.later(Duration::from_secs(1) * i, |world| operators::change(world, 0));
+    }
+}
--- a/lab/src/measure/world/members.rs
+++ b/lab/src/measure/world/members.rs
@@ -4,9 +4,11 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
+use limpetdeck::ids::TargetId;
 use limpetdeck::instance::{Action, Event};
+use limpetdeck::placement::TargetState;
 use limpetdeck::platform::{Call, PlatformError, Reply};
-use limpetdeck::targets::StateChange;
+use limpetdeck::targets::{ProbeError, ProbeResult, StateChange};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -21,6 +23,8 @@
 const DATAGRAM_OVERHEAD: usize = 28;
 /// Longest time between news at one instance and at another.
 const UNEVEN: Duration = Duration::from_secs(4);
+/// Time after which a probe has failed.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Longest time in which the fabric notices a live or dead instance.
 const FABRIC_LAG: Duration = Duration::from_millis(1_000);
 /// Shortest time in which it does.
@@ -80,7 +84,7 @@
         self.schedule(after, What::Tick(index, start));
         let states: Vec<_> = self.told.values().copied().collect();
         for change in states {
-            self.schedule(after, What::Probed(index, change));
+            self.schedule(after, What::Told(index, change));
         }
     }
 
@@ -98,12 +102,23 @@
     /// Lets a paused instance run again, with all that has waited for it.
     pub fn resume_member(&mut self, index: usize) {
         self.members[index].paused = false;
+        self.changes.reachable(self.now, index);
         let backlog = std::mem::take(&mut self.members[index].backlog);
         for event in backlog {
             self.give(index, event);
         }
     }
 
+    /// Ends a cut.
+    pub fn heal(&mut self) {
+        let Some(cut) = self.cut.take() else { return };
+        for (index, member) in self.members.iter().enumerate() {
+            if member.domain == cut.domain {
+                self.changes.reachable(self.now, index);
+            }
+        }
+    }
+
     /// Returns the instances that run.
     pub fn running(&self) -> Vec<usize> {
         let runs = |&index: &usize| self.members[index].node.is_some();
@@ -134,16 +149,41 @@
         result: Result<Reply, PlatformError>,
     ) {
         if self.members[index].start == start {
+            self.note_drained(&result);
             self.give(index, Event::Platform(call, result));
         }
     }
 
-    pub(super) fn probed(&mut self, index: usize, change: StateChange) {
-        let mut out = Vec::new();
+    pub(super) fn tell(&mut self, index: usize, change: StateChange) {
         if let Some(node) = &mut self.members[index].node {
-            node.probed(self.now, change, &mut out);
+            node.told(change);
         }
-        self.act(index, out);
+    }
+
+    pub(super) fn probed(&mut self, index: usize, start: u64, host: usize, result: ProbeResult) {
+        if self.members[index].start != start || self.members[index].node.is_none() {
+            return;
+        }
+        if result.as_ref().is_ok_and(|report| report.state == TargetState::Draining) {
+            self.note_leaving(host);
+        }
+        self.give(index, Event::Probed(self.hosts[host].id, result));
+    }
+
+    /// Reads a target's report; one that is dead or cut off lets the probe run out of time.
+    fn probe(&mut self, index: usize, target: TargetId) {
+        let Some(host) = self.hosts.iter().position(|host| host.id == target) else { return };
+        let domain = self.members[index].domain.clone();
+        let far = self.hosts[host].failure_domain.clone();
+        let report = self.hosts[host].report().filter(|_| self.joined(&domain, &far));
+        let after = match report {
+            Some(_) => self.between(&domain, &far) * 4,
+            None => PROBE_TIMEOUT,
+        };
+        let after = after + self.lag(index);
+        let result = report.ok_or_else(|| ProbeError::NoAnswer("timeout".to_owned()));
+        let start = self.members[index].start;
+        self.schedule(after, What::Probed(index, start, host, result));
     }
 
     pub(super) fn tick(&mut self, index: usize, start: u64) {
@@ -186,12 +226,17 @@
             return;
         }
         let entered = matches!(event, Event::Packet(_));
+        let start = member.start;
         let mut out = Vec::new();
         let began = Instant::now();
         node.handle(now, event, &mut out);
         if entered && now >= WARM && matches!(out[..], [Action::Fabric(_)]) {
             self.figures.decide.add(began.elapsed().as_nanos() as u64);
         }
+        if self.lists_change && !entered {
+            let marks = node.marks();
+            self.changes.note(now, (index, start), marks, &mut self.figures);
+        }
         self.act(index, out);
     }
 
@@ -208,8 +253,7 @@
                     self.send_peer(index, to, buf);
                 }
                 Action::Platform(call) => self.call(index, call),
-                // Targets here have no report address, so none is probed.
-                Action::Probe(..) => {}
+                Action::Probe(target, _) => self.probe(index, target),
                 Action::Exit => self.kill_member(index),
             }
         }
