Hold the control limit for every second

Ruled out: a smaller bucket, which holds the limit only by lowering the lasting rate. Change: what was sent in the last second is counted in slots of 100 ms against the limit.

--- a/src/budget.rs
+++ b/src/budget.rs
@@ -1,9 +1,14 @@
-//! One token bucket over all control bytes that an instance sends.
+//! One limit over all control bytes that an instance sends.
+//!
+//! It holds for every second: a bucket that lets unused budget be saved up would let one
+//! second carry several times the limit after a quiet one.
 
 use std::time::Duration;
 
-/// Time for which unused budget is kept.
-const BURST: Duration = Duration::from_secs(2);
+/// Length of the time in which bytes are counted together.
+const SLOT: Duration = Duration::from_millis(100);
+/// Times that make up any second: ten whole ones and the parts at both ends.
+const SLOTS: usize = 11;
 
 /// Classes of control traffic, the most urgent first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -32,8 +37,8 @@
         }
     }
 
-    /// Part of the bucket, in percent, that is kept for more urgent classes.
-    fn reserve_percent(self) -> u64 {
+    /// Part of the limit, in percent, that is kept for more urgent classes.
+    fn reserve_percent(self) -> usize {
         match self {
             Self::Liveness => 0,
             Self::Lists => 5,
@@ -44,56 +49,58 @@
     }
 }
 
-/// A token bucket in bytes whose less urgent classes leave a reserve.
+/// A limit in bytes a second whose less urgent classes leave a reserve.
 #[derive(Debug)]
 pub struct Budget {
-    rate: u64,
-    /// Tokens in byte-nanoseconds, so that no rounding is lost between refills.
-    tokens: u128,
-    filled: Duration,
+    limit: usize,
+    /// Bytes spent in the last slots of time; the current one is `slot % SLOTS`.
+    spent: [usize; SLOTS],
+    slot: u128,
 }
 
 impl Budget {
-    /// Makes a full bucket for a rate in bytes a second.
-    pub fn new(rate: u32, now: Duration) -> Self {
-        let mut budget = Self { rate: u64::from(rate), tokens: 0, filled: now };
-        budget.tokens = budget.capacity();
-        budget
+    /// Makes a budget of which nothing is spent, in bytes a second.
+    pub fn new(limit: u32, now: Duration) -> Self {
+        Self { limit: limit as usize, spent: [0; SLOTS], slot: slot_of(now) }
     }
 
     /// Takes the bytes if the class may spend them now.
     ///
     /// Liveness is never held back: it takes what it needs, and the other classes wait
-    /// until the bucket has recovered.
+    /// until a second has passed.
     pub fn spend(&mut self, now: Duration, class: Class, bytes: usize) -> bool {
-        self.refill(now);
-        let cost = bytes as u128 * NANOS;
-        let reserve = self.capacity() * u128::from(class.reserve_percent()) / 100;
-        if class != Class::Liveness && self.tokens < cost + reserve {
+        if class != Class::Liveness && bytes > self.available(now, class) {
             return false;
         }
-        self.tokens = self.tokens.saturating_sub(cost);
+        self.advance(now);
+        self.spent[index(self.slot)] += bytes;
         true
     }
 
     /// Returns the bytes that a class may spend now.
     pub fn available(&mut self, now: Duration, class: Class) -> usize {
-        self.refill(now);
-        let reserve = self.capacity() * u128::from(class.reserve_percent()) / 100;
-        usize::try_from(self.tokens.saturating_sub(reserve) / NANOS).unwrap_or(usize::MAX)
+        self.advance(now);
+        let open = self.limit * (100 - class.reserve_percent()) / 100;
+        open.saturating_sub(self.spent.iter().sum())
     }
 
-    fn capacity(&self) -> u128 {
-        u128::from(self.rate) * BURST.as_nanos()
+    fn advance(&mut self, now: Duration) {
+        let slot = slot_of(now);
+        if slot >= self.slot + SLOTS as u128 {
+            self.spent = [0; SLOTS];
+            self.slot = slot;
+        }
+        while self.slot < slot {
+            self.slot += 1;
+            self.spent[index(self.slot)] = 0;
+        }
     }
+}
 
-    fn refill(&mut self, now: Duration) {
-        let elapsed = now.saturating_sub(self.filled);
-        self.filled = self.filled.max(now);
-        let gained = u128::from(self.rate) * elapsed.as_nanos();
-        self.tokens = (self.tokens + gained).min(self.capacity());
-    }
+fn slot_of(now: Duration) -> u128 {
+    now.as_millis() / SLOT.as_millis()
 }
 
-/// Nanoseconds in a second.
-const NANOS: u128 = 1_000_000_000;
+fn index(slot: u128) -> usize {
+    (slot % SLOTS as u128) as usize
+}
