--- a/lab/src/measure.rs
+++ b/lab/src/measure.rs
@@ -1,8 +1,10 @@
 //! The measuring driver: the decision parts under load and faults, in virtual time.
 
+mod burst;
 mod faults;
 mod figures;
 mod node;
+mod operators;
 mod platform;
 mod settings;
 mod traffic;
--- a/lab/src/measure/figures.rs
+++ b/lab/src/measure/figures.rs
@@ -72,12 +72,18 @@
     pub control: HashMap<(u32, u64), u64>,
     /// Bytes of state of each instance, the largest seen.
     pub state_bytes: usize,
+    /// Open flows, the most that were seen at once.
+    pub open_flows: usize,
     /// Wall time of decisions about known flows, in nanoseconds.
     pub decide: Values,
     /// Times until a change was in force on an instance, in microseconds.
     pub list_change: Option<Values>,
     /// Times that an instance went back to an older version.
     pub reverts: u64,
+    /// How far a customer came over its allowance, as a part of it.
+    pub overshoot: Option<f64>,
+    /// Part of the flows of customers within their allowances that were refused.
+    pub wrong_refusals: Option<f64>,
     /// Accepted changes that some instance lacks in the end.
     pub lost_changes: u64,
 }
@@ -135,6 +141,9 @@
             write!(f, " list_change_ms_p99={:.3}", millis(list_change))?;
             write!(f, " reverts={} lost_changes={}", self.reverts, self.lost_changes)?;
         }
+        if let (Some(overshoot), Some(wrong)) = (self.overshoot, self.wrong_refusals) {
+            write!(f, " overshoot={overshoot:.4} wrong_refusals={wrong:.4}")?;
+        }
         Ok(())
     }
 }
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -216,7 +216,7 @@
             }
             Body::Admission(message) => {
                 let Pipeline { placement, admission, .. } = &mut self.pipeline;
-                self.take_overs.on_message(now, message, placement, admission.as_mut());
+                self.take_overs.on_message(now, from, message, placement, admission.as_mut());
             }
         }
         self.join_parts(now);
@@ -238,7 +238,8 @@
         self.join_parts(now);
         let Pipeline { placement, admission, .. } = &mut self.pipeline;
         admission.tick(now, placement.flows());
-        self.take_overs.send(placement, &mut self.link.outbox(now, out));
+        let mut outbox = self.link.outbox(now, out);
+        self.take_overs.send(placement, admission.as_mut(), &mut outbox);
         self.call_platform(now, out);
         gauge!("limpetdeck_replicas_waiting")
             .set(self.pipeline.placement.replicas_waiting() as f64);
@@ -255,7 +256,7 @@
     /// A leaving instance goes when nothing reaches it any more and its records are handed
     /// over, or when the longest time for that is up.
     fn may_exit(&self, now: Duration, since: Duration) -> bool {
-        let handed_over = self.pipeline.placement.handed_over();
+        let handed_over = self.pipeline.placement.handed_over() && self.take_overs.all_sent();
         now >= since + LONGEST_LINGER || (now >= since + LINGER && handed_over)
     }
 
@@ -294,7 +295,6 @@
             let domains =
                 self.membership.infos().map(|info| (info.id, info.failure_domain.clone()));
             self.targets.set_members(domains);
-            self.pipeline.admission.set_live(now, live.len());
             self.pipeline.placement.set_members(now, owners, live);
         }
         if let Some((version, services)) = self.lists.take_services() {
