Charge probes to the control budget

Cause: one budget holds for all control bytes, and probes went past it.

Change: each probe is charged with 400 bytes in class liveness, which is never held back.

--- a/src/link.rs
+++ b/src/link.rs
@@ -90,6 +90,13 @@
         true
     }
 
+    /// Charges the budget for control traffic that goes another way and cannot wait.
+    pub fn charge(&mut self, bytes: usize) {
+        let class = Class::Liveness;
+        self.link.budget.spend(self.now, class, bytes);
+        counter!("limpetdeck_control_bytes_total", "class" => class.name()).increment(bytes as u64);
+    }
+
     /// Returns the bytes that a class may spend now, without what a datagram adds.
     pub fn available(&mut self, class: Class) -> usize {
         self.link.budget.available(self.now, class).saturating_sub(DATAGRAM_OVERHEAD)
--- a/src/targets/probing.rs
+++ b/src/targets/probing.rs
@@ -25,6 +25,8 @@
 const PROBE_EVERY: Duration = Duration::from_secs(1);
 /// Least time between two probes of one instance, while all go well.
 const PROBE_PAUSE: Duration = Duration::from_millis(700);
+/// Bytes that an instance sends for one probe: a TCP connection and a short request.
+const PROBE_BYTES: usize = 400;
 /// Time between two questions to the other probers while a target does not answer.
 const ASK_EVERY: Duration = Duration::from_millis(500);
 /// The same once the target has failed for long.
@@ -85,6 +87,7 @@
         self.check_paths(now, registers);
         for (&target, watch) in &mut self.watches {
             if watch.start(now, self.every) {
+                out.charge(PROBE_BYTES);
                 out.act(Action::Probe(target, watch.report.clone()));
             }
         }
