--- a/src/admission/rule_admission.rs
+++ b/src/admission/rule_admission.rs
@@ -7,7 +7,6 @@
 use rand::rngs::SmallRng;
 
 use super::account::Account;
-use super::caution::Caution;
 use super::ends::EndsElsewhere;
 use super::ledger::{End, Ledger};
 use super::retry::spread;
@@ -15,7 +14,7 @@
 use crate::flow::Classified;
 use crate::ids::{Customer, FlowId, ServiceId};
 use crate::lists::{Allowance, Rules};
-use crate::pipeline::{Admission, OpenFlow, Refusal};
+use crate::pipeline::{Admission, OpenFlow, Question, Refusal};
 use crate::placement::{FlowTable, RefuseReason};
 use crate::services::Service;
 
@@ -30,10 +29,10 @@
 pub struct RuleAdmission {
     rules: Option<Arc<Rules>>,
     ledger: Ledger,
-    caution: Caution,
     /// Flows that ended lately, which a report that was under way must not count again.
     ended: Tombstones,
     ends: EndsElsewhere,
+    questions: Vec<Question>,
     rng: SmallRng,
 }
 
@@ -43,9 +42,9 @@
         Self {
             rules: None,
             ledger: Ledger::default(),
-            caution: Caution::default(),
             ended: Tombstones::default(),
             ends: EndsElsewhere::default(),
+            questions: Vec::new(),
             rng,
         }
     }
@@ -78,10 +77,9 @@
         let Some((customer, allowance)) = rule(&rules, *class.caller.ip(), service.id) else {
             return Err(self.refuse_plan());
         };
-        let share = self.caution.share(now);
         let (id, account) =
             self.ledger.account_mut(now, service.id, customer, service.idle_timeout);
-        account.admit(now, allowance, share, &mut self.rng)?;
+        account.admit(now, allowance, &mut self.rng)?;
         self.ledger.opened(now, class.flow, id);
         self.ended.remove(class.flow);
         Ok(())
@@ -107,15 +105,6 @@
         self.rules = Some(rules);
     }
 
-    fn set_live(&mut self, now: Duration, live: usize) {
-        if self.caution.set_live(now, live) {
-            log::warn!(live = live, share = self.caution.share(now); "allowances_shared");
-            for account in self.ledger.accounts_mut() {
-                account.begin_caution();
-            }
-        }
-    }
-
     fn seed(
         &mut self,
         now: Duration,
@@ -124,7 +113,7 @@
     ) {
         let Some(rules) = self.rules.clone() else { return };
         for OpenFlow { flow, caller } in flows {
-            if self.ended.contains(flow) {
+            if self.ledger.confirm(now, flow) || self.ended.contains(flow) {
                 continue;
             }
             let Some(customer) = rules.customer_of(caller) else { continue };
@@ -139,8 +128,12 @@
         self.ends.keep_services(placed);
     }
 
+    fn take_questions(&mut self) -> Vec<Question> {
+        std::mem::take(&mut self.questions)
+    }
+
     fn tick(&mut self, now: Duration, known: &FlowTable) {
-        self.ledger.sweep(now, known);
+        self.ledger.sweep(now, known, &mut self.questions);
         self.ended.age(now);
     }
 }
