--- a/src/targets/watch.rs
+++ b/src/targets/watch.rs
@@ -123,10 +123,9 @@
         self.next = now + pause;
     }
 
-    /// Goes on with the probes of a target whose probers have changed.
-    pub(super) fn assign(&mut self, probers: Vec<InstanceId>) {
-        self.probers = probers;
-        self.until = None;
+    /// Returns the watch for other probers of the target, this instance among them.
+    pub(super) fn assigned(self, probers: Vec<InstanceId>) -> Self {
+        Self { probers, until: None, ..self }
     }
 
     /// Probes as soon as possible, unless the last result is fresh.
@@ -176,6 +175,11 @@
         }
     }
 
+    /// Returns when the target last answered, if it answers.
+    pub(super) fn answered_at(&self) -> Option<Duration> {
+        self.ended.filter(|_| self.failures == 0)
+    }
+
     /// Tells whether the last probe ended after another target began to fail.
     pub(super) fn ended_since(&self, other: &Self) -> bool {
         self.ended.is_some_and(|ended| ended >= other.failing_since)
