--- a/lab/src/measure/world.rs
+++ b/lab/src/measure/world.rs
@@ -17,13 +17,15 @@
 use limpetdeck::packet::{Segment, decode};
 use limpetdeck::platform::{Call, PlatformError, Reply};
 use limpetdeck::services::Services;
-use limpetdeck::targets::StateChange;
+use limpetdeck::targets::{ProbeResult, StateChange};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp1};
 
+use super::burst::Burst;
 use super::figures::Figures;
 use super::node::Central;
+use super::operators::Changes;
 use super::platform::{Answer, FakePlatform};
 use super::settings::Settings;
 use super::traffic::{Callers, Effects, End, Host, Kind, Timer};
@@ -57,8 +59,10 @@
     Peer(usize, Vec<u8>),
     /// The platform's answer arrives at the given start of an instance.
     Answer(usize, u64, Call, Result<Reply, PlatformError>),
-    /// A target's state is found by an instance.
-    Probed(usize, StateChange),
+    /// A target's state is told to an instance that does not probe.
+    Told(usize, StateChange),
+    /// The probe of a target ends, at the given start of an instance.
+    Probed(usize, u64, usize, ProbeResult),
     /// Time passes for the given start of an instance.
     Tick(usize, u64),
     /// A packet reaches a caller.
@@ -140,6 +144,14 @@
     pub reuse_ports: bool,
     /// Whether a planned change is part of the run.
     pub planned: bool,
+    /// Whether operators change lists.
+    pub lists_change: bool,
+    /// What operators have changed, and where it is in force.
+    pub changes: Changes,
+    /// What is counted about a burst.
+    pub burst: Burst,
+    /// Until when a fault still takes steps.
+    pub busy_until: Duration,
     /// When the balance counts.
     pub balance_from: Duration,
     services: Rc<Services>,
@@ -181,6 +193,10 @@
             uneven: false,
             reuse_ports: false,
             planned: false,
+            lists_change: false,
+            changes: Changes::default(),
+            burst: Burst::default(),
+            busy_until: Duration::ZERO,
             balance_from: WARM,
             central: Rc::new(RefCell::new(Central::new(services.clone()))),
             services: Rc::new(services),
@@ -199,12 +215,17 @@
     /// Runs until the end and returns what was counted.
     pub fn run(mut self) -> Figures {
         while let Some(Reverse(next)) = self.queue.pop() {
-            if next.at > self.settings.length {
+            if next.at > self.settings.length.max(self.busy_until) {
                 break;
             }
             self.now = next.at;
             self.happen(next.what);
         }
+        if self.lists_change {
+            let running = self.running();
+            self.changes.finish(self.now, &running, &mut self.figures);
+        }
+        self.burst.finish(&mut self.figures);
         self.figures
     }
 
@@ -222,7 +243,11 @@
     }
 
     fn begin(&mut self) -> Result<(), Usage> {
-        let raw = self.settings.deployment.raw_services()?;
+        let mut raw = self.settings.deployment.raw_services()?;
+        for target in raw.services.iter_mut().flat_map(|service| &mut service.targets) {
+            // No request is made, so only the form of the address matters.
+            target.report = Some(format!("{}/report", target.address));
+        }
         let value = serde_json::to_value(raw).map_err(Usage::new)?;
         // The store is empty, so the write cannot conflict.
         let _ = self.platform.store.put(limpetdeck::services::OBJECT_NAME, None, value);
@@ -250,7 +275,8 @@
             What::Packet(member, packet) => self.packet(member, packet),
             What::Peer(member, buf) => self.peer(member, buf),
             What::Answer(member, start, call, result) => self.answer(member, start, call, result),
-            What::Probed(member, change) => self.probed(member, change),
+            What::Told(member, change) => self.tell(member, change),
+            What::Probed(member, start, host, result) => self.probed(member, start, host, result),
             What::Tick(member, start) => self.tick(member, start),
             What::ToCaller(segment) => self.reach_caller(&segment),
             What::ToHost(host, segment) => self.reach_host(host, &segment),
@@ -289,13 +315,11 @@
             return;
         }
         let index = self.load_rng.random_range(0..self.callers.list.len().max(1));
-        if let Some(caller) = self.callers.list.get_mut(index)
+        if let Some(caller) = self.callers.list.get(index)
             && caller.kind == Kind::Feed
             && caller.open()
         {
-            let mut out = Effects::default();
-            caller.close(&mut out);
-            self.caller_sends(out);
+            self.close(index);
             self.open(Kind::Feed);
         }
         self.schedule(Duration::from_secs_f64(1.0 / rate), What::Churn);
@@ -307,12 +331,37 @@
         let service = self.hosts[host].service;
         let services = Rc::clone(&self.services);
         let service = services.list().iter().find(|s| s.id == service);
-        let Some(service) = service else { return };
+        if let Some(service) = service {
+            self.open_at(kind, service.address);
+        }
+    }
+
+    /// Opens a flow to a service and returns the caller's index.
+    pub fn open_at(&mut self, kind: Kind, service: SocketAddrV4) -> usize {
         let mut out = Effects::default();
         let (now, reuse) = (self.now, self.reuse_ports);
-        self.callers.open(now, kind, service.address, reuse, &mut self.load_rng, &mut out);
+        let index = self.callers.open(now, kind, service, reuse, &mut self.load_rng, &mut out);
         self.figures.flows += 1;
         self.caller_sends(out);
+        index
+    }
+
+    /// Closes a flow if it is open.
+    pub fn close(&mut self, index: usize) {
+        let mut out = Effects::default();
+        self.callers.list[index].close(&mut out);
+        self.caller_sends(out);
+    }
+
+    /// Returns the address of the first service.
+    pub fn first_service(&self) -> Option<SocketAddrV4> {
+        self.services.list().first().map(|service| service.address)
+    }
+
+    /// Returns the names of all services, joined by spaces.
+    pub fn service_names(&self) -> String {
+        let names: Vec<_> = self.services.list().iter().map(|s| s.name.as_str()).collect();
+        names.join(" ")
     }
 
     /// Sprays a caller's packets over the instances.
@@ -384,7 +433,12 @@
     fn reach_caller(&mut self, segment: &Segment) {
         if let Some(index) = self.callers.at(segment.destination) {
             let mut out = Effects::default();
-            self.callers.list[index].receive(self.now, segment, &mut out);
+            let caller = &mut self.callers.list[index];
+            let before = caller.open();
+            caller.receive(self.now, segment, &mut out);
+            if caller.open() && !before {
+                self.burst.note(self.now, caller.kind, None);
+            }
             self.caller_sends(out);
             self.note_end(index);
         }
@@ -423,6 +477,7 @@
         let caller = &mut self.callers.list[index];
         let Some(end) = caller.end.take() else { return };
         let (flow, host) = ((caller.address, caller.opening), caller.host);
+        self.burst.note(self.now, caller.kind, Some(end));
         if caller.kind == Kind::Sale && !std::mem::replace(&mut caller.finished, true) {
             host.iter().for_each(|&host| self.central.borrow_mut().done(self.hosts[host].id));
         }
--- a/lab/src/measure/world/targets.rs
+++ b/lab/src/measure/world/targets.rs
@@ -5,22 +5,46 @@
 use limpetdeck::ids::ServiceId;
 use limpetdeck::packet::Segment;
 use limpetdeck::placement::TargetState;
-use limpetdeck::targets::StateChange;
+use limpetdeck::platform::{PlatformError, Reply};
+use limpetdeck::targets::{OBJECT_NAME, RawTargetState, RawTargetStates, StateChange};
 use rand::Rng;
 
 use super::{SAMPLE_EVERY, WARM, What, World};
 use crate::measure::figures::add_ratio;
 use crate::measure::node::takes_new;
-use crate::measure::traffic::{Effects, Host, Report};
+use crate::measure::settings::Policy;
+use crate::measure::traffic::{Effects, Host, Kind, Report};
 
 /// Time after a leaving is known from which its target gets no new work.
 const LATE: Duration = Duration::from_secs(3);
-/// Longest time in which an instance finds a change of a target's state.
-const PROBE_LAG: Duration = Duration::from_millis(1_000);
+/// Longest time in which an instance that does not probe is told of a target's state.
+const TOLD_WITHIN: Duration = Duration::from_millis(1_000);
 
 impl World {
-    /// Changes the state of a target; instances find it at times of their own.
+    /// Changes the state of a target, which says so itself when it is probed.
     pub fn set_host(&mut self, index: usize, state: TargetState) {
+        self.hosts[index].says = state;
+        self.change_host(index, state);
+    }
+
+    /// Changes the state of a target by the operators' object; the target says nothing.
+    pub fn operate_host(&mut self, index: usize, state: TargetState) {
+        self.change_host(index, state);
+        let id = self.hosts[index].id;
+        let object = self.platform.store.get(OBJECT_NAME);
+        let raw = object.and_then(|o| serde_json::from_value(o.value.clone()).ok());
+        let mut raw: RawTargetStates = raw.unwrap_or_default();
+        raw.targets.retain(|target| target.id != id);
+        raw.targets.push(RawTargetState { id, state, version: self.states_told });
+        if let Ok(value) = serde_json::to_value(raw) {
+            // An unconditional write does not conflict.
+            let _ = self.platform.store.put(OBJECT_NAME, None, value);
+        }
+        let answers = self.platform.wake(self.now);
+        self.deliver(answers);
+    }
+
+    fn change_host(&mut self, index: usize, state: TargetState) {
         let host = &mut self.hosts[index];
         match state {
             TargetState::Dead => host.kill(),
@@ -31,19 +55,36 @@
         self.announce(index, state);
     }
 
-    /// Lets each instance find the state of a target.
+    /// Tells the state of a target to instances that do not probe.
     fn announce(&mut self, index: usize, state: TargetState) {
         self.states_told += 1;
         let change = StateChange { target: self.hosts[index].id, version: self.states_told, state };
         self.told.insert(change.target, change);
+        if self.settings.policy != Policy::Naive {
+            return;
+        }
         for member in self.running() {
-            let after = PROBE_LAG.mul_f64(self.rng.random()) + self.lag(member);
+            let after = TOLD_WITHIN.mul_f64(self.rng.random()) + self.lag(member);
+            self.schedule(after, What::Told(member, change));
             if state == TargetState::Draining {
-                let host = &mut self.hosts[index];
-                let known = host.leaving_known.get_or_insert(self.now + after);
-                *known = (*known).min(self.now + after);
+                self.later(after, move |world| world.note_leaving(index));
             }
-            self.schedule(after, What::Probed(member, change));
+        }
+    }
+
+    /// Notes that an instance has come to know of a target's leaving.
+    pub(super) fn note_leaving(&mut self, index: usize) {
+        let host = &mut self.hosts[index];
+        if host.state == TargetState::Draining {
+            host.leaving_known.get_or_insert(self.now);
+        }
+    }
+
+    /// Looks whether an answer of the platform tells that targets are leaving.
+    pub(super) fn note_drained(&mut self, result: &Result<Reply, PlatformError>) {
+        let Ok(Reply::Changes(changes)) = result else { return };
+        if changes.objects.iter().any(|object| object.name == OBJECT_NAME) {
+            (0..self.hosts.len()).for_each(|index| self.note_leaving(index));
         }
     }
 
@@ -107,10 +148,16 @@
             add_ratio(&mut self.figures.imbalance, open);
             add_ratio(&mut self.figures.slot_imbalance, work);
         }
+        if self.burst.began() {
+            let bursting = self.hosts.iter().map(|host| host.open_of(Kind::Burst)).sum();
+            self.burst.note_open(bursting);
+        }
         if self.now >= WARM && self.now.subsec_millis() == 0 {
             let nodes = self.members.iter().filter_map(|member| member.node.as_ref());
             let largest = nodes.map(|node| node.state_bytes()).max().unwrap_or(0);
             self.figures.state_bytes = self.figures.state_bytes.max(largest);
+            let open = self.hosts.iter().map(Host::open).sum();
+            self.figures.open_flows = self.figures.open_flows.max(open);
         }
         self.schedule(SAMPLE_EVERY, What::Sample);
     }
