--- a/src/ctl/status.rs
+++ b/src/ctl/status.rs
@@ -110,6 +110,7 @@
         let notes = [
             (!self.status.healthy, "not healthy"),
             (self.status.stale, "stale"),
+            (self.status.isolated, "hears no other instance"),
             (self.cut_off, "cut off from the platform"),
             (self.lag != Versions::default(), "lags"),
         ];
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -127,6 +127,7 @@
             state: me.state,
             healthy: self.healthy(),
             stale: self.stale_until.is_some(),
+            isolated: self.membership.isolated(now),
             versions: self.lists.versions(),
             refused_versions: self.lists.refused(),
             platform_answered_ms_ago: self.platform_answered.map(since),
--- a/src/instance/status.rs
+++ b/src/instance/status.rs
@@ -23,6 +23,8 @@
     pub healthy: bool,
     /// Whether the instance was paused and may have missed changes.
     pub stale: bool,
+    /// Whether the instance hears no other one and may be cut off.
+    pub isolated: bool,
     /// Versions of the operators' lists in force.
     pub versions: Versions,
     /// Highest versions of the operators' lists that were refused; 0 where none was.
--- a/tests/ctl_rpc.rs
+++ b/tests/ctl_rpc.rs
@@ -22,6 +22,7 @@
         state: MemberState::Live,
         healthy: true,
         stale: false,
+        isolated: false,
         versions: Versions { allowances: 1, plans: 2, services: 3 },
         refused_versions: Versions::default(),
         platform_answered_ms_ago: Some(12),
