--- a/lab/src/measure/traffic/host.rs
+++ b/lab/src/measure/traffic/host.rs
@@ -9,11 +9,12 @@
 use limpetdeck::packet::{Segment, reset_answer};
 use limpetdeck::placement::TargetState;
 use limpetdeck::services::{Service, Target};
+use limpetdeck::targets::Report as LoadReport;
 use rand::Rng;
 use rand::rngs::SmallRng;
 
 use super::{
-    ACK, Effects, FIN_ACK, Numbers, RETRANSMITS, SYN_ACK, Timer, packet, retransmit_after,
+    ACK, Effects, FIN_ACK, Kind, Numbers, RETRANSMITS, SYN_ACK, Timer, packet, retransmit_after,
     uses_slot,
 };
 
@@ -70,6 +71,10 @@
     pub slots: u32,
     /// What the target is; a dead one answers nothing.
     pub state: TargetState,
+    /// What the target says that it is, when it is probed.
+    pub says: TargetState,
+    /// What the target says of its load in place of the truth.
+    pub claims: Option<LoadReport>,
     /// Whether the target was ever killed with its flows.
     pub killed: bool,
     /// When its leaving was first known to an instance.
@@ -94,6 +99,8 @@
             weight: target.weight,
             slots: target.slots,
             state: TargetState::Serving,
+            says: TargetState::Serving,
+            claims: None,
             killed: false,
             leaving_known: None,
             reports: Vec::new(),
@@ -110,11 +117,29 @@
         self.connections.len()
     }
 
+    /// Returns the open connections of one kind of callers.
+    pub fn open_of(&self, kind: Kind) -> usize {
+        let octet = kind.octet();
+        self.connections.keys().filter(|caller| caller.ip().octets()[0] == octet).count()
+    }
+
     /// Returns the work in slots and before them.
     pub fn work(&self) -> usize {
         self.busy as usize + self.waiting.len()
     }
 
+    /// Returns what the target says when it is probed; a dead one says nothing.
+    pub fn report(&self) -> Option<LoadReport> {
+        let truth = LoadReport {
+            state: self.says,
+            slots_used: self.busy,
+            waiting: self.waiting.len() as u32,
+            open: self.connections.len() as u32,
+        };
+        let claim = self.claims.map(|claim| LoadReport { state: self.says, ..claim });
+        (self.state != TargetState::Dead).then_some(claim.unwrap_or(truth))
+    }
+
     /// Ends the target with all that it holds.
     pub fn kill(&mut self) {
         self.state = TargetState::Dead;
--- a/src/pipeline/admit.rs
+++ b/src/pipeline/admit.rs
@@ -30,6 +30,15 @@
     pub caller: Ipv4Addr,
 }
 
+/// Asks the owner of a flow whether the flow is open still.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Question {
+    /// Service of the flow.
+    pub service: ServiceId,
+    /// Fingerprint of the flow.
+    pub flow: FlowId,
+}
+
 /// Decides whether a new flow may be opened. It is asked on the instance that places the
 /// service's new flows, so that all flows of the service are counted in one place.
 pub trait Admission: std::fmt::Debug {
@@ -46,9 +55,6 @@
     /// Takes the rules that are in force. They hold for new flows only.
     fn set_rules(&mut self, _now: Duration, _rules: Arc<Rules>) {}
 
-    /// Takes the number of live instances that this one knows of, itself among them.
-    fn set_live(&mut self, _now: Duration, _live: usize) {}
-
     /// Counts flows of a service that were open before this instance placed its new flows.
     fn seed(
         &mut self,
@@ -68,6 +74,11 @@
     /// of their flows.
     fn keep_services(&mut self, _placed: &dyn Fn(ServiceId) -> bool) {}
 
+    /// Returns what the owners of flows have to be asked, and forgets it.
+    fn take_questions(&mut self) -> Vec<Question> {
+        Vec::new()
+    }
+
     /// Advances time; due about ten times a second. `known` are the flows whose packets
     /// pass this instance.
     fn tick(&mut self, _now: Duration, _known: &FlowTable) {}
