Let learned records prove themselves before they are replicated

Cause: a change of ranks made every learned binding a full record, also those of short flows that had ended unseen: each change of membership replicated them, and they stayed until the idle timeout. A binding that expired as learned took its live feed out of the placer's count. Ruled out: telling all instances of each end, which costs a message for each flow. Change: a learned binding that becomes a record is provisional; it is replicated once a packet confirms it, and expires like a learned one. Ends that pass an instance shorten what it has learned. A quiet flow counts at its placer until the idle timeout.

--- a/src/placement/core.rs
+++ b/src/placement/core.rs
@@ -9,8 +9,8 @@
 use super::replication::Replicator;
 use super::route::MAX_HOPS;
 use super::{
-    DropReason, Epochs, FlowTable, LoadTable, Ranks, Route, TargetState, TargetView, TargetViews,
-    Verdict,
+    DropReason, Epochs, FlowTable, LoadTable, Ranks, Role, Route, TargetState, TargetView,
+    TargetViews, Verdict,
 };
 use crate::flow::Classified;
 use crate::ids::{FlowId, InstanceId, ServiceId, TargetId, Version};
@@ -171,22 +171,30 @@
     }
 
     /// Ages records and loads and sends what is due; to be called about ten times a second.
-    /// Returns the flows that have ended without a packet that says so.
-    pub fn tick(&mut self, now: Duration, out: &mut Outbox<'_>) -> Vec<FlowId> {
+    pub fn tick(&mut self, now: Duration, out: &mut Outbox<'_>) {
         if self.previous.as_ref().is_some_and(|previous| previous.until <= now) {
             self.previous = None;
         }
-        self.loads.age(now);
         self.keep_records(now, out);
         let services = &self.services;
         let idle = |target| services.target(target).map_or(SPREAD, |(s, _)| s.idle_timeout);
         let mut ended = Vec::new();
-        self.flows.sweep(now, idle, |flow, _| ended.push(flow));
+        let mut quiet = Vec::new();
+        self.flows.sweep(now, idle, |flow, binding| {
+            // What was only learned may be quiet; it counts until its idle timeout.
+            let learned = binding.role == Role::Learned && !binding.closing();
+            if learned { quiet.push((flow, binding.target)) } else { ended.push(flow) }
+        });
         ended.sort_unstable();
+        quiet.sort_unstable();
         for &flow in &ended {
             self.loads.closed(now, flow);
         }
-        ended
+        for (flow, target) in quiet {
+            self.loads.quiet(now + idle(target), flow);
+        }
+        let flows = &self.flows;
+        self.loads.age(now, |flow| flows.contains(flow));
     }
 
     /// Tells whether this instance places the new flows of a service.
--- a/src/placement/flow_table.rs
+++ b/src/placement/flow_table.rs
@@ -50,6 +50,8 @@
 const CLOSING_MARK: u8 = 2;
 /// Mark of a record that the replica holder has.
 const REPLICATED: u8 = 4;
+/// Mark of a record that was learned, and whose flow may have ended unseen.
+const PROVISIONAL: u8 = 8;
 
 impl Binding {
     /// Makes a binding as of now.
@@ -89,6 +91,17 @@
     /// Notes that the binding was confirmed now.
     pub fn confirm(&mut self, now: Duration) {
         self.confirmed = millis(now);
+        self.marks &= !PROVISIONAL;
+    }
+
+    /// Notes that the binding was only learned: the flow may have ended unseen.
+    pub fn mark_provisional(&mut self) {
+        self.marks |= PROVISIONAL;
+    }
+
+    /// Tells whether no packet has confirmed the binding since it was learned.
+    pub fn provisional(&self) -> bool {
+        self.marks & PROVISIONAL != 0
     }
 
     /// Notes that the target has answered.
@@ -146,7 +159,7 @@
             CLOSING
         } else if !self.answered() {
             HALF_OPEN
-        } else if self.role == Role::Learned {
+        } else if self.role == Role::Learned || self.provisional() {
             TOUCH_EVERY * 2
         } else {
             idle_timeout
--- a/src/placement/load.rs
+++ b/src/placement/load.rs
@@ -73,6 +73,7 @@
     ageing: BinaryHeap<Reverse<(Duration, FlowId)>>,
     closed: HashSet<FlowId>,
     forgetting: VecDeque<(Duration, FlowId)>,
+    quiet: BinaryHeap<Reverse<(Duration, FlowId)>>,
 }
 
 impl LoadTable {
@@ -119,8 +120,25 @@
         }
     }
 
-    /// Lets flows that have become feeds leave the slots' count, and forgets old endings.
-    pub fn age(&mut self, now: Duration) {
+    /// Notes a flow that no packet has shown for long; it counts until a time.
+    pub fn quiet(&mut self, until: Duration, flow: FlowId) {
+        if self.counted.contains_key(&flow) {
+            self.quiet.push(Reverse((until, flow)));
+        }
+    }
+
+    /// Lets flows that have become feeds leave the slots' count, and forgets old endings
+    /// and quiet flows that `seen` does not know again.
+    pub fn age(&mut self, now: Duration, seen: impl Fn(FlowId) -> bool) {
+        while let Some(&Reverse((due, flow))) = self.quiet.peek() {
+            if due > now {
+                break;
+            }
+            self.quiet.pop();
+            if !seen(flow) {
+                self.closed(now, flow);
+            }
+        }
         while let Some(&Reverse((due, flow))) = self.ageing.peek() {
             if due > now {
                 break;
--- a/src/placement/records.rs
+++ b/src/placement/records.rs
@@ -80,7 +80,11 @@
         let peers: Vec<_> = self.live.iter().copied().filter(|&peer| peer != me).collect();
         self.lookups.ask(now, &peers, out);
         for flow in self.replicator.grown(now) {
-            self.replicate(flow);
+            if self.flows.get(flow).is_some_and(Binding::provisional) {
+                self.replicator.learned(now, flow);
+            } else {
+                self.replicate(flow);
+            }
         }
         self.review_shards(now, out);
         let class = if self.review.done() { Class::Replicas } else { Class::Bulk };
@@ -92,7 +96,8 @@
     pub(super) fn replicate(&mut self, flow: FlowId) {
         let Some(holder) = self.replica_holder(flow) else { return };
         let Some(binding) = self.flows.get_mut(flow) else { return };
-        if binding.role != Role::Owner || binding.replicated() || binding.closing() {
+        let unfit = binding.closing() || binding.provisional();
+        if binding.role != Role::Owner || binding.replicated() || unfit {
             return;
         }
         let target = binding.target;
@@ -196,10 +201,16 @@
         let (before, target) = (binding.role, binding.target);
         let caller = binding.caller();
         let unsent = !binding.replicated();
+        if before == Role::Learned && binding.closing() {
+            return;
+        }
         binding.role = role;
         if role != before {
             binding.set_replicated(false);
-            binding.confirm(now);
+        }
+        if role != before && before == Role::Learned {
+            binding.mark_provisional();
+            self.replicator.learned(now, flow);
         }
         if before == Role::Owner && role != Role::Owner {
             self.hand_over(flow, target, unsent);
--- a/src/placement/replication.rs
+++ b/src/placement/replication.rs
@@ -11,6 +11,8 @@
 
 /// Age at which a flow has outlived the short ones and its record is replicated.
 const REPLICA_DELAY: Duration = Duration::from_secs(2);
+/// Time between two looks whether a learned record was confirmed.
+const CONFIRM_DELAY: Duration = Duration::from_secs(5);
 /// Time between two batches to one instance, so that records share a datagram.
 const BATCH_EVERY: Duration = Duration::from_secs(1);
 /// Records or flows in one message, so that it fits in a datagram.
@@ -54,6 +56,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Replicator {
     young: VecDeque<(Duration, FlowId)>,
+    provisional: VecDeque<(Duration, FlowId)>,
     queues: BTreeMap<InstanceId, Queue>,
     next_batch: Duration,
     /// Instance that is served first, so that none waits for ever when the budget is short.
@@ -66,10 +69,17 @@
         self.young.push_back((now + REPLICA_DELAY, flow));
     }
 
-    /// Returns the flows that have outlived the short ones.
+    /// Notes a flow whose record is replicated once a packet has confirmed it.
+    pub(super) fn learned(&mut self, now: Duration, flow: FlowId) {
+        self.provisional.push_back((now + CONFIRM_DELAY, flow));
+    }
+
+    /// Returns the flows that have outlived the short ones, and those whose confirmation
+    /// is to be looked for.
     pub(super) fn grown(&mut self, now: Duration) -> Vec<FlowId> {
-        let count = self.young.iter().take_while(|(due, _)| *due <= now).count();
-        self.young.drain(..count).map(|(_, flow)| flow).collect()
+        let mut grown = take_due(&mut self.young, now);
+        grown.extend(take_due(&mut self.provisional, now));
+        grown
     }
 
     /// Queues a record for an instance.
@@ -137,3 +147,8 @@
         true
     }
 }
+
+fn take_due(queue: &mut VecDeque<(Duration, FlowId)>, now: Duration) -> Vec<FlowId> {
+    let count = queue.iter().take_while(|(due, _)| *due <= now).count();
+    queue.drain(..count).map(|(_, flow)| flow).collect()
+}
--- a/src/placement/towards_caller.rs
+++ b/src/placement/towards_caller.rs
@@ -23,6 +23,7 @@
     fn answer_enters(&mut self, now: Duration, packet: Packet<'_>, from: TargetId) -> Verdict {
         let flags = packet.segment.flags;
         if flags.ends() {
+            self.learned_ends(packet.flow);
             return self.answer_to_placer(now, packet, from);
         }
         if flags.syn || self.policy == Policy::Owner {
--- a/src/placement/towards_target.rs
+++ b/src/placement/towards_target.rs
@@ -33,6 +33,9 @@
 
     fn enter(&mut self, now: Duration, packet: Packet<'_>) -> Verdict {
         let flags = packet.segment.flags;
+        if flags.ends() {
+            self.learned_ends(packet.flow);
+        }
         if flags.opens() || flags.ends() {
             return self.pass_to_placer(now, packet);
         }
@@ -50,6 +53,15 @@
         self.pass_to_owner(now, packet)
     }
 
+    /// Lets a learned binding go soon after its flow has begun to end.
+    pub(super) fn learned_ends(&mut self, flow: FlowId) {
+        if let Some(binding) = self.flows.get_mut(flow)
+            && binding.role == Role::Learned
+        {
+            binding.mark_closing();
+        }
+    }
+
     fn pass_to_placer(&mut self, now: Duration, packet: Packet<'_>) -> Verdict {
         match self.ranks.placer(packet.service.id) {
             Some(placer) if placer != self.me => {
