Measure slopes and say what breaks first at 800 instances

Cause: nothing told what the size to design for costs each role.

Ruled out: resident memory as the measure of the services. The process reuses its pages, and each size showed 0 KiB.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod protocol;
 pub mod report;
 pub mod result;
+pub mod slopes;
 pub mod stack;
 pub mod target;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use limpetdeck_lab::arguments::{Args, Usage};
-use limpetdeck_lab::{caller, fabric, measure, platform, report, result, target};
+use limpetdeck_lab::{caller, fabric, measure, platform, report, result, slopes, target};
 
 /// Text for `--help`.
 const HELP: &str = "\
@@ -17,6 +17,7 @@
   caller     TCP callers that hold feeds and send sales
   result     compares the journals of callers and targets
   measure    steps the decision parts under load and faults, in virtual time
+  slopes     prints how cost and state grow with the size
   report     measures policies, faults and deployments, and writes a page
 
   COMMAND --help    arguments of a command
@@ -32,6 +33,7 @@
         Some("caller") => caller::main(args),
         Some("result") => result::main(args),
         Some("measure") => measure::main(args),
+        Some("slopes") => slopes::main(args),
         Some("report") => report::main(args),
         _ if args.flag("--version") => {
             println!("limpetdeck-lab {}", env!("CARGO_PKG_VERSION"));
--- /dev/null
+++ b/lab/src/slopes.rs
@@ -0,0 +1,58 @@
+//! How cost and state grow with flows, instances, targets and addresses.
+//!
+//! Times are of this machine as it is; only ratios within one run compare.
+
+mod fixtures;
+mod flows;
+mod lookups;
+mod peers;
+mod services;
+
+use std::hint::black_box;
+use std::process::ExitCode;
+use std::time::Instant;
+
+use crate::arguments::{Args, Outcome};
+
+/// Seed if none is given.
+const DEFAULT_SEED: u64 = 1;
+
+/// Text for `slopes --help`.
+const HELP: &str = "\
+limpetdeck-lab slopes: cost and state against the size, one line of key=value each
+
+  --seed N    of all that is drawn at random (1)
+
+Times are wall-clock times of this machine: compare them as ratios within one run.
+";
+
+/// Prints all slopes.
+///
+/// # Errors
+///
+/// Fails on wrong arguments.
+pub fn main(mut args: Args) -> Outcome {
+    if args.flag("--help") {
+        print!("{HELP}");
+        return Ok(ExitCode::SUCCESS);
+    }
+    let seed = args.value_or("--seed", DEFAULT_SEED)?;
+    args.finish()?;
+    println!("slope=start seed={seed}");
+    flows::print(seed);
+    peers::print_ranks();
+    services::print(seed);
+    peers::print_messages();
+    peers::print_pings(seed);
+    lookups::print();
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Runs something so many times and returns the mean time of one run in nanoseconds.
+fn mean_ns<T>(times: usize, mut run: impl FnMut(usize) -> T) -> f64 {
+    let start = Instant::now();
+    for i in 0..times {
+        black_box(run(i));
+    }
+    start.elapsed().as_nanos() as f64 / times as f64
+}
