--- a/src/placement/flow_table.rs
+++ b/src/placement/flow_table.rs
@@ -5,6 +5,7 @@
 
 use crate::hash::HashMap;
 use crate::ids::{FlowId, TargetId};
+use crate::packet::Flags;
 
 /// Shards of the table; one is swept at a time, so that a sweep never stalls packets.
 const SHARDS: usize = 64;
@@ -91,7 +92,19 @@
     /// Notes that the binding was confirmed now.
     pub fn confirm(&mut self, now: Duration) {
         self.confirmed = millis(now);
-        self.marks &= !PROVISIONAL;
+    }
+
+    /// Notes that an answer of the target has proved the binding now.
+    pub fn prove(&mut self, now: Duration) {
+        self.confirm(now);
+        self.marks = (self.marks | ANSWERED) & !PROVISIONAL;
+    }
+
+    /// Tells whether an answer of another target is believed rather than this binding: a
+    /// first answer never is, as a target may give it to a packet that came too late.
+    pub fn yields_to(&self, answer: Flags) -> bool {
+        let weak = self.role == Role::Learned || self.provisional();
+        weak && !answer.syn && !answer.rst
     }
 
     /// Notes that the binding was only learned: the flow may have ended unseen.
@@ -99,7 +112,7 @@
         self.marks |= PROVISIONAL;
     }
 
-    /// Tells whether no packet has confirmed the binding since it was learned.
+    /// Tells whether no answer has proved the binding since it was learned.
     pub fn provisional(&self) -> bool {
         self.marks & PROVISIONAL != 0
     }
--- a/src/placement/records.rs
+++ b/src/placement/records.rs
@@ -134,6 +134,7 @@
             && known.role == Role::Owner
             && known.target != record.target
             && !known.closing()
+            && !known.provisional()
         {
             // The owner has seen the flow itself: what others hold is older.
             return;
--- a/src/placement/towards_caller.rs
+++ b/src/placement/towards_caller.rs
@@ -35,8 +35,7 @@
         }
         match self.flows.get_mut(packet.flow) {
             Some(binding) if binding.target == from => {
-                binding.confirm(now);
-                binding.mark_answered();
+                binding.prove(now);
                 binding.show_caller(packet.caller);
                 if !binding.needs_touch(now) {
                     return Verdict::ToCaller;
@@ -68,6 +67,10 @@
     }
 
     fn answer_at_placer(&mut self, now: Duration, packet: Packet<'_>, from: TargetId) -> Verdict {
+        if packet.segment.flags.rst && self.lookups.refute(packet.flow) {
+            // The target was only tried: what it says is no end of the flow.
+            return Verdict::Drop(DropReason::WrongTarget);
+        }
         if self.loads.counted_on(packet.flow) == Some(from) {
             self.loads.closed(now, packet.flow);
         }
@@ -87,8 +90,7 @@
     fn answer_at_owner(&mut self, now: Duration, packet: Packet<'_>, from: TargetId) -> Verdict {
         match self.flows.get_mut(packet.flow) {
             Some(binding) if binding.target == from => {
-                binding.confirm(now);
-                binding.mark_answered();
+                binding.prove(now);
                 binding.show_caller(packet.caller);
                 if packet.segment.flags.rst {
                     binding.mark_closing();
@@ -96,7 +98,7 @@
                 }
                 Verdict::ToCaller
             }
-            Some(binding) if binding.role != Role::Learned => {
+            Some(binding) if !binding.yields_to(packet.segment.flags) => {
                 Verdict::Drop(DropReason::WrongTarget)
             }
             _ => {
@@ -110,7 +112,8 @@
         if packet.segment.flags.rst {
             return;
         }
-        let role = self.role_by_rank(packet.flow);
+        let mine = self.ranks.of(packet.flow, 0) == Some(self.me);
+        let role = if mine { Role::Owner } else { Role::Learned };
         let mut binding = Binding::new(now, from, role, Some(packet.caller));
         binding.mark_answered();
         self.lookups.found(packet.flow);
--- a/src/placement/towards_target.rs
+++ b/src/placement/towards_target.rs
@@ -154,14 +154,16 @@
     }
 
     /// Asks all live instances for a flow; the caller sends the packet again meanwhile. If
-    /// nobody has a record, the flow can only be on its choice in the oldest open epoch.
+    /// nobody has a record, the flow is most likely on its choice in the oldest open epoch.
     fn search(&mut self, now: Duration, packet: Packet<'_>) -> Verdict {
+        let unknown = Verdict::Drop(DropReason::UnknownFlow);
         match self.lookups.search(now, packet.flow) {
-            Search::Asking | Search::Full => Verdict::Drop(DropReason::UnknownFlow),
-            Search::NobodyKnows => match self.epochs.fallback(packet.service.id, packet.flow) {
-                Some(target) => self.to_target(target),
-                None => Verdict::Drop(DropReason::UnknownFlow),
-            },
+            Search::Asking | Search::Full => unknown,
+            Search::Try => {
+                let choice = self.epochs.fallback(packet.service.id, packet.flow);
+                choice.map_or(unknown, |target| self.to_target(target))
+            }
+            Search::Lost => Verdict::Reset,
         }
     }
 
