Try an advised target without believing it

Change: an advised target is tried, and its reset, if it has no acknowledgment and so means that there is no such connection, refutes the try and is dropped.

--- a/src/placement/lookup.rs
+++ b/src/placement/lookup.rs
@@ -63,6 +63,12 @@
     refuted: bool,
 }
 
+impl Asked {
+    fn new(seen: Duration, next: Duration) -> Self {
+        Self { seen, began: None, next, pause: ASK_AGAIN, queued: false, refuted: false }
+    }
+}
+
 /// The flows that are asked for.
 #[derive(Debug, Default)]
 pub(super) struct Lookups {
@@ -80,14 +86,7 @@
         if self.asked.len() >= MOST_ASKED && !self.asked.contains_key(&flow) {
             return Search::Full;
         }
-        let asked = self.asked.entry(flow).or_insert(Asked {
-            seen: now,
-            began: None,
-            next: now,
-            pause: ASK_AGAIN,
-            queued: false,
-            refuted: false,
-        });
+        let asked = self.asked.entry(flow).or_insert(Asked::new(now, now));
         let asking = asked.began.map_or(Duration::ZERO, |began| now.saturating_sub(began));
         if asking >= LOST_AFTER {
             return Search::Lost;
@@ -102,6 +101,15 @@
         Search::Asking
     }
 
+    /// Tells whether a target that was advised, but may never have got the flow, may be
+    /// tried; from now on it can be refuted.
+    pub(super) fn may_try(&mut self, now: Duration, flow: FlowId) -> bool {
+        if self.asked.len() >= MOST_ASKED && !self.asked.contains_key(&flow) {
+            return true;
+        }
+        !self.asked.entry(flow).or_insert(Asked::new(now, now + ASK_AGAIN)).refuted
+    }
+
     /// Notes that a target does not know a flow; answers whether it was only tried.
     pub(super) fn refute(&mut self, flow: FlowId) -> bool {
         let Some(asked) = self.asked.get_mut(&flow) else { return false };
--- a/src/placement/towards_caller.rs
+++ b/src/placement/towards_caller.rs
@@ -67,8 +67,10 @@
     }
 
     fn answer_at_placer(&mut self, now: Duration, packet: Packet<'_>, from: TargetId) -> Verdict {
-        if packet.segment.flags.rst && self.lookups.refute(packet.flow) {
-            // The target was only tried: what it says is no end of the flow.
+        let flags = packet.segment.flags;
+        if flags.rst && !flags.ack && self.lookups.refute(packet.flow) {
+            // The target was only tried, and a reset without an acknowledgment means that
+            // it has no such connection: that is no end of the flow.
             return Verdict::Drop(DropReason::WrongTarget);
         }
         if self.loads.counted_on(packet.flow) == Some(from) {
--- a/src/placement/towards_target.rs
+++ b/src/placement/towards_target.rs
@@ -139,7 +139,9 @@
         if let Some(verdict) = self.known(now, packet) {
             return verdict;
         }
-        if let Some(target) = self.loads.counted_on(packet.flow) {
+        if let Some(target) = self.loads.counted_on(packet.flow)
+            && self.lookups.may_try(now, packet.flow)
+        {
             return self.to_target(target);
         }
         if packet.route.stage == Stage::LastResort {
