--- a/src/budget.rs
+++ b/src/budget.rs
@@ -42,9 +42,9 @@
         match self {
             Self::Liveness => 0,
             Self::Lists => 5,
-            Self::Epochs => 10,
-            Self::Replicas => 15,
-            Self::Bulk => 25,
+            Self::Epochs => 15,
+            Self::Replicas => 35,
+            Self::Bulk => 40,
         }
     }
 }
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -1,5 +1,6 @@
 //! One instance without its sockets: events in, actions out.
 
+mod drop_log;
 mod event;
 mod registry;
 mod run;
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -9,6 +9,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use super::drop_log::DropLog;
 use super::registry::{INSTANCES, Registry};
 use super::{Action, Event, Status};
 use crate::admission::{RuleAdmission, TakeOvers};
@@ -59,6 +60,7 @@
     lists: Lists,
     targets: Targets,
     take_overs: TakeOvers,
+    drop_log: DropLog,
     link: Link,
     last_tick: Duration,
     stale_until: Option<Duration>,
@@ -86,6 +88,7 @@
             targets: Targets::new(id, SmallRng::from_rng(&mut rng)),
             registry: Registry::new(id, rng),
             take_overs: TakeOvers::default(),
+            drop_log: DropLog::default(),
             last_tick: now,
             stale_until: None,
             leaving_since: None,
@@ -188,7 +191,10 @@
                 log::info!(service = service; "flow_reset");
                 out.push(Action::Fabric(reset));
             }
-            Outcome::Discarded(reason) => dropped(reason),
+            Outcome::Discarded(reason) => {
+                dropped(reason);
+                self.drop_log.note(now, reason);
+            }
         }
     }
 
--- a/src/placement/core.rs
+++ b/src/placement/core.rs
@@ -45,14 +45,14 @@
 }
 
 /// The ranks before the last change of membership, while the change spreads.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Previous {
     pub(super) ranks: Ranks,
     until: Duration,
 }
 
 /// Placement as one instance takes part in it.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Placement {
     pub(super) me: InstanceId,
     pub(super) policy: Policy,
--- a/src/placement/epochs.rs
+++ b/src/placement/epochs.rs
@@ -62,14 +62,14 @@
 }
 
 /// The open epochs of one service, the oldest first.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct OpenEpochs {
     epochs: VecDeque<Epoch>,
     settled: HashMap<InstanceId, EpochId>,
 }
 
 /// The open epochs of all services.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Epochs {
     services: BTreeMap<ServiceId, OpenEpochs>,
 }
--- a/src/placement/flow_table.rs
+++ b/src/placement/flow_table.rs
@@ -191,7 +191,7 @@
 }
 
 /// A bounded table of bindings.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct FlowTable {
     shards: Vec<HashMap<FlowId, Binding>>,
     shard_capacity: usize,
--- a/src/placement/load.rs
+++ b/src/placement/load.rs
@@ -64,7 +64,7 @@
 }
 
 /// The open work of all targets that this instance places flows on.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct LoadTable {
     loads: HashMap<TargetId, Load>,
     lives: HashMap<ServiceId, MeanLife>,
--- a/src/placement/lookup.rs
+++ b/src/placement/lookup.rs
@@ -50,7 +50,7 @@
 }
 
 /// How far the search for a flow has come.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Asked {
     /// When the first packet of the flow came here.
     seen: Duration,
@@ -70,7 +70,7 @@
 }
 
 /// The flows that are asked for.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Lookups {
     asked: HashMap<FlowId, Asked>,
     waiting: Vec<FlowId>,
--- a/src/placement/ranks.rs
+++ b/src/placement/ranks.rs
@@ -11,7 +11,7 @@
 const SERVICE_SALT: u64 = 1 << 32;
 
 /// The ranks of all live instances, computed once for each change of membership.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Ranks {
     members: Vec<InstanceId>,
     buckets: Vec<[Option<InstanceId>; DEPTH]>,
--- a/src/placement/records.rs
+++ b/src/placement/records.rs
@@ -17,7 +17,7 @@
 const SETTLE_EVERY: Duration = Duration::from_secs(5);
 
 /// Work that a change of ranks, epochs or targets leaves to later ticks.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Review {
     /// Next shard to look through; none if all were seen since the last change.
     next_shard: Option<usize>,
--- a/src/placement/replication.rs
+++ b/src/placement/replication.rs
@@ -26,7 +26,7 @@
 const LONGEST_QUEUE: usize = 100_000;
 
 /// What is to be told to one instance.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Queue {
     records: VecDeque<Record>,
     ended: VecDeque<FlowId>,
@@ -53,7 +53,7 @@
 }
 
 /// The records that are still to be replicated.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Replicator {
     young: VecDeque<(Duration, FlowId)>,
     provisional: VecDeque<(Duration, FlowId)>,
--- a/src/placement/target_view.rs
+++ b/src/placement/target_view.rs
@@ -51,7 +51,7 @@
 }
 
 /// The states of all targets; a target that is not listed is serving.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct TargetViews {
     views: HashMap<TargetId, TargetView>,
 }
--- a/src/placement/towards_caller.rs
+++ b/src/placement/towards_caller.rs
@@ -90,6 +90,10 @@
 
     /// Lets an answer pass only if the flow is bound to the target that it comes from.
     fn answer_at_owner(&mut self, now: Duration, packet: Packet<'_>, from: TargetId) -> Verdict {
+        if self.never_began(packet, from) {
+            self.flows.remove(packet.flow);
+            return Verdict::Drop(DropReason::WrongTarget);
+        }
         match self.flows.get_mut(packet.flow) {
             Some(binding) if binding.target == from => {
                 binding.prove(now);
@@ -110,6 +114,14 @@
         }
     }
 
+    /// Tells whether a target says that it has no such connection, and never had: then the
+    /// flow's caller has its connection elsewhere, as another side of a cut has placed it.
+    fn never_began(&self, packet: Packet<'_>, from: TargetId) -> bool {
+        let flags = packet.segment.flags;
+        let unanswered = |binding: &Binding| binding.target == from && !binding.answered();
+        flags.rst && !flags.ack && self.flows.get(packet.flow).is_some_and(unanswered)
+    }
+
     fn learn(&mut self, now: Duration, packet: Packet<'_>, from: TargetId) {
         if packet.segment.flags.rst {
             return;
--- /dev/null
+++ b/tests/placement_resets.rs
@@ -0,0 +1,90 @@
+//! The reset of a target that has no such connection ends no flow that lives elsewhere.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use limpetdeck::flow::Classified;
+use limpetdeck::packet::{Flags, Segment};
+use limpetdeck::placement::{
+    DropReason, Placement, PlacementConfig, Policy, Route, Stage, Verdict,
+};
+use limpetdeck::services::{RawServices, Services};
+
+const NOW: Duration = Duration::from_secs(60);
+const SYN: Flags = Flags { syn: true, ack: false, fin: false, rst: false };
+const DATA: Flags = Flags { syn: false, ack: true, fin: false, rst: false };
+const NO_CONNECTION: Flags = Flags { syn: false, ack: false, fin: false, rst: true };
+const ABORT: Flags = Flags { syn: false, ack: true, fin: false, rst: true };
+
+fn services() -> Arc<Services> {
+    let text = std::fs::read_to_string("sample_configs/recarga/services.toml").expect("a sample");
+    let raw: RawServices = toml::from_str(&text).expect("TOML");
+    Arc::new(Services::try_from(raw).expect("a valid sample"))
+}
+
+/// Returns the placement of instance 1 beside one other, or alone.
+fn placement(other: u32) -> Placement {
+    let cfg = PlacementConfig { me: 1, flow_capacity: 100, policy: Policy::Epochs };
+    let mut placement = Placement::new(&cfg);
+    placement.set_services(Duration::ZERO, 1, services());
+    placement.set_members(Duration::ZERO, [1, other], [1, other]);
+    placement
+}
+
+fn decide(
+    placement: &mut Placement,
+    port: u16,
+    from: Option<u32>,
+    flags: Flags,
+    route: Route,
+) -> Verdict {
+    let services = Arc::clone(placement.services());
+    let caller = format!("10.9.0.1:{port}").parse().expect("an address");
+    let (source, destination) = match from {
+        Some(id) => (services.target(id).expect("a target").1.address, caller),
+        None => (caller, services.list()[0].address),
+    };
+    let segment =
+        Segment { source, destination, sequence: 9, acknowledgment: 5, flags, payload_len: 0 };
+    let class = Classified::new(&services, &segment).expect("a service");
+    placement.decide(NOW, &class, &segment, route)
+}
+
+fn at(stage: Stage) -> Route {
+    Route { stage, hops: 3, advice: None }
+}
+
+#[test]
+fn unanswered_record() {
+    for (flags, expected) in
+        [(NO_CONNECTION, Verdict::Drop(DropReason::WrongTarget)), (ABORT, Verdict::ToCaller)]
+    {
+        let mut placement = placement(1);
+        let Verdict::ToTarget(target) = decide(&mut placement, 4_000, None, SYN, Route::ENTRY)
+        else {
+            panic!("a new flow goes to a target")
+        };
+        assert_eq!(decide(&mut placement, 4_000, Some(target), flags, Route::ENTRY), expected);
+    }
+}
+
+#[test]
+fn advised_target() {
+    // Beside some other instance this one is the placer of the service.
+    let mut placement = (2..=60)
+        .map(placement)
+        .find(|placement| placement.places(1))
+        .expect("an instance that ranks behind this one");
+    let (port, advised) = (4_000..4_100)
+        .find_map(|port| match decide(&mut placement, port, None, SYN, Route::ENTRY) {
+            Verdict::ToInstance(_, Route { advice: Some(target), .. }) => Some((port, target)),
+            _ => None,
+        })
+        .expect("a flow that is placed here and owned elsewhere");
+    let data =
+        |placement: &mut Placement| decide(placement, port, None, DATA, at(Stage::LastResort));
+    assert_eq!(data(&mut placement), Verdict::ToTarget(advised), "tried");
+    let reset = decide(&mut placement, port, Some(advised), NO_CONNECTION, at(Stage::Placer));
+    assert_eq!(reset, Verdict::Drop(DropReason::WrongTarget));
+    assert_eq!(data(&mut placement), Verdict::Drop(DropReason::UnknownFlow), "not tried again");
+}
