--- a/lab/src/caller/process.rs
+++ b/lab/src/caller/process.rs
@@ -7,7 +7,7 @@
 
 use futures_lite::FutureExt;
 use limpetdeck::hash::HashMap;
-use limpetdeck::signals::StopSignals;
+use limpetdeck::signals::Signals;
 
 use super::feed::{Feed, FeedState};
 use super::sale::{Sale, SaleEnd};
@@ -37,7 +37,7 @@
 
 pub(super) async fn run(cfg: CallerConfig) -> io::Result<Tally> {
     let mut port = Port::open(cfg.listen, cfg.fabric)?;
-    let mut signals = StopSignals::catch()?;
+    let mut signals = Signals::catch()?;
     let mut hosts: HashMap<Ipv4Addr, Host> = HashMap::default();
     let mut caller = Caller::new(cfg)?;
     let worked = async {
--- a/lab/src/fabric/server.rs
+++ b/lab/src/fabric/server.rs
@@ -9,7 +9,7 @@
 
 use etherparse::Ipv4HeaderSlice;
 use limpetdeck::http::{self, HandlerFuture, Request, Response, StatusCode};
-use limpetdeck::signals::StopSignals;
+use limpetdeck::signals::Signals;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use smol::net::TcpListener;
@@ -56,7 +56,7 @@
     ex.spawn(http::serve(Rc::clone(&ex), listener, Rc::new(handler))).detach();
     ex.spawn(forward(fabric)).detach();
     log::info!("fabric_started");
-    StopSignals::catch()?.next().await;
+    Signals::catch()?.next().await;
     Ok(())
 }
 
--- a/lab/src/platform/server.rs
+++ b/lab/src/platform/server.rs
@@ -9,7 +9,7 @@
 
 use limpetdeck::http::{self, HandlerFuture, Request, Response};
 use limpetdeck::platform::Changes;
-use limpetdeck::signals::StopSignals;
+use limpetdeck::signals::Signals;
 use smol::LocalExecutor;
 use smol::net::TcpListener;
 
@@ -78,7 +78,7 @@
         ex.spawn(http::serve(Rc::clone(&ex), listener, Rc::new(handler))).detach();
     }
     log::info!("platform_started");
-    StopSignals::catch()?.next().await;
+    Signals::catch()?.next().await;
     Ok(())
 }
 
--- a/lab/src/target/process.rs
+++ b/lab/src/target/process.rs
@@ -12,7 +12,7 @@
 use limpetdeck::http::{self, HandlerFuture, Request, Response, StatusCode};
 use limpetdeck::placement::TargetState;
 use limpetdeck::services::{RawServices, Services};
-use limpetdeck::signals::StopSignals;
+use limpetdeck::signals::Signals;
 use smol::LocalExecutor;
 use smol::net::TcpListener;
 
@@ -37,7 +37,7 @@
     };
     ex.spawn(http::serve(Rc::clone(&ex), listener, Rc::new(handler))).detach();
     let mut journal = Journal::create(&cfg.journal)?;
-    let mut signals = StopSignals::catch()?;
+    let mut signals = Signals::catch()?;
     log::info!(targets = servers.borrow().len(); "targets_started");
     let stopped = async {
         signals.next().await;
--- a/src/entry/daemon.rs
+++ b/src/daemon.rs
@@ -1,41 +1,67 @@
 //! Sockets, time and signals of one instance, on one thread.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant as Clock, SystemTime, UNIX_EPOCH};
 
-use derive_more::{Display, Error};
+use derive_more::{Debug, Display, Error};
 use hyper::{Method, StatusCode};
 use metrics::counter;
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 use smol::channel::{Sender, bounded};
 use smol::net::TcpListener;
 use smol::{Async, LocalExecutor, Task};
 
 use crate::http::{self, HandlerFuture, Request, Response};
-use crate::ids::TargetId;
-use crate::instance::{Action, Event, Instance, InstanceConfig};
-use crate::peer::{MemberInfo, MemberState};
-use crate::placement::Policy;
-use crate::platform::{Call, HttpPlatform, Platform};
+use crate::ids::{Incarnation, TargetId};
+use crate::instance::{Action, Changeable, Core, Event};
+use crate::platform::{Call, Platform};
 use crate::rpc::Rpc;
 use crate::services::ReportAddress;
-use crate::settings::Settings;
-use crate::signals::StopSignals;
+use crate::settings::LogLevel;
+use crate::signals::{Signalled, Signals};
 use crate::targets::read_report;
-use crate::telemetry::{MetricsPage, report_spans, start_logs};
+use crate::telemetry::{MetricsPage, finish_logs, flush_logs, report_spans, start_daemon_logs};
 
 /// Time between two ticks.
 const TICK: Duration = Duration::from_millis(100);
+/// Time between two looks at the settings file, which may change without a signal.
+const RELOAD_EVERY: Duration = Duration::from_secs(2);
 /// Time after which a probe of a target has failed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Largest datagram that is read, in bytes.
 const LARGEST_DATAGRAM: usize = 65_536;
-/// Flows that one instance knows at most.
-const FLOW_CAPACITY: usize = 2_000_000;
+/// Datagrams that are read in a row before other tasks get their turn.
+const READ_AT_ONCE: usize = 64;
+
+/// Reads the settings that may change again; none if they are as before.
+pub type Reload = Box<dyn FnMut() -> Option<Changeable>>;
+
+/// What the daemon needs to know to carry an instance.
+#[derive(Debug)]
+pub struct DaemonConfig {
+    /// UDP address for packets of flows.
+    pub packet_address: SocketAddr,
+    /// UDP address for messages of other instances.
+    pub peer_address: SocketAddr,
+    /// TCP address on which the instance tells whether it is healthy.
+    pub health_address: SocketAddr,
+    /// Path on which the instance tells whether it is healthy.
+    pub health_path: String,
+    /// TCP address for metrics and JSON-RPC; may be the one for health.
+    pub metrics_address: SocketAddr,
+    /// UDP address of the fabric, if there is one that takes all packets.
+    pub fabric: Option<SocketAddr>,
+    /// The platform.
+    #[debug(skip)]
+    pub platform: Box<dyn Platform>,
+    /// Least severe level that is logged.
+    pub log_level: LogLevel,
+    /// Where changed settings come from, if they can change.
+    #[debug(skip)]
+    pub reload: Option<Reload>,
+}
 
 /// Why the daemon could not run.
 #[derive(Debug, Display, Error)]
@@ -56,64 +82,87 @@
 /// The instance with what carries its actions.
 struct Daemon {
     started: Clock,
-    instance: RefCell<Instance>,
+    core: RefCell<Box<dyn Core>>,
     packets: Arc<Async<UdpSocket>>,
     peers: Arc<Async<UdpSocket>>,
-    fabric: SocketAddr,
-    platform: HttpPlatform,
+    fabric: Option<SocketAddr>,
+    platform: Box<dyn Platform>,
     ex: Rc<LocalExecutor<'static>>,
     exit: Sender<()>,
     deregistration: RefCell<Option<Task<()>>>,
+    reload: RefCell<Option<Reload>>,
+    next_reload: Cell<Duration>,
     rpc: Rc<Rpc>,
 }
 
-/// Runs an instance until it is told to stop.
+/// Returns the number of this start: a later start of the same instance has a higher one.
+pub fn start_number() -> Incarnation {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    now.as_millis() as Incarnation
+}
+
+/// Runs an instance until it has stopped gracefully.
 ///
 /// # Errors
 ///
 /// Fails if an address cannot be used or the process cannot be set up.
-pub fn run(settings: Settings) -> Result<(), DaemonError> {
-    start_logs(settings.log_level);
+pub fn run<C: Core + 'static>(
+    cfg: DaemonConfig,
+    make: impl FnOnce(Duration) -> C,
+) -> Result<(), DaemonError> {
+    start_daemon_logs(cfg.log_level);
     report_spans();
     let page = MetricsPage::install().map_err(|e| DaemonError::Setup(e.to_string()))?;
     let ex = Rc::new(LocalExecutor::new());
-    smol::block_on(ex.run(serve(Rc::clone(&ex), settings, page)))?;
+    let core = Box::new(make(Duration::ZERO));
+    smol::block_on(ex.run(serve(Rc::clone(&ex), cfg, core, page)))?;
     fastrace::flush();
+    finish_logs();
     Ok(())
 }
 
 async fn serve(
     ex: Rc<LocalExecutor<'static>>,
-    settings: Settings,
+    cfg: DaemonConfig,
+    core: Box<dyn Core>,
     page: MetricsPage,
 ) -> Result<(), DaemonError> {
-    let packets = bind(settings.packet_address)?;
-    let peers = bind(settings.peer_address)?;
-    let listener = TcpListener::bind(settings.metrics_address)
-        .await
-        .map_err(|source| DaemonError::Bind { address: settings.metrics_address, source })?;
+    let packets = bind(cfg.packet_address)?;
+    let peers = bind(cfg.peer_address)?;
+    let health = listen(cfg.health_address).await?;
+    let metrics = match cfg.metrics_address {
+        address if address == cfg.health_address => None,
+        address => Some(listen(address).await?),
+    };
     let (exit, stopped) = bounded(1);
     let rpc = Rpc::new().map_err(|e| DaemonError::Setup(e.to_string()))?;
     let daemon = Rc::new(Daemon {
         started: Clock::now(),
         packets,
         peers,
-        fabric: settings.fabric_address,
-        platform: HttpPlatform::new(settings.platform_address),
+        fabric: cfg.fabric,
+        platform: cfg.platform,
         ex: Rc::clone(&ex),
         exit,
         deregistration: RefCell::new(None),
+        reload: RefCell::new(cfg.reload),
+        next_reload: Cell::new(RELOAD_EVERY),
         rpc: Rc::new(rpc),
-        instance: RefCell::new(instance(settings)),
+        core: RefCell::new(core),
     });
     ex.spawn(read(Rc::clone(&daemon), Arc::clone(&daemon.packets), Event::Packet)).detach();
     ex.spawn(read(Rc::clone(&daemon), Arc::clone(&daemon.peers), Event::Peer)).detach();
     ex.spawn(ticks(Rc::clone(&daemon))).detach();
-    let signals = StopSignals::catch().map_err(|e| DaemonError::Setup(e.to_string()))?;
-    ex.spawn(stops(Rc::clone(&daemon), signals)).detach();
-    let handler = Rc::new(handler(Rc::clone(&daemon), page));
-    ex.spawn(http::serve(Rc::clone(&ex), listener, handler)).detach();
-    log::info!("started");
+    let signals = Signals::catch().map_err(|e| DaemonError::Setup(e.to_string()))?;
+    ex.spawn(obey(Rc::clone(&daemon), signals)).detach();
+    let handler = Rc::new(handler(Rc::clone(&daemon), page, cfg.health_path));
+    ex.spawn(http::serve(Rc::clone(&ex), health, Rc::clone(&handler) as _)).detach();
+    if let Some(metrics) = metrics {
+        ex.spawn(http::serve(Rc::clone(&ex), metrics, handler)).detach();
+    }
+    log::info!(packets = cfg.packet_address.to_string().as_str(); "started");
+    // The first calls of the platform need not wait for the first tick.
+    daemon.handle(Event::Tick);
     // The sender lives as long as the daemon, so only an exit ends this wait.
     let _ = stopped.recv().await;
     log::info!("stopped");
@@ -125,34 +174,15 @@
     socket.map(Arc::new).map_err(|source| DaemonError::Bind { address, source })
 }
 
-fn instance(settings: Settings) -> Instance {
-    let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let me = MemberInfo {
-        id: settings.instance,
-        incarnation: started.as_millis() as u64,
-        failure_domain: settings.failure_domain,
-        peer_address: settings.peer_address,
-        metrics_address: settings.metrics_address,
-        state: MemberState::Joining,
-    };
-    let rng = SmallRng::seed_from_u64(me.incarnation ^ u64::from(me.id));
-    let cfg = InstanceConfig {
-        me,
-        seeds: settings.seeds,
-        peer_key: settings.peer_key,
-        control_budget: settings.control_budget,
-        flow_capacity: FLOW_CAPACITY,
-        trace_one_in: settings.trace_one_in,
-        policy: Policy::Epochs,
-    };
-    Instance::new(Duration::ZERO, cfg, rng)
+async fn listen(address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    TcpListener::bind(address).await.map_err(|source| DaemonError::Bind { address, source })
 }
 
 impl Daemon {
     /// Hands an event to the instance and does what it wants done.
     fn handle(self: &Rc<Self>, event: Event) {
         let mut out = Vec::new();
-        self.instance.borrow_mut().handle(self.started.elapsed(), event, &mut out);
+        self.core.borrow_mut().handle(self.started.elapsed(), event, &mut out);
         for action in out {
             self.act(action);
         }
@@ -160,7 +190,11 @@
 
     fn act(self: &Rc<Self>, action: Action) {
         match action {
-            Action::Fabric(packet) => send(&self.packets, &packet, self.fabric),
+            Action::Fabric(packet) => match self.fabric {
+                Some(fabric) => send(&self.packets, &packet, fabric),
+                None => log::error!("no_fabric"),
+            },
+            Action::Datagram(to, packet) => send(&self.packets, &packet, to),
             Action::Peer(to, buf) | Action::PassOn(to, buf) => send(&self.peers, &buf, to),
             Action::Platform(call) => self.call(call),
             Action::Probe(target, report) => self.probe(target, report),
@@ -203,6 +237,16 @@
         };
         self.ex.spawn(task).detach();
     }
+
+    /// Takes changed settings, if there are any.
+    fn reload(self: &Rc<Self>) {
+        self.next_reload.set(self.started.elapsed() + RELOAD_EVERY);
+        let changed = self.reload.borrow_mut().as_mut().and_then(|reload| reload());
+        if let Some(settings) = changed {
+            log::info!(seeds = settings.seeds.len(), grace_ms = settings.grace.as_millis() as u64; "settings_reloaded");
+            self.handle(Event::Changed(settings));
+        }
+    }
 }
 
 /// Sends without waiting: a full socket buffer loses the datagram, as a network would.
@@ -219,6 +263,11 @@
         if let Ok((len, _)) = socket.recv_from(&mut buf).await {
             daemon.handle(event(buf[..len].to_vec()));
         }
+        // What has come meanwhile needs no further wait.
+        for _ in 0..READ_AT_ONCE {
+            let Ok((len, _)) = socket.get_ref().recv_from(&mut buf) else { break };
+            daemon.handle(event(buf[..len].to_vec()));
+        }
     }
 }
 
@@ -226,29 +275,36 @@
     loop {
         smol::Timer::after(TICK).await;
         daemon.handle(Event::Tick);
-        daemon.rpc.set_status(daemon.instance.borrow().status(daemon.started.elapsed()));
+        daemon.rpc.set_status(daemon.core.borrow().status(daemon.started.elapsed()));
         if daemon.rpc.take_stop() {
             daemon.handle(Event::Stop);
         }
+        if daemon.started.elapsed() >= daemon.next_reload.get() {
+            daemon.reload();
+        }
+        flush_logs();
     }
 }
 
-async fn stops(daemon: Rc<Daemon>, mut signals: StopSignals) {
+async fn obey(daemon: Rc<Daemon>, mut signals: Signals) {
     loop {
-        signals.next().await;
-        daemon.handle(Event::Stop);
+        match signals.next().await {
+            Signalled::Stop => daemon.handle(Event::Stop),
+            Signalled::Reload => daemon.reload(),
+        }
     }
 }
 
-fn handler(daemon: Rc<Daemon>, page: MetricsPage) -> impl Fn(Request) -> HandlerFuture {
+fn handler(
+    daemon: Rc<Daemon>,
+    page: MetricsPage,
+    health_path: String,
+) -> impl Fn(Request) -> HandlerFuture {
     move |req| {
         let response = match (&req.method, req.route()) {
             (&Method::POST, "/rpc") => return answer_rpc(Rc::clone(&daemon.rpc), req.body),
             (_, "/rpc") => Response::text(StatusCode::METHOD_NOT_ALLOWED, "POST alone\n"),
-            (_, "/healthz") if daemon.instance.borrow().healthy() => {
-                Response::text(StatusCode::OK, "ok\n")
-            }
-            (_, "/healthz") => Response::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            (_, path) if path == health_path => health(daemon.core.borrow().healthy()),
             (_, "/metrics") => Response::text(StatusCode::OK, page.render()),
             _ => Response::text(StatusCode::NOT_FOUND, "not found\n"),
         };
@@ -256,6 +312,14 @@
     }
 }
 
+fn health(healthy: bool) -> Response {
+    if healthy {
+        Response::text(StatusCode::OK, "ok\n")
+    } else {
+        Response::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+    }
+}
+
 fn answer_rpc(rpc: Rc<Rpc>, body: Vec<u8>) -> HandlerFuture {
     Box::pin(async move {
         let body = rpc.answer(&body).await.into_bytes();
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,7 +1,7 @@
 //! The daemon of an instance: arguments, sockets and time around the decision parts.
 
 mod arguments;
-mod daemon;
+mod core;
 
 pub use arguments::{Arguments, Command, HELP};
 
@@ -37,7 +37,7 @@
             return ExitCode::from(EXIT_INVALID);
         }
     };
-    match daemon::run(settings) {
+    match crate::daemon::run(core::config(&settings), |now| core::make(now, settings)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("{e}");
--- /dev/null
+++ b/src/entry/core.rs
@@ -0,0 +1,56 @@
+//! The instance that `limpetdeck-entry` runs, made from its settings.
+
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::daemon::{DaemonConfig, start_number};
+use crate::instance::{Instance, InstanceConfig};
+use crate::peer::{MemberInfo, MemberState};
+use crate::placement::Policy;
+use crate::platform::HttpPlatform;
+use crate::settings::Settings;
+
+/// Flows that one instance knows at most.
+const FLOW_CAPACITY: usize = 2_000_000;
+/// Path on which the fabric asks whether to send packets here.
+const HEALTH_PATH: &str = "/healthz";
+
+/// Returns what the daemon needs to know.
+pub(super) fn config(settings: &Settings) -> DaemonConfig {
+    DaemonConfig {
+        packet_address: settings.packet_address,
+        peer_address: settings.peer_address,
+        health_address: settings.metrics_address,
+        health_path: HEALTH_PATH.to_owned(),
+        metrics_address: settings.metrics_address,
+        fabric: Some(settings.fabric_address),
+        platform: Box::new(HttpPlatform::new(settings.platform_address)),
+        log_level: settings.log_level,
+        reload: None,
+    }
+}
+
+/// Makes the instance.
+pub(super) fn make(now: Duration, settings: Settings) -> Instance {
+    let me = MemberInfo {
+        id: settings.instance,
+        incarnation: start_number(),
+        failure_domain: settings.failure_domain,
+        peer_address: settings.peer_address,
+        metrics_address: settings.metrics_address,
+        state: MemberState::Joining,
+    };
+    let rng = SmallRng::seed_from_u64(me.incarnation ^ u64::from(me.id));
+    let cfg = InstanceConfig {
+        me,
+        seeds: settings.seeds,
+        peer_key: settings.peer_key,
+        control_budget: settings.control_budget,
+        flow_capacity: FLOW_CAPACITY,
+        trace_one_in: settings.trace_one_in,
+        policy: Policy::Epochs,
+    };
+    Instance::new(now, cfg, rng)
+}
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -1,11 +1,13 @@
 //! One instance without its sockets: events in, actions out.
 
+mod core;
 mod drop_log;
 mod event;
 mod registry;
 mod run;
 mod status;
 
-pub use event::{Action, Event};
+pub use core::Core;
+pub use event::{Action, Changeable, Event};
 pub use run::{Instance, InstanceConfig};
 pub use status::Status;
--- a/src/instance/event.rs
+++ b/src/instance/event.rs
@@ -1,6 +1,7 @@
 //! What happens to an instance, and what it wants done.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use crate::ids::TargetId;
 use crate::platform::{Call, PlatformError, Reply};
@@ -22,6 +23,17 @@
     Tick,
     /// The instance is asked to stop gracefully.
     Stop,
+    /// Some settings have changed.
+    Changed(Changeable),
+}
+
+/// The settings that an instance takes while it runs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Changeable {
+    /// Peer addresses that are tried when no instance is known.
+    pub seeds: Vec<SocketAddr>,
+    /// Time within which a graceful stop has to be complete.
+    pub grace: Duration,
 }
 
 /// Something that an instance wants done.
@@ -29,6 +41,8 @@
 pub enum Action {
     /// Send a packet to the fabric.
     Fabric(Vec<u8>),
+    /// Send a packet to a target or a caller.
+    Datagram(SocketAddr, Vec<u8>),
     /// Send a control message to another instance; it was paid for from the budget.
     Peer(SocketAddr, Vec<u8>),
     /// Pass a packet on to another instance, which is no control traffic.
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -11,7 +11,7 @@
 
 use super::drop_log::DropLog;
 use super::registry::{INSTANCES, Registry};
-use super::{Action, Event, Status};
+use super::{Action, Core, Event, Status};
 use crate::admission::{RuleAdmission, TakeOvers};
 use crate::link::Link;
 use crate::lists::Lists;
@@ -111,6 +111,7 @@
             }
             Event::Tick => self.tick(now, out),
             Event::Stop => self.stop(now),
+            Event::Changed(settings) => self.membership.set_seeds(settings.seeds),
         }
     }
 
@@ -212,7 +213,8 @@
         }
         let mut outbox = self.link.outbox(now, out);
         match body {
-            Body::Hop(_) => {}
+            // Packets were dealt with above; steering has instances of its own.
+            Body::Hop(_) | Body::Steering(_) => {}
             Body::Membership(message) => {
                 self.membership.on_message(now, from, message, &mut outbox);
             }
@@ -389,6 +391,20 @@
     }
 }
 
+impl Core for Instance {
+    fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
+        Self::handle(self, now, event, out);
+    }
+
+    fn healthy(&self) -> bool {
+        Self::healthy(self)
+    }
+
+    fn status(&self, now: Duration) -> Status {
+        Self::status(self, now)
+    }
+}
+
 fn dropped(reason: Discard) {
     counter!("limpetdeck_packets_dropped_total", "reason" => reason.to_string()).increment(1);
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod budget;
 pub mod ctl;
+pub mod daemon;
 pub mod entry;
 pub mod flow;
 pub mod hash;
@@ -25,5 +26,6 @@
 pub mod services;
 pub mod settings;
 pub mod signals;
+pub mod steering;
 pub mod targets;
 pub mod telemetry;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -218,6 +218,11 @@
         }
     }
 
+    /// Takes the addresses that are tried when no instance is known.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.contacts.set_seeds(seeds);
+    }
+
     /// Announces that this instance will stop.
     pub fn leave(&mut self) {
         self.announce(MemberState::Leaving);
--- a/src/membership/contacts.rs
+++ b/src/membership/contacts.rs
@@ -31,6 +31,11 @@
         Self { seeds, next_seed: 0, hints: BTreeMap::new(), last_hint: 0 }
     }
 
+    pub(super) fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+        self.next_seed = 0;
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.seeds.is_empty() && self.hints.is_empty()
     }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -6,7 +6,7 @@
 
 use crate::ids::{FailureDomain, Incarnation, InstanceId};
 use crate::placement::{self, Route};
-use crate::{admission, lists, membership, targets};
+use crate::{admission, lists, membership, steering, targets};
 
 /// What an instance says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -62,4 +62,6 @@
     Flows(placement::Message),
     /// Which flows a new placer has to count.
     Admission(admission::Message),
+    /// Which targets there are, and where the service addresses lead.
+    Steering(steering::Message),
 }
--- a/src/platform/api.rs
+++ b/src/platform/api.rs
@@ -90,6 +90,9 @@
     /// There is no such object.
     #[display("not found")]
     NotFound,
+    /// The platform has forgotten the changes that a watch asks for.
+    #[display("history gone")]
+    HistoryGone,
     /// The platform answered with an error: the call did not take effect.
     #[display("refused: {_0}")]
     Refused(#[error(not(source))] String),
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -74,6 +74,7 @@
         },
         StatusCode::CONFLICT => Err(PlatformError::Conflict(Box::new(parse(response)?))),
         StatusCode::NOT_FOUND => Err(PlatformError::NotFound),
+        StatusCode::GONE => Err(PlatformError::HistoryGone),
         status if status.is_client_error() => Err(PlatformError::Refused(text(response))),
         // A gateway may fail after the write has taken effect.
         status => Err(PlatformError::NoAnswer(format!("{status}: {}", text(response)))),
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -1,30 +1,46 @@
-//! The signals that ask a process to stop gracefully.
+//! The signals that ask a process to stop gracefully or to read its settings again.
 
 use std::io;
 
-use async_signal::{Signal, Signals};
+use async_signal::Signal;
 use futures_lite::StreamExt;
 
-/// The stop signals of this process.
+/// What a signal asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Signalled {
+    /// Stop gracefully.
+    Stop,
+    /// Read the settings again.
+    Reload,
+}
+
+/// The signals of this process.
 #[derive(Debug)]
-pub struct StopSignals {
-    signals: Signals,
+pub struct Signals {
+    signals: async_signal::Signals,
 }
 
-impl StopSignals {
-    /// Starts to catch SIGTERM and SIGINT.
+impl Signals {
+    /// Starts to catch SIGTERM, SIGINT and SIGHUP.
     ///
     /// # Errors
     ///
     /// Fails if the system does not let the signals be caught.
     pub fn catch() -> io::Result<Self> {
-        let signals = Signals::new([Signal::Term, Signal::Int])?;
+        let signals = async_signal::Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
         Ok(Self { signals })
     }
 
-    /// Waits for the next stop signal.
-    pub async fn next(&mut self) {
-        // The stream never ends, and an error means that one signal was not read.
-        let _ = self.signals.next().await;
+    /// Waits for the next signal.
+    pub async fn next(&mut self) -> Signalled {
+        loop {
+            match self.signals.next().await {
+                Some(Ok(Signal::Hup)) => return Signalled::Reload,
+                Some(Ok(_)) => return Signalled::Stop,
+                Some(Err(e)) => log::warn!(error = e.to_string().as_str(); "signal_unread"),
+                // The stream never ends; should it, no signal will ever come.
+                None => std::future::pending().await,
+            }
+        }
     }
 }
--- /dev/null
+++ b/src/steering.rs
@@ -0,0 +1,34 @@
+//! Steering by tokens, for transports whose packets carry one.
+//!
+//! The first packet of a flow is given a token that names its target, and both ends hand it
+//! back on all later packets. Any instance that knows the targets can therefore forward any
+//! packet, without a record of the flow and without asking anybody.
+
+mod choice;
+mod decision_log;
+mod directory;
+mod feed;
+mod flows;
+mod health;
+mod message;
+mod node;
+mod packet;
+mod routes;
+mod sharing;
+mod steer;
+mod target;
+mod token;
+
+pub use choice::{Candidate, choose};
+pub use directory::{Directory, TargetRecord};
+pub use feed::{Feeds, INSTANCES, ROUTES, TARGETS};
+pub use flows::{Flows, Load, Seen};
+pub use health::Health;
+pub use message::Message;
+pub use node::{Node, NodeConfig};
+pub use packet::{FlowPacket, PacketError, PacketFormat, PacketKind};
+pub use routes::{RawRoute, RawRoutes, Route, RouteTable, WeightedService};
+pub use sharing::Sharing;
+pub use steer::{Belief, Refusal, Steer, Unforwarded, Verdict};
+pub use target::{RawTarget, Target, TargetKey, TargetState};
+pub use token::{NO_TOKEN, Token, Tokens};
--- /dev/null
+++ b/src/steering/node.rs
@@ -0,0 +1,559 @@
+//! One instance that steers by tokens, without its sockets: events in, actions out.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use metrics::{counter, gauge};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::decision_log::DecisionLog;
+use super::feed::{Feeds, INSTANCES, ROUTES, TARGETS, Wants};
+use super::sharing::{Peers, Sharing};
+use super::steer::Belief;
+use super::{
+    FlowPacket, PacketFormat, PacketKind, RawRoutes, RawTarget, Steer, Target, TargetRecord,
+    Unforwarded, Verdict,
+};
+use crate::hash::HashMap;
+use crate::instance::{Action, Changeable, Core, Event, Status};
+use crate::link::Link;
+use crate::lists::Versions;
+use crate::membership::Membership;
+use crate::peer::{Body, MemberInfo};
+use crate::platform::{Call, Object, PlatformError, Reply, Revision};
+use crate::telemetry::Tracer;
+
+/// Shortest time for which a leaving instance keeps forwarding: callers' packets come until
+/// health checks that fail have taken it out of the rotation.
+const LINGER: Duration = Duration::from_millis(1_500);
+/// Time without packets after which a leaving instance goes.
+const QUIET: Duration = Duration::from_millis(600);
+/// Part of the time for a graceful stop that is kept for ending the process.
+const EXIT_RESERVE: Duration = Duration::from_millis(700);
+/// Gap between two ticks after which the instance was paused.
+const PAUSED_AFTER: Duration = Duration::from_secs(1);
+/// Time between two rounds of forgetting.
+const EXPIRE_EVERY: Duration = Duration::from_secs(1);
+/// Time after the start until an instance that watches the platform registers, so that
+/// those that only watch while they join do not.
+const REGISTER_AFTER: Duration = Duration::from_secs(5);
+/// Time after the start until one that knows no other looks for registered ones.
+const LOOK_AFTER: Duration = Duration::from_millis(1_200);
+/// Packets that wait for routes and targets at most.
+const MOST_WAITING: usize = 256;
+/// Longest time that a packet waits; by then its sender has sent it again.
+const LONGEST_WAIT: Duration = Duration::from_millis(600);
+
+/// What an instance is made of.
+#[derive(Debug)]
+pub struct NodeConfig {
+    /// The instance as others see it.
+    pub me: MemberInfo,
+    /// Peer addresses that are tried when no instance is known.
+    pub seeds: Vec<SocketAddr>,
+    /// Key of the messages between instances, from which that of the tokens is derived.
+    pub peer_key: [u8; 32],
+    /// Control traffic that the instance may send, in bytes a second.
+    pub control_budget: u32,
+    /// One flow in this many is traced; 0 traces none.
+    pub trace_one_in: u32,
+    /// Time within which a graceful stop has to be complete.
+    pub grace: Duration,
+    /// The format of packets.
+    pub format: Box<dyn PacketFormat>,
+}
+
+/// One instance that steers by tokens.
+#[derive(Debug)]
+pub struct Node {
+    format: Box<dyn PacketFormat>,
+    steer: Steer,
+    feeds: Feeds,
+    sharing: Sharing,
+    membership: Membership,
+    link: Link,
+    tracer: Tracer,
+    log: DecisionLog,
+    waiting: VecDeque<(Duration, Vec<u8>)>,
+    started: Duration,
+    last_tick: Duration,
+    last_packet: Duration,
+    next_expiry: Duration,
+    platform_answered: Option<Duration>,
+    registered: bool,
+    grace: Duration,
+    leaving_since: Option<Duration>,
+    gone: bool,
+    refusals: BTreeMap<String, u64>,
+}
+
+impl Node {
+    /// Makes an instance that starts now; all its randomness comes from `rng`.
+    pub fn new(now: Duration, cfg: NodeConfig, mut rng: SmallRng) -> Self {
+        let id = cfg.me.id;
+        let token_key = blake3::derive_key("limpetdeck flow tokens", &cfg.peer_key);
+        let home = cfg.me.failure_domain.clone();
+        let mut fork = || SmallRng::from_rng(&mut rng);
+        Self {
+            format: cfg.format,
+            steer: Steer::new(home, token_key, fork()),
+            feeds: Feeds::new(fork()),
+            sharing: Sharing::new(fork()),
+            link: Link::new(cfg.peer_key, id, cfg.me.incarnation, cfg.control_budget, now),
+            tracer: Tracer::new(id, cfg.trace_one_in),
+            membership: Membership::new(now, cfg.me, cfg.seeds, fork()),
+            log: DecisionLog::new(now),
+            waiting: VecDeque::new(),
+            started: now,
+            last_tick: now,
+            last_packet: now,
+            next_expiry: now,
+            platform_answered: None,
+            registered: false,
+            grace: cfg.grace,
+            leaving_since: None,
+            gone: false,
+            refusals: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the decisions about packets, for their state.
+    pub fn steer(&self) -> &Steer {
+        &self.steer
+    }
+
+    /// Returns the membership, for its state.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    fn packet(&mut self, now: Duration, buf: Vec<u8>, out: &mut Vec<Action>) {
+        self.last_packet = now;
+        let packet = match self.format.read(&buf) {
+            Ok(packet) => packet,
+            Err(e) => return self.dropped(now, None, &e.to_string()),
+        };
+        let _span = self.tracer.root(packet.flow.id(), 0, 0);
+        match self.steer.decide(now, &packet) {
+            Verdict::Forward(target, token) => {
+                counter!("limpetdeck_packets_forwarded_total").increment(1);
+                let datagram = self.format.forward(&buf, token, target);
+                out.push(Action::Datagram(SocketAddr::V4(target.address), datagram));
+                if let (Some(token), PacketKind::Opening { repeats }) = (token, packet.kind) {
+                    let target = target.clone();
+                    self.placed(now, &packet, &target, token, repeats);
+                }
+            }
+            Verdict::Reset(refusal) => {
+                let reason = refusal.to_string();
+                let (to, reset) = self.format.reset(&packet);
+                out.push(Action::Datagram(SocketAddr::V4(to), reset));
+                counter!("limpetdeck_flows_refused_total", "reason" => reason.clone()).increment(1);
+                self.log_refusal(now, &packet, &reason);
+                *self.refusals.entry(reason).or_default() += 1;
+            }
+            Verdict::Drop(Unforwarded::NotReady) => self.hold(now, buf),
+            Verdict::Drop(reason) => self.dropped(now, Some(&packet), &reason.to_string()),
+        }
+    }
+
+    /// Keeps a packet until the routes and targets are known.
+    fn hold(&mut self, now: Duration, buf: Vec<u8>) {
+        if self.waiting.len() >= MOST_WAITING {
+            self.waiting.pop_front();
+            counter!("limpetdeck_packets_dropped_total", "reason" => "not_ready").increment(1);
+        }
+        self.waiting.push_back((now, buf));
+    }
+
+    /// Decides about the packets that waited.
+    fn release(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if self.waiting.is_empty() || !self.steer.ready() {
+            return;
+        }
+        let waiting = std::mem::take(&mut self.waiting);
+        log::info!(packets = waiting.len(); "waiting_released");
+        let (fresh, old): (Vec<_>, Vec<_>) =
+            waiting.into_iter().partition(|(since, _)| now < *since + LONGEST_WAIT);
+        counter!("limpetdeck_packets_dropped_total", "reason" => "not_ready")
+            .increment(old.len() as u64);
+        for (_, buf) in fresh {
+            self.packet(now, buf, out);
+        }
+    }
+
+    fn placed(
+        &mut self,
+        now: Duration,
+        packet: &FlowPacket,
+        target: &Target,
+        token: u32,
+        repeats: u32,
+    ) {
+        counter!("limpetdeck_flows_placed_total").increment(1);
+        let Some(unlogged) = self.log.line(now) else { return };
+        let load = self.steer.flows.load((target.key, target.start));
+        let (age, revision) = self.steer.directory.age(now, target.key).unwrap_or_default();
+        log::info!(
+            caller = packet.flow.caller.to_string().as_str(),
+            service = packet.flow.service.to_string().as_str(),
+            target = format!("{:x}", target.key).as_str(),
+            to = target.service.as_str(),
+            failure_domain = target.failure_domain.as_str(),
+            token = format!("{token:08x}").as_str(),
+            repeats = repeats,
+            flows = load.flows,
+            waiting = load.waiting,
+            target_revision = revision,
+            target_age_ms = age.as_millis() as u64,
+            routes_version = self.steer.routes.version(),
+            unlogged = unlogged;
+            "flow_placed"
+        );
+    }
+
+    fn log_refusal(&mut self, now: Duration, packet: &FlowPacket, reason: &str) {
+        let Some(unlogged) = self.log.line(now) else { return };
+        log::info!(
+            caller = packet.flow.caller.to_string().as_str(),
+            service = packet.flow.service.to_string().as_str(),
+            reason = reason,
+            token = format!("{:08x}", packet.token).as_str(),
+            routes_version = self.steer.routes.version(),
+            targets_revision = self.steer.directory.complete_to(),
+            unlogged = unlogged;
+            "flow_reset"
+        );
+    }
+
+    fn dropped(&mut self, now: Duration, packet: Option<&FlowPacket>, reason: &str) {
+        counter!("limpetdeck_packets_dropped_total", "reason" => reason.to_owned()).increment(1);
+        let Some(unlogged) = self.log.line(now) else { return };
+        let (caller, service, token) = packet.map_or_else(Default::default, |packet| {
+            (packet.flow.caller.to_string(), packet.flow.service.to_string(), packet.token)
+        });
+        log::warn!(
+            reason = reason,
+            caller = caller.as_str(),
+            service = service.as_str(),
+            token = format!("{token:08x}").as_str(),
+            routes_version = self.steer.routes.version(),
+            targets_revision = self.steer.directory.complete_to(),
+            unlogged = unlogged;
+            "packet_dropped"
+        );
+    }
+
+    fn peer(&mut self, now: Duration, buf: &[u8], out: &mut Vec<Action>) {
+        let (from, body) = match self.link.open(buf) {
+            Ok(opened) => opened,
+            Err(reason) => {
+                let reason = reason.to_string();
+                counter!("limpetdeck_peer_messages_dropped_total", "reason" => reason).increment(1);
+                return;
+            }
+        };
+        let since = self.steer.directory.complete_to();
+        let mut outbox = self.link.outbox(now, out);
+        match body {
+            Body::Membership(message) => {
+                self.membership.on_message(now, from, message, &mut outbox);
+                self.join_members();
+            }
+            Body::Steering(message) => {
+                if self.sharing.on_message(now, from, message, &mut self.steer, &mut outbox) {
+                    self.sharing.push(now, &self.steer, since, &mut outbox);
+                    self.release(now, out);
+                }
+            }
+            // These belong to instances that place by records.
+            Body::Hop(_)
+            | Body::Lists(_)
+            | Body::Targets(_)
+            | Body::Flows(_)
+            | Body::Admission(_) => {
+                counter!("limpetdeck_peer_messages_dropped_total", "reason" => "not_steering")
+                    .increment(1);
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let gap = now.saturating_sub(self.last_tick);
+        if gap > PAUSED_AFTER {
+            log::warn!(gap_ms = gap.as_millis() as u64; "paused");
+            self.feeds.refresh(now);
+        }
+        self.last_tick = now;
+        let mut outbox = self.link.outbox(now, out);
+        self.membership.tick(now, &mut outbox);
+        let fails = self.feeds.routes_fail();
+        self.sharing.tick(now, &self.steer, fails, &mut outbox);
+        self.join_members();
+        if self.membership.superseded() {
+            self.stop(now);
+        }
+        self.call_platform(now, out);
+        if now >= self.next_expiry {
+            self.next_expiry = now + EXPIRE_EVERY;
+            self.steer.expire(now);
+            gauge!("limpetdeck_flows_known").set(self.steer.flows.len() as f64);
+            gauge!("limpetdeck_targets_known").set(self.steer.directory.len() as f64);
+            gauge!("limpetdeck_routes_version").set(self.steer.routes.version() as f64);
+        }
+        self.log_beliefs();
+        self.end_stop(now, out);
+    }
+
+    fn log_beliefs(&mut self) {
+        for belief in self.steer.take_beliefs() {
+            let (target, event) = match belief {
+                Belief::Silent(target) => (target, "target_silent"),
+                Belief::Answers(target) => (target, "target_answers"),
+            };
+            counter!("limpetdeck_target_beliefs_total", "event" => event).increment(1);
+            log::info!(target = format!("{target:x}").as_str(); "{event}");
+        }
+    }
+
+    fn call_platform(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if self.leaving_since.is_some() {
+            return;
+        }
+        let age = now.saturating_sub(self.started);
+        let alone = self.membership.live().len() < 2;
+        let watches = self.membership.watches(now);
+        let wants = Wants {
+            watches,
+            routes: self.sharing.routes_behind(&self.steer),
+            instances: alone && age >= LOOK_AFTER,
+        };
+        out.extend(self.feeds.due(now, wants).into_iter().map(Action::Platform));
+        if watches && !self.registered && age >= REGISTER_AFTER && !self.feeds.lost() {
+            self.registered = true;
+            let me = self.membership.me();
+            let name = format!("{INSTANCES}{}", me.id);
+            let value = serde_json::to_value(me).unwrap_or_default();
+            out.push(Action::Platform(Call::Put { name, if_version: None, value }));
+        }
+    }
+
+    fn join_members(&mut self) {
+        if !self.membership.take_changed() {
+            return;
+        }
+        let me = self.membership.me();
+        let others = self.membership.infos().filter(|info| info.id != me.id);
+        let (home, away): (Vec<&MemberInfo>, Vec<_>) =
+            others.partition(|info| info.failure_domain == me.failure_domain);
+        let ids = |infos: Vec<&MemberInfo>| infos.into_iter().map(|info| info.id).collect();
+        log::info!(home = home.len(), away = away.len(); "members");
+        gauge!("limpetdeck_instances_live").set((home.len() + away.len() + 1) as f64);
+        self.sharing.set_peers(Peers { home: ids(home), away: ids(away) });
+        let addresses: HashMap<_, _> = self.membership.addresses();
+        self.link.set_addresses(addresses);
+    }
+
+    fn platform(
+        &mut self,
+        now: Duration,
+        call: &Call,
+        result: &Result<Reply, PlatformError>,
+        out: &mut Vec<Action>,
+    ) {
+        self.feeds.done(now, call, result);
+        if self.feeds.take_regained() {
+            self.steer.directory.platform_regained(now);
+        }
+        match (call, result) {
+            (_, Err(e)) => self.failed(call, e),
+            (Call::List { prefix } | Call::Watch { prefix, .. }, Ok(Reply::Changes(changes))) => {
+                self.platform_answered = Some(now);
+                let since = self.steer.directory.complete_to();
+                let news = match prefix.as_str() {
+                    ROUTES => self.take_routes(&changes.objects),
+                    TARGETS => {
+                        let is_list = matches!(call, Call::List { .. });
+                        self.take_targets(now, is_list, changes.revision, &changes.objects)
+                    }
+                    _ => self.take_instances(now, &changes.objects),
+                };
+                if news {
+                    let mut outbox = self.link.outbox(now, out);
+                    self.sharing.push(now, &self.steer, since, &mut outbox);
+                }
+                self.release(now, out);
+            }
+            (_, Ok(_)) => self.platform_answered = Some(now),
+        }
+    }
+
+    fn failed(&mut self, call: &Call, e: &PlatformError) {
+        counter!("limpetdeck_platform_errors_total").increment(1);
+        if matches!(call, Call::Put { .. }) {
+            self.registered = false;
+        }
+        log::warn!(call = describe(call).as_str(), error = e.to_string().as_str(); "platform_call_failed");
+    }
+
+    fn take_routes(&mut self, objects: &[Object]) -> bool {
+        let mut news = false;
+        for object in objects.iter().filter(|object| !object.value.is_null()) {
+            let raw = match serde_json::from_value::<RawRoutes>(object.value.clone()) {
+                Ok(raw) => raw,
+                Err(e) => {
+                    refused(&object.name, &e.to_string());
+                    continue;
+                }
+            };
+            let version = raw.version;
+            match self.steer.routes.adopt(raw) {
+                Ok(true) => {
+                    log::info!(version = version, source = "platform"; "routes_adopted");
+                    news = true;
+                }
+                Ok(false) => {}
+                Err(findings) => refused(&object.name, &findings.to_string()),
+            }
+        }
+        news
+    }
+
+    fn take_targets(
+        &mut self,
+        now: Duration,
+        all: bool,
+        revision: Revision,
+        objects: &[Object],
+    ) -> bool {
+        let records: Vec<_> = objects.iter().filter_map(record).collect();
+        let directory = &mut self.steer.directory;
+        let news = if all {
+            directory.replace_all(now, revision, records)
+        } else {
+            let news = records.into_iter().filter(|r| directory.merge(now, r.clone())).count();
+            directory.complete(revision);
+            news
+        };
+        if news > 0 {
+            let source = if all { "list" } else { "watch" };
+            counter!("limpetdeck_target_changes_total", "source" => source).increment(news as u64);
+            log::info!(source = source, changes = news, revision = revision, targets = directory.len(); "targets_changed");
+        }
+        news > 0
+    }
+
+    fn take_instances(&mut self, now: Duration, objects: &[Object]) -> bool {
+        for object in objects.iter().filter(|object| !object.value.is_null()) {
+            match serde_json::from_value::<MemberInfo>(object.value.clone()) {
+                Ok(info) => self.membership.listed(now, info),
+                Err(e) => refused(&object.name, &e.to_string()),
+            }
+        }
+        false
+    }
+
+    fn change(&mut self, settings: Changeable) {
+        self.grace = settings.grace;
+        self.membership.set_seeds(settings.seeds);
+    }
+
+    fn stop(&mut self, now: Duration) {
+        if self.leaving_since.is_none() {
+            log::info!(instance = self.membership.me().id; "leaving");
+            self.leaving_since = Some(now);
+            self.membership.leave();
+        }
+    }
+
+    /// Ends a graceful stop once nothing reaches this instance any more, or its time is up.
+    fn end_stop(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let Some(since) = self.leaving_since.filter(|_| !self.gone) else { return };
+        let latest = since + self.grace.saturating_sub(EXIT_RESERVE);
+        let quiet = now >= since + LINGER && now >= self.last_packet + QUIET;
+        if quiet || now >= latest {
+            self.gone = true;
+            if self.registered && !self.membership.superseded() {
+                let name = format!("{INSTANCES}{}", self.membership.me().id);
+                out.push(Action::Platform(Call::Delete { name }));
+            }
+            out.push(Action::Exit);
+        }
+    }
+}
+
+impl Core for Node {
+    fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Packet(buf) => self.packet(now, buf, out),
+            Event::Peer(buf) => self.peer(now, &buf, out),
+            Event::Platform(call, result) => self.platform(now, &call, &result, out),
+            // Targets are never probed: their flows show whether they answer.
+            Event::Probed(..) => {}
+            Event::Tick => self.tick(now, out),
+            Event::Stop => self.stop(now),
+            Event::Changed(settings) => self.change(settings),
+        }
+    }
+
+    fn healthy(&self) -> bool {
+        self.leaving_since.is_none() && self.steer.ready()
+    }
+
+    fn status(&self, now: Duration) -> Status {
+        let me = self.membership.me();
+        let since = |answered| now.saturating_sub(answered).as_millis() as u64;
+        let services = self.steer.routes.version();
+        Status {
+            instance: me.id,
+            incarnation: me.incarnation,
+            failure_domain: me.failure_domain.clone(),
+            state: me.state,
+            healthy: self.healthy(),
+            stale: false,
+            isolated: self.membership.isolated(now),
+            versions: Versions { services, ..Versions::default() },
+            refused_versions: Versions::default(),
+            platform_answered_ms_ago: self.platform_answered.map(since),
+            live_instances: self.membership.live().len(),
+            open_flows: self.steer.flows.len(),
+            refusals: self.refusals.clone(),
+        }
+    }
+}
+
+/// Reads a target's object; one that cannot be read names no target to use.
+fn record(object: &Object) -> Option<TargetRecord> {
+    let hex = object.name.strip_prefix(TARGETS)?;
+    let key = u64::from_str_radix(hex, 16).ok()?;
+    let revision = object.version;
+    if object.value.is_null() {
+        return Some(TargetRecord { key, revision, target: None });
+    }
+    let raw = serde_json::from_value::<RawTarget>(object.value.clone());
+    let target = raw.map_err(|e| e.to_string()).and_then(Target::try_from);
+    match target {
+        Ok(target) => Some(TargetRecord { key, revision, target: Some(target) }),
+        Err(problem) => {
+            refused(&object.name, &problem);
+            Some(TargetRecord { key, revision, target: None })
+        }
+    }
+}
+
+fn refused(object: &str, problem: &str) {
+    counter!("limpetdeck_objects_refused_total").increment(1);
+    log::warn!(object = object, problem = problem; "object_refused");
+}
+
+fn describe(call: &Call) -> String {
+    match call {
+        Call::Get { name } => format!("get {name}"),
+        Call::Put { name, .. } => format!("put {name}"),
+        Call::Delete { name } => format!("delete {name}"),
+        Call::List { prefix } => format!("list {prefix}"),
+        Call::Watch { prefix, after, .. } => format!("watch {prefix} after {after}"),
+    }
+}
--- /dev/null
+++ b/src/steering/steer.rs
@@ -0,0 +1,273 @@
+//! The way of one packet: to its target, back to its caller as a reset, or nowhere.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+use metrics::histogram;
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use super::token::TargetStart;
+use super::{
+    Candidate, Directory, FlowPacket, Flows, Health, NO_TOKEN, PacketKind, Route, RouteTable, Seen,
+    Target, TargetKey, Token, Tokens, choose,
+};
+use crate::flow::FlowKey;
+use crate::ids::FailureDomain;
+
+/// Time after which a flow is forgotten if the routes give no idle timeout.
+const DEFAULT_IDLE: Duration = Duration::from_secs(60);
+
+/// Why a flow is refused or broken off with a reset.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
+pub enum Refusal {
+    /// No route has the address.
+    #[display("no_route")]
+    NoRoute,
+    /// The flow's route was dropped.
+    #[display("route_dropped")]
+    RouteDropped,
+    /// No target of the route's services takes new flows.
+    #[display("no_target")]
+    NoTarget,
+    /// The flow's target has started again and knows nothing of it.
+    #[display("target_restarted")]
+    TargetRestarted,
+    /// The flow's target has stopped answering.
+    #[display("target_silent")]
+    TargetSilent,
+}
+
+/// Why a packet goes nowhere.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
+pub enum Unforwarded {
+    /// The routes or the targets are not known yet.
+    #[display("not_ready")]
+    NotReady,
+    /// The packet carries no token, or one that matches no known target.
+    #[display("unknown_token")]
+    UnknownToken,
+    /// No route has the address, as far as this instance knows.
+    #[display("unknown_address")]
+    UnknownAddress,
+    /// It is a packet that only targets send.
+    #[display("from_target")]
+    FromTarget,
+}
+
+/// What becomes of a packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict<'a> {
+    /// It goes to a target, with a new token if one is given.
+    Forward(&'a Target, Option<Token>),
+    /// Its caller gets a reset.
+    Reset(Refusal),
+    /// It is dropped.
+    Drop(Unforwarded),
+}
+
+/// A change of what is believed of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Belief {
+    /// The target does not answer.
+    Silent(TargetKey),
+    /// The target answers again.
+    Answers(TargetKey),
+}
+
+/// All that decides about packets.
+#[derive(Debug)]
+pub struct Steer {
+    home: FailureDomain,
+    /// Where the service addresses lead.
+    pub routes: RouteTable,
+    /// The targets.
+    pub directory: Directory,
+    /// The flows that pass.
+    pub flows: Flows,
+    health: Health,
+    tokens: Tokens,
+    beliefs: Vec<Belief>,
+    rng: SmallRng,
+}
+
+impl Steer {
+    /// Makes one that knows neither routes nor targets.
+    pub fn new(home: FailureDomain, key: [u8; 32], rng: SmallRng) -> Self {
+        Self {
+            home,
+            routes: RouteTable::default(),
+            directory: Directory::default(),
+            flows: Flows::default(),
+            health: Health::default(),
+            tokens: Tokens::new(key),
+            beliefs: Vec::new(),
+            rng,
+        }
+    }
+
+    /// Tells whether enough is known to decide.
+    pub fn ready(&self) -> bool {
+        self.routes.version() > 0 && self.directory.complete_to() > 0
+    }
+
+    /// Decides about a packet.
+    pub fn decide(&mut self, now: Duration, packet: &FlowPacket) -> Verdict<'_> {
+        if !self.ready() {
+            return Verdict::Drop(Unforwarded::NotReady);
+        }
+        match packet.kind {
+            PacketKind::Opening { repeats } => self.open(now, packet, repeats),
+            PacketKind::FromTarget => Verdict::Drop(Unforwarded::FromTarget),
+            PacketKind::Within | PacketKind::Closing | PacketKind::Reset => {
+                self.follow(now, packet)
+            }
+        }
+    }
+
+    /// Returns what has changed in the beliefs about targets since the last call.
+    pub fn take_beliefs(&mut self) -> Vec<Belief> {
+        std::mem::take(&mut self.beliefs)
+    }
+
+    /// Forgets what has run out; due about once a second.
+    pub fn expire(&mut self, now: Duration) {
+        let idle = self.routes.idle_timeout().unwrap_or(DEFAULT_IDLE);
+        self.flows.expire(now, idle);
+        self.directory.forget(now);
+        self.health.forget(now, idle);
+    }
+
+    fn open(&mut self, now: Duration, packet: &FlowPacket, repeats: u32) -> Verdict<'_> {
+        let service = packet.flow.service;
+        let before = self.flows.target(packet.flow.id()).filter(|_| repeats > 0);
+        if let Some(before) = before {
+            // The caller repeats what was not answered within its own time for that.
+            self.note_unanswered(now, before, Duration::ZERO);
+        }
+        let Some(route) = self.routes.at(service) else {
+            return Verdict::Reset(Refusal::NoRoute);
+        };
+        let services = Arc::clone(&route.services);
+        let again = before.filter(|&before| !self.health.is_silent(now, before));
+        let again = again.filter(|&before| self.directory.get(before).is_some());
+        let chosen = again.or_else(|| self.place(now, &packet.flow, &services));
+        let Some(chosen) = chosen else { return Verdict::Reset(Refusal::NoTarget) };
+        self.flows.note(now, packet, chosen);
+        match self.directory.get(chosen) {
+            Some(target) => Verdict::Forward(target, Some(self.tokens.mint(service, target))),
+            None => Verdict::Reset(Refusal::NoTarget),
+        }
+    }
+
+    /// Chooses the target of a new flow.
+    fn place(
+        &mut self,
+        now: Duration,
+        flow: &FlowKey,
+        services: &[super::WeightedService],
+    ) -> Option<TargetStart> {
+        let service = pick_service(services, &mut self.rng)?;
+        let (mut answering, mut silent) = (Vec::new(), Vec::new());
+        for (target, cold) in self.directory.usable(now, service) {
+            let start = (target.key, target.start);
+            let token = self.tokens.mint(flow.service, target);
+            if !self.tokens.remember(flow.service, token, target) {
+                continue;
+            }
+            let candidate = Candidate {
+                home: target.failure_domain == self.home,
+                slots: target.slots,
+                flows: self.flows.load(start).flows,
+                cold,
+            };
+            let list =
+                if self.health.is_silent(now, start) { &mut silent } else { &mut answering };
+            list.push((start, candidate));
+        }
+        // If all seem silent, the way there may be at fault rather than the targets.
+        let list = if answering.is_empty() { silent } else { answering };
+        let candidates: Vec<_> = list.iter().map(|(_, candidate)| *candidate).collect();
+        choose(&candidates, &mut self.rng).map(|i| list[i].0)
+    }
+
+    /// Finds the target of a packet within a flow.
+    fn follow(&mut self, now: Duration, packet: &FlowPacket) -> Verdict<'_> {
+        let service = packet.flow.service;
+        let Some(route) = self.routes.at(service) else {
+            if self.routes.was_dropped(service) && packet.kind != PacketKind::Reset {
+                return Verdict::Reset(Refusal::RouteDropped);
+            }
+            return Verdict::Drop(Unforwarded::UnknownAddress);
+        };
+        let Some(start) = find(&mut self.tokens, &self.directory, route, packet) else {
+            return Verdict::Drop(Unforwarded::UnknownToken);
+        };
+        if self.directory.is_over(start) {
+            return Verdict::Reset(Refusal::TargetRestarted);
+        }
+        match self.flows.note(now, packet, start) {
+            Seen::Life(waited) => self.note_life(now, start, waited),
+            Seen::Unanswered(waited) => self.note_unanswered(now, start, waited),
+            Seen::Nothing => {}
+        }
+        match self.directory.get(start) {
+            Some(target) => Verdict::Forward(target, None),
+            None => Verdict::Drop(Unforwarded::UnknownToken),
+        }
+    }
+
+    fn note_life(&mut self, now: Duration, target: TargetStart, waited: Option<Duration>) {
+        if let Some(waited) = waited {
+            histogram!("limpetdeck_answer_seconds").record(waited);
+        }
+        if self.health.life(now, target) {
+            self.beliefs.push(Belief::Answers(target.0));
+        }
+    }
+
+    fn note_unanswered(&mut self, now: Duration, target: TargetStart, waited: Duration) {
+        if self.health.unanswered(now, target, waited) {
+            self.beliefs.push(Belief::Silent(target.0));
+        }
+    }
+}
+
+/// Draws a service by weight.
+fn pick_service<'a>(
+    services: &'a [super::WeightedService],
+    rng: &mut SmallRng,
+) -> Option<&'a str> {
+    let total: u32 = services.iter().map(|service| service.weight).sum();
+    let mut drawn = if total == 0 { return None } else { rng.random_range(0..total) };
+    for service in services {
+        if drawn < service.weight {
+            return Some(&service.service);
+        }
+        drawn -= service.weight;
+    }
+    None
+}
+
+/// Finds the target that a packet's token names: one that was met before, else among the
+/// targets of the route's services, else among all.
+fn find(
+    tokens: &mut Tokens,
+    directory: &Directory,
+    route: &Route,
+    packet: &FlowPacket,
+) -> Option<TargetStart> {
+    let (service, token) = (packet.flow.service, packet.token);
+    if token == NO_TOKEN {
+        return None;
+    }
+    if let Some(known) = tokens.known(service, token) {
+        return Some(known);
+    }
+    let near = route.services.iter().flat_map(|s| directory.of_service(&s.service));
+    if let Some(target) = tokens.find(service, token, near) {
+        return Some((target.key, target.start));
+    }
+    tokens.find(service, token, directory.all()).map(|target| (target.key, target.start))
+}
