Choose by waiting requests, spill over, and judge silence by several flows

Ruled out: missed targets (all instances knew them 40 ms after their start).

Change: requests that wait weigh more than open flows; once all own targets are busy, those of other domains count too; silence takes 350 ms without any answer and two flows, or 600 ms. Packets that waited for the start are released once each.

--- a/src/steering/choice.rs
+++ b/src/steering/choice.rs
@@ -2,8 +2,11 @@
 //!
 //! - *A failure domain is cut off*: flows that stay in their domain do not notice, so targets
 //!   of the own one come first.
-//! - *All callers come back at once* after a restart, and long flows stay where they are put:
-//!   the target with the fewest flows per slot comes first, so a herd is spread evenly.
+//! - *All callers come back at once* after a restart, and find few targets in their domain:
+//!   once even the least busy target there has requests waiting for most of its slots, the
+//!   others count too.
+//! - *Long flows stay where they are put*: of equally busy targets, the one with the fewest
+//!   flows per slot comes first.
 //! - *Cold targets* work more slowly at first: they count as having fewer slots.
 
 use std::time::Duration;
@@ -13,6 +16,11 @@
 
 /// Share of a slot's work that a cold target gets done.
 const COLD_SHARE: f64 = 0.6;
+/// Slots that an open flow takes up, next to one for a request that waits for its answer.
+const FLOW_SHARE: f64 = 0.15;
+/// Requests waiting for each slot, as one instance sees them, from which on targets of other
+/// failure domains count too. An instance sees a part of a target's requests alone.
+const SPILL_FROM: f64 = 0.66;
 
 /// A target that may get a new flow, with what decides.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -23,22 +31,33 @@
     pub slots: u32,
     /// Flows to the target that pass this instance.
     pub flows: u32,
+    /// Requests among them that wait for an answer.
+    pub waiting: u32,
     /// Time for which the target is still cold.
     pub cold: Duration,
 }
 
 impl Candidate {
-    /// Flows for each slot, counting the new one.
+    /// Work for each slot, counting the new flow.
     fn crowding(&self) -> f64 {
+        let work = f64::from(self.waiting) + FLOW_SHARE * f64::from(self.flows + 1);
+        work / self.capacity()
+    }
+
+    fn is_busy(&self) -> bool {
+        f64::from(self.waiting) / self.capacity() >= SPILL_FROM
+    }
+
+    fn capacity(&self) -> f64 {
         let share = if self.cold > Duration::ZERO { COLD_SHARE } else { 1.0 };
-        f64::from(self.flows + 1) / (f64::from(self.slots) * share)
+        f64::from(self.slots) * share
     }
 }
 
 /// Chooses among candidates; none if there are none.
 pub fn choose(candidates: &[Candidate], rng: &mut SmallRng) -> Option<usize> {
-    let home = candidates.iter().any(|candidate| candidate.home);
-    let near = candidates.iter().enumerate().filter(|(_, candidate)| candidate.home || !home);
+    let stay = candidates.iter().any(|candidate| candidate.home && !candidate.is_busy());
+    let near = candidates.iter().enumerate().filter(|(_, candidate)| candidate.home || !stay);
     let ranked = near.map(|(i, candidate)| (i, candidate.crowding(), rng.random::<u32>()));
     ranked.min_by(|a, b| a.1.total_cmp(&b.1).then(a.2.cmp(&b.2))).map(|(i, ..)| i)
 }
--- a/src/steering/flows.rs
+++ b/src/steering/flows.rs
@@ -67,9 +67,10 @@
         self.flows.is_empty()
     }
 
-    /// Returns the target to which a flow was last bound here.
-    pub(super) fn target(&self, flow: FlowId) -> Option<TargetStart> {
-        self.flows.get(&flow).map(|flow| flow.target)
+    /// Returns the target to which a flow is being opened, and since when.
+    pub(super) fn opening(&self, flow: FlowId) -> Option<(TargetStart, Duration)> {
+        let flow = self.flows.get(&flow).filter(|flow| !flow.open)?;
+        Some((flow.target, flow.waits_since?))
     }
 
     /// Returns what a target has to do.
@@ -81,7 +82,7 @@
     pub fn note(&mut self, now: Duration, packet: &FlowPacket, target: TargetStart) -> Seen {
         let id = packet.flow.id();
         match packet.kind {
-            PacketKind::Opening { repeats } => self.opening(now, packet, target, repeats),
+            PacketKind::Opening { repeats } => self.opened(now, packet, target, repeats),
             PacketKind::Within => self.within(now, packet, target),
             PacketKind::Closing | PacketKind::Reset => {
                 self.remove(id);
@@ -108,7 +109,7 @@
         }
     }
 
-    fn opening(
+    fn opened(
         &mut self,
         now: Duration,
         packet: &FlowPacket,
--- a/src/steering/health.rs
+++ b/src/steering/health.rs
@@ -7,20 +7,29 @@
 
 use super::token::TargetStart;
 use crate::hash::HashMap;
+use crate::ids::FlowId;
 
-/// Requests or openings that go unanswered in a row before a target counts as silent.
-const UNANSWERED: u32 = 2;
+/// Flows whose packets go unanswered before a target counts as silent.
+const UNANSWERED_FLOWS: usize = 2;
+/// Silence to everybody after which a target can count as silent. Requests that a target
+/// works on for long are repeated too, but meanwhile it answers others.
+const LEAST_SILENCE: Duration = Duration::from_millis(350);
+/// Silence after which a single flow is enough.
+const LONG_SILENCE: Duration = Duration::from_millis(600);
 /// Time for which a silent target gets no new flows before one is tried again.
 const AVOID: Duration = Duration::from_millis(2_500);
 
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 struct Signs {
     /// When the target last answered.
     life: Option<Duration>,
-    /// Repeats that went unanswered since.
-    unanswered: u32,
-    /// When the last of them passed.
-    last_unanswered: Duration,
+    /// Flows whose packets went unanswered since.
+    unanswered: Vec<FlowId>,
+    /// When the first packet was sent that went unanswered since.
+    first_sent: Duration,
+    /// When the last repeat of an unanswered packet passed.
+    last_repeat: Duration,
+    silent: bool,
 }
 
 /// What is seen of the targets' answers.
@@ -33,36 +42,51 @@
     /// Notes that a target has answered. Answers true if it had counted as silent.
     pub fn life(&mut self, now: Duration, target: TargetStart) -> bool {
         let signs = self.signs.entry(target).or_default();
-        let was_silent = signs.unanswered >= UNANSWERED;
-        *signs = Signs { life: Some(now), ..Signs::default() };
+        let was_silent = signs.silent;
+        signs.unanswered.clear();
+        signs.life = Some(now);
+        signs.silent = false;
         was_silent
     }
 
-    /// Notes that what was sent to a target some time ago was not answered. Answers true if
-    /// the target counts as silent from now on.
-    pub fn unanswered(&mut self, now: Duration, target: TargetStart, waited: Duration) -> bool {
+    /// Notes that a flow's packet, first sent some time ago, was not answered. Answers true
+    /// if the target counts as silent from now on.
+    pub fn unanswered(
+        &mut self,
+        now: Duration,
+        target: TargetStart,
+        flow: FlowId,
+        waited: Duration,
+    ) -> bool {
         let signs = self.signs.entry(target).or_default();
         let sent = now.saturating_sub(waited);
         if signs.life.is_some_and(|life| life >= sent) {
-            // It has answered others since: the packet or its answer was lost on the way.
+            // It has answered others since: it is busy, or the packet was lost on the way.
             return false;
         }
-        signs.unanswered += 1;
-        signs.last_unanswered = now;
-        signs.unanswered == UNANSWERED
+        if signs.unanswered.is_empty() {
+            signs.first_sent = sent;
+        }
+        signs.first_sent = signs.first_sent.min(sent);
+        if signs.unanswered.len() < UNANSWERED_FLOWS && !signs.unanswered.contains(&flow) {
+            signs.unanswered.push(flow);
+        }
+        signs.last_repeat = now;
+        let silence = now.saturating_sub(signs.first_sent);
+        let several = signs.unanswered.len() >= UNANSWERED_FLOWS && silence >= LEAST_SILENCE;
+        let was_silent = std::mem::replace(&mut signs.silent, several || silence >= LONG_SILENCE);
+        signs.silent && !was_silent
     }
 
     /// Tells whether a target counts as silent.
     pub fn is_silent(&self, now: Duration, target: TargetStart) -> bool {
-        let silent = |signs: &Signs| {
-            signs.unanswered >= UNANSWERED && now < signs.last_unanswered + AVOID
-        };
+        let silent = |signs: &Signs| signs.silent && now < signs.last_repeat + AVOID;
         self.signs.get(&target).is_some_and(silent)
     }
 
     /// Forgets targets of which nothing was seen for a time.
     pub fn forget(&mut self, now: Duration, after: Duration) {
-        let last = |signs: &Signs| signs.last_unanswered.max(signs.life.unwrap_or_default());
+        let last = |signs: &Signs| signs.last_repeat.max(signs.life.unwrap_or_default());
         self.signs.retain(|_, signs| now < last(signs) + after);
     }
 }
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -136,6 +136,16 @@
             Err(e) => return self.dropped(now, None, &e.to_string()),
         };
         let _span = self.tracer.root(packet.flow.id(), 0, 0);
+        log::debug!(
+            caller = packet.flow.caller.to_string().as_str(),
+            service = packet.flow.service.to_string().as_str(),
+            kind = format!("{:?}", packet.kind).as_str(),
+            token = format!("{:08x}", packet.token).as_str(),
+            sequence = packet.sequence,
+            acknowledged = packet.acknowledged,
+            data = packet.data_len;
+            "packet"
+        );
         match self.steer.decide(now, &packet) {
             Verdict::Forward(target, token) => {
                 counter!("limpetdeck_packets_forwarded_total").increment(1);
@@ -175,11 +185,20 @@
         }
         let waiting = std::mem::take(&mut self.waiting);
         log::info!(packets = waiting.len(); "waiting_released");
-        let (fresh, old): (Vec<_>, Vec<_>) =
-            waiting.into_iter().partition(|(since, _)| now < *since + LONGEST_WAIT);
+        let held = waiting.len();
+        // Of a packet and its repeats one is enough; the last one tells how often it was sent.
+        let mut last = HashMap::default();
+        for (at, buf) in waiting.into_iter().filter(|(since, _)| now < *since + LONGEST_WAIT) {
+            if let Ok(packet) = self.format.read(&buf) {
+                last.insert((packet.flow.id(), packet.sequence, packet.data_len), (at, buf));
+            }
+        }
+        let dropped = held - last.len();
         counter!("limpetdeck_packets_dropped_total", "reason" => "not_ready")
-            .increment(old.len() as u64);
-        for (_, buf) in fresh {
+            .increment(dropped as u64);
+        let mut last: Vec<_> = last.into_values().collect();
+        last.sort();
+        for (_, buf) in last {
             self.packet(now, buf, out);
         }
     }
@@ -264,7 +283,7 @@
             }
             Body::Steering(message) => {
                 if self.sharing.on_message(now, from, message, &mut self.steer, &mut outbox) {
-                    self.sharing.push(now, &self.steer, since, &mut outbox);
+                    self.sharing.note_news(now, &self.steer, since, &mut outbox);
                     self.release(now, out);
                 }
             }
@@ -382,7 +401,7 @@
                 };
                 if news {
                     let mut outbox = self.link.outbox(now, out);
-                    self.sharing.push(now, &self.steer, since, &mut outbox);
+                    self.sharing.note_news(now, &self.steer, since, &mut outbox);
                 }
                 self.release(now, out);
             }
--- a/src/steering/sharing.rs
+++ b/src/steering/sharing.rs
@@ -1,7 +1,8 @@
 //! How targets and routes spread among instances.
 //!
-//! What is new is pushed to a few peers, and each of them pushes it on. Digests find what
-//! was lost, and bring an instance up to date that cannot reach the platform.
+//! What is new is pushed to a few peers of the failure domain, and each of them pushes it on.
+//! Digests find what was lost, and bring an instance or a domain up to date that cannot reach
+//! the platform.
 
 use std::time::Duration;
 
@@ -19,9 +20,9 @@
 use crate::platform::Revision;
 
 /// Peers of the own failure domain to which news are pushed.
-const FANOUT_HOME: usize = 3;
-/// Peers of other failure domains to which news are pushed.
-const FANOUT_AWAY: usize = 1;
+const FANOUT: usize = 2;
+/// Least time between two pushes: when many targets change, their changes go together.
+const PUSH_EVERY: Duration = Duration::from_millis(200);
 /// Mean time between two digests.
 const DIGEST_EVERY: Duration = Duration::from_millis(800);
 /// Time between two digests of an instance that knows nothing yet.
@@ -57,6 +58,9 @@
 pub struct Sharing {
     peers: Peers,
     next_digest: Duration,
+    next_push: Duration,
+    /// Revision after which changes are still to be pushed.
+    unpushed: Option<Revision>,
     fetch: Option<Fetch>,
     /// The highest version of the routes that a peer has told of, and the peer.
     heard: Option<(Version, InstanceId)>,
@@ -71,6 +75,8 @@
         Self {
             peers: Peers::default(),
             next_digest: Duration::ZERO,
+            next_push: Duration::ZERO,
+            unpushed: None,
             fetch: None,
             heard: None,
             encoded: (0, Vec::new()),
@@ -88,13 +94,31 @@
         self.heard.is_some_and(|(version, _)| version > steer.routes.version())
     }
 
-    /// Pushes the changes of targets after a revision, and the version of the routes.
-    pub fn push(&mut self, now: Duration, steer: &Steer, since: Revision, out: &mut Outbox<'_>) {
+    /// Notes that targets have changed after a revision, or that there are newer routes, and
+    /// pushes that if it is time.
+    pub fn note_news(
+        &mut self,
+        now: Duration,
+        steer: &Steer,
+        since: Revision,
+        out: &mut Outbox<'_>,
+    ) {
+        self.unpushed = Some(self.unpushed.map_or(since, |before| before.min(since)));
+        self.push(now, steer, out);
+    }
+
+    fn push(&mut self, now: Duration, steer: &Steer, out: &mut Outbox<'_>) {
+        if now < self.next_push {
+            return;
+        }
+        let Some(since) = self.unpushed.take() else { return };
+        self.next_push = now + PUSH_EVERY;
         let changes = changes(now, steer, since);
         let digest = Message::Digest { known: digest(steer), asks: false };
         let message =
             if changes.records.is_empty() { digest } else { Message::Targets(changes) };
-        for to in self.some_peers() {
+        let some = self.peers.home.choose_multiple(&mut self.rng, FANOUT);
+        for &to in some {
             send(to, message.clone(), out);
         }
     }
@@ -116,6 +140,7 @@
                 send(to, Message::Digest { known, asks: !steer.ready() }, out);
             }
         }
+        self.push(now, steer, out);
         if platform_fails {
             self.fetch_routes(now, steer, out);
         }
@@ -247,13 +272,6 @@
         adopt(&bytes, from, steer)
     }
 
-    fn some_peers(&mut self) -> Vec<InstanceId> {
-        let home = self.peers.home.choose_multiple(&mut self.rng, FANOUT_HOME);
-        let mut some: Vec<_> = home.copied().collect();
-        some.extend(self.peers.away.choose_multiple(&mut self.rng, FANOUT_AWAY));
-        some
-    }
-
     fn digest_peers(&mut self) -> Vec<InstanceId> {
         let home = self.peers.home.choose(&mut self.rng).copied();
         let away = self.peers.away.choose(&mut self.rng).copied();
--- a/src/steering/steer.rs
+++ b/src/steering/steer.rs
@@ -10,7 +10,7 @@
 
 use super::token::TargetStart;
 use super::{
-    Candidate, Directory, FlowPacket, Flows, Health, NO_TOKEN, PacketKind, Route, RouteTable, Seen,
+    Candidate, Directory, FlowPacket, Flows, Health, Load, NO_TOKEN, PacketKind, Route, RouteTable, Seen,
     Target, TargetKey, Token, Tokens, choose,
 };
 use crate::flow::FlowKey;
@@ -141,11 +141,12 @@
 
     fn open(&mut self, now: Duration, packet: &FlowPacket, repeats: u32) -> Verdict<'_> {
         let service = packet.flow.service;
-        let before = self.flows.target(packet.flow.id()).filter(|_| repeats > 0);
-        if let Some(before) = before {
-            // The caller repeats what was not answered within its own time for that.
-            self.note_unanswered(now, before, Duration::ZERO);
+        let before = self.flows.opening(packet.flow.id()).filter(|_| repeats > 0);
+        if let Some((before, since)) = before {
+            let waited = now.saturating_sub(since);
+            self.note_unanswered(now, before, packet, waited);
         }
+        let before = before.map(|(before, _)| before);
         let Some(route) = self.routes.at(service) else {
             return Verdict::Reset(Refusal::NoRoute);
         };
@@ -176,12 +177,9 @@
             if !self.tokens.remember(flow.service, token, target) {
                 continue;
             }
-            let candidate = Candidate {
-                home: target.failure_domain == self.home,
-                slots: target.slots,
-                flows: self.flows.load(start).flows,
-                cold,
-            };
+            let Load { flows, waiting } = self.flows.load(start);
+            let home = target.failure_domain == self.home;
+            let candidate = Candidate { home, slots: target.slots, flows, waiting, cold };
             let list =
                 if self.health.is_silent(now, start) { &mut silent } else { &mut answering };
             list.push((start, candidate));
@@ -209,7 +207,7 @@
         }
         match self.flows.note(now, packet, start) {
             Seen::Life(waited) => self.note_life(now, start, waited),
-            Seen::Unanswered(waited) => self.note_unanswered(now, start, waited),
+            Seen::Unanswered(waited) => self.note_unanswered(now, start, packet, waited),
             Seen::Nothing => {}
         }
         match self.directory.get(start) {
@@ -227,8 +225,14 @@
         }
     }
 
-    fn note_unanswered(&mut self, now: Duration, target: TargetStart, waited: Duration) {
-        if self.health.unanswered(now, target, waited) {
+    fn note_unanswered(
+        &mut self,
+        now: Duration,
+        target: TargetStart,
+        packet: &FlowPacket,
+        waited: Duration,
+    ) {
+        if self.health.unanswered(now, target, packet.flow.id(), waited) {
             self.beliefs.push(Belief::Silent(target.0));
         }
     }
