--- a/src/steering/directory.rs
+++ b/src/steering/directory.rs
@@ -90,8 +90,7 @@
     pub fn merge(&mut self, now: Duration, record: TargetRecord) -> bool {
         // What is not known any more was gone at the revision up to which all is known.
         let held = self.known.get(&record.key).map_or(self.complete_to, |known| known.revision);
-        let pointless = record.target.is_none() && !self.known.contains_key(&record.key);
-        if record.revision <= held || pointless {
+        if record.revision <= held || self.is_known(&record) {
             return false;
         }
         match record.target {
@@ -201,6 +200,17 @@
         }
     }
 
+    /// Tells whether a record says nothing new. That a cold target gets warmer is known.
+    fn is_known(&self, record: &TargetRecord) -> bool {
+        match (self.known.get(&record.key), &record.target) {
+            (None, None) => true,
+            (Some(known), Some(target)) if !known.gone => {
+                Target { cold: target.cold, ..known.target.clone() } == *target
+            }
+            _ => false,
+        }
+    }
+
     fn put(&mut self, now: Duration, revision: Revision, target: Target) {
         let key = target.key;
         if let Some(before) = self.known.remove(&key) {
--- a/src/steering/feed.rs
+++ b/src/steering/feed.rs
@@ -17,11 +17,11 @@
 /// Beginning of the names under which instances register.
 pub const INSTANCES: &str = "instances/";
 
-/// Time that a watch waits for a change. Short, so that a connection that has fallen silent
-/// is noticed well before a change has to be in force.
-const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// Longest time that a watch waits for a change. Short, so that a connection that has fallen
+/// silent is noticed before a change has to be in force.
+const WATCH_WAIT: Duration = Duration::from_millis(4_000);
 /// Time between an answer to a watch and the next one, so that changes come together.
-const WATCH_PAUSE: Duration = Duration::from_millis(120);
+const WATCH_PAUSE: Duration = Duration::from_millis(350);
 /// Least time between two reads of routes that peers tell of.
 const READ_PAUSE: Duration = Duration::from_millis(400);
 /// Longest delay before the first retry.
@@ -48,13 +48,23 @@
 
     /// Returns the call that is due. One that neither watches nor wants to read makes none
     /// once it has read.
-    fn due(&mut self, now: Duration, watches: bool, wants: bool) -> Option<Call> {
+    fn due(
+        &mut self,
+        now: Duration,
+        watches: bool,
+        wants: bool,
+        rng: &mut SmallRng,
+    ) -> Option<Call> {
         if self.busy || now < self.next {
             return None;
         }
         let prefix = self.prefix.to_owned();
         let call = match self.revision {
-            Some(after) if watches => Call::Watch { prefix, after, wait: WATCH_WAIT },
+            Some(after) if watches => {
+                // Watches that end at different times notice a change sooner.
+                let wait = WATCH_WAIT.mul_f64(rng.random_range(0.6..=1.0));
+                Call::Watch { prefix, after, wait }
+            }
             Some(_) if !wants => return None,
             _ => Call::List { prefix },
         };
@@ -122,10 +132,10 @@
 
     /// Returns the calls that are due.
     pub fn due(&mut self, now: Duration, wants: Wants) -> Vec<Call> {
-        let routes = self.routes.due(now, wants.watches, wants.routes);
-        let targets = self.targets.due(now, wants.watches, false);
+        let routes = self.routes.due(now, wants.watches, wants.routes, &mut self.rng);
+        let targets = self.targets.due(now, wants.watches, false, &mut self.rng);
         let instances =
-            if wants.instances { self.instances.due(now, false, true) } else { None };
+            if wants.instances { self.instances.due(now, false, true, &mut self.rng) } else { None };
         routes.into_iter().chain(targets).chain(instances).collect()
     }
 
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -39,6 +39,9 @@
 /// Time after the start until an instance that watches the platform registers, so that
 /// those that only watch while they join do not.
 const REGISTER_AFTER: Duration = Duration::from_secs(5);
+/// Time after the start until an instance watches the platform: until then it seems alone
+/// with those that it has not met yet.
+const WATCH_AFTER: Duration = Duration::from_millis(2_500);
 /// Time after the start until one that knows no other looks for registered ones.
 const LOOK_AFTER: Duration = Duration::from_millis(1_200);
 /// Packets that wait for routes and targets at most.
@@ -83,6 +86,8 @@
     next_expiry: Duration,
     platform_answered: Option<Duration>,
     registered: bool,
+    /// Peers of the own failure domain and of others, as last logged.
+    members: (usize, usize),
     grace: Duration,
     leaving_since: Option<Duration>,
     gone: bool,
@@ -112,6 +117,7 @@
             next_expiry: now,
             platform_answered: None,
             registered: false,
+            members: (0, 0),
             grace: cfg.grace,
             leaving_since: None,
             gone: false,
@@ -343,7 +349,7 @@
         }
         let age = now.saturating_sub(self.started);
         let alone = self.membership.live().len() < 2;
-        let watches = self.membership.watches(now);
+        let watches = age >= WATCH_AFTER && self.membership.watches(now);
         let wants = Wants {
             watches,
             routes: self.sharing.routes_behind(&self.steer),
@@ -368,7 +374,11 @@
         let (home, away): (Vec<&MemberInfo>, Vec<_>) =
             others.partition(|info| info.failure_domain == me.failure_domain);
         let ids = |infos: Vec<&MemberInfo>| infos.into_iter().map(|info| info.id).collect();
-        log::info!(home = home.len(), away = away.len(); "members");
+        let sizes = (home.len(), away.len());
+        if sizes != self.members {
+            self.members = sizes;
+            log::info!(home = home.len(), away = away.len(); "members");
+        }
         gauge!("limpetdeck_instances_live").set((home.len() + away.len() + 1) as f64);
         self.sharing.set_peers(Peers { home: ids(home), away: ids(away) });
         let addresses: HashMap<_, _> = self.membership.addresses();
--- a/src/steering/sharing.rs
+++ b/src/steering/sharing.rs
@@ -365,12 +365,11 @@
 
 fn send(to: InstanceId, message: Message, out: &mut Outbox<'_>) {
     let class = match &message {
-        // Small, and what makes changes known in time.
-        Message::Digest { .. } | Message::PullTargets { .. } | Message::PullRoutes { .. } => {
-            Class::Lists
+        // Small, and late news of a target that leaves break flows: never held back.
+        Message::Digest { .. } | Message::PullTargets { .. } | Message::Targets(_) => {
+            Class::Liveness
         }
-        Message::Targets(_) => Class::Epochs,
-        Message::Routes(_) => Class::Lists,
+        Message::PullRoutes { .. } | Message::Routes(_) => Class::Lists,
     };
     out.send(to, class, &Body::Steering(message));
 }
