Reset flows of targets that have certainly stopped

Ruled out: resetting on silence alone. Requests that a slow target works on for long are repeated too, and a reset of a living target's flow breaks FLOW.

Change: a silent or vanished target is tried with a connection, which a living one accepts at once however busy it is. If it accepts none, or its address belongs to another target by now, its flows are reset, and callers come back in time.

--- a/lab/src/caller/process.rs
+++ b/lab/src/caller/process.rs
@@ -51,7 +51,9 @@
             caller.step(started.elapsed(), &port);
         }
     };
-    let stopped = async { signals.next().await };
+    let stopped = async {
+        signals.next().await;
+    };
     worked.or(stopped).await;
     caller.finish()
 }
--- a/lab/src/measure/node.rs
+++ b/lab/src/measure/node.rs
@@ -169,7 +169,11 @@
             Event::Stop => out.push(Action::Exit),
             Event::Tick => self.poll(now, out),
             Event::Platform(_, Ok(Reply::Object(object))) => self.adopt(object),
-            Event::Peer(_) | Event::Platform(..) | Event::Probed(..) => {}
+            Event::Peer(_)
+            | Event::Platform(..)
+            | Event::Probed(..)
+            | Event::Reached(..)
+            | Event::Changed(_) => {}
         }
     }
 
@@ -312,7 +316,12 @@
         match event {
             Event::Packet(packet) => out.extend(stateless(&services, packet, choose)),
             Event::Stop => out.push(Action::Exit),
-            Event::Peer(_) | Event::Platform(..) | Event::Probed(..) | Event::Tick => {}
+            Event::Peer(_)
+            | Event::Platform(..)
+            | Event::Probed(..)
+            | Event::Reached(..)
+            | Event::Changed(_)
+            | Event::Tick => {}
         }
     }
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -7,10 +7,11 @@
 use std::time::{Duration, Instant as Clock, SystemTime, UNIX_EPOCH};
 
 use derive_more::{Debug, Display, Error};
+use futures_lite::FutureExt;
 use hyper::{Method, StatusCode};
 use metrics::counter;
 use smol::channel::{Sender, bounded};
-use smol::net::TcpListener;
+use smol::net::{TcpListener, TcpStream};
 use smol::{Async, LocalExecutor, Task};
 
 use crate::http::{self, HandlerFuture, Request, Response};
@@ -30,6 +31,9 @@
 const RELOAD_EVERY: Duration = Duration::from_secs(2);
 /// Time after which a probe of a target has failed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time after which nothing accepts connections at an address: accepting takes a target that
+/// runs a millisecond, however busy it is.
+const REACH_TIMEOUT: Duration = Duration::from_millis(350);
 /// Largest datagram that is read, in bytes.
 const LARGEST_DATAGRAM: usize = 65_536;
 /// Datagrams that are read in a row before other tasks get their turn.
@@ -198,6 +202,7 @@
             Action::Peer(to, buf) | Action::PassOn(to, buf) => send(&self.peers, &buf, to),
             Action::Platform(call) => self.call(call),
             Action::Probe(target, report) => self.probe(target, report),
+            Action::Reach(address) => self.reach(address),
             Action::Exit => self.exit(),
         }
     }
@@ -238,6 +243,21 @@
         self.ex.spawn(task).detach();
     }
 
+    /// Opens a connection and closes it again.
+    fn reach(self: &Rc<Self>, address: SocketAddr) {
+        let daemon = Rc::clone(self);
+        let task = async move {
+            let connected = async { TcpStream::connect(address).await.is_ok() };
+            let expired = async {
+                smol::Timer::after(REACH_TIMEOUT).await;
+                false
+            };
+            let reached = connected.or(expired).await;
+            daemon.handle(Event::Reached(address, reached));
+        };
+        self.ex.spawn(task).detach();
+    }
+
     /// Takes changed settings, if there are any.
     fn reload(self: &Rc<Self>) {
         self.next_reload.set(self.started.elapsed() + RELOAD_EVERY);
--- a/src/instance/event.rs
+++ b/src/instance/event.rs
@@ -17,6 +17,8 @@
     Peer(Vec<u8>),
     /// The platform has answered a call, or the call has failed.
     Platform(Call, Result<Reply, PlatformError>),
+    /// It has shown whether something accepts connections at an address.
+    Reached(SocketAddr, bool),
     /// A probe of a target has ended.
     Probed(TargetId, ProbeResult),
     /// Time has passed; due about ten times a second.
@@ -51,6 +53,8 @@
     Platform(Call),
     /// Read the load report of a target.
     Probe(TargetId, ReportAddress),
+    /// Find out whether something accepts connections at an address.
+    Reach(SocketAddr),
     /// End the process: the graceful stop is complete.
     Exit,
 }
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -109,6 +109,8 @@
                 self.targets.on_probed(now, target, result, &mut self.link.outbox(now, out));
                 self.join_parts(now);
             }
+            // Only steering asks for this.
+            Event::Reached(..) => {}
             Event::Tick => self.tick(now, out),
             Event::Stop => self.stop(now),
             Event::Changed(settings) => self.membership.set_seeds(settings.seeds),
--- a/src/steering/directory.rs
+++ b/src/steering/directory.rs
@@ -182,6 +182,20 @@
         self.known.get(&key).is_some_and(|known| known.target.start > start)
     }
 
+    /// Tells whether a start of a target is no more as far as the platform knows.
+    pub fn is_gone(&self, now: Duration, (key, start): TargetStart) -> bool {
+        let known = self.known.get(&key).filter(|known| known.target.start == start);
+        known.is_some_and(|known| known.gone && now >= known.lapsed_until)
+    }
+
+    /// Tells whether the address of a target that is gone belongs to another one by now.
+    pub fn has_successor(&self, gone: &Target) -> bool {
+        let successor = |known: &Known| {
+            !known.gone && known.target.address == gone.address && known.target.key != gone.key
+        };
+        self.known.values().any(successor)
+    }
+
     /// Returns the age of what is known of a target, and its revision.
     pub fn age(&self, now: Duration, key: TargetKey) -> Option<(Duration, Revision)> {
         let known = self.known.get(&key)?;
--- a/src/steering/health.rs
+++ b/src/steering/health.rs
@@ -1,8 +1,11 @@
 //! Which targets answer, learnt from the flows themselves.
 //!
-//! Answers load pattern "servers fall silent": for the seconds until the platform drops a
-//! target, callers must neither be sent there nor be left waiting there.
+//! Answers load pattern "targets fall silent": for the seconds until the platform drops such a
+//! target, callers must neither be sent there nor be left waiting there. Silence alone keeps
+//! new flows away, which does no harm if it is a mistake. Open flows are broken off only if
+//! the target accepts no connection either.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::token::TargetStart;
@@ -18,6 +21,12 @@
 const LONG_SILENCE: Duration = Duration::from_millis(600);
 /// Time for which a silent target gets no new flows before one is tried again.
 const AVOID: Duration = Duration::from_millis(2_500);
+/// Least time between two attempts to connect to a target.
+const CONNECT_EVERY: Duration = Duration::from_millis(1_000);
+/// Silence after which an attempt to connect is worth its price: a single repeated packet.
+const CONNECT_AFTER: Duration = Duration::from_millis(190);
+/// Time for which a target that accepted no connection counts as dead.
+const DEAD_FOR: Duration = Duration::from_millis(2_500);
 
 #[derive(Debug, Clone, Default)]
 struct Signs {
@@ -30,12 +39,19 @@
     /// When the last repeat of an unanswered packet passed.
     last_repeat: Duration,
     silent: bool,
+    /// Address to which a connection is tried, and since when.
+    connecting: Option<(SocketAddr, Duration)>,
+    next_connect: Duration,
+    /// Until when the target counts as dead.
+    dead_until: Duration,
 }
 
 /// What is seen of the targets' answers.
 #[derive(Debug, Default)]
 pub struct Health {
     signs: HashMap<TargetStart, Signs>,
+    /// Addresses to which connections are to be tried.
+    to_connect: Vec<SocketAddr>,
 }
 
 impl Health {
@@ -46,6 +62,7 @@
         signs.unanswered.clear();
         signs.life = Some(now);
         signs.silent = false;
+        signs.dead_until = Duration::ZERO;
         was_silent
     }
 
@@ -80,13 +97,65 @@
 
     /// Tells whether a target counts as silent.
     pub fn is_silent(&self, now: Duration, target: TargetStart) -> bool {
-        let silent = |signs: &Signs| signs.silent && now < signs.last_repeat + AVOID;
+        let silent = |signs: &Signs| {
+            (signs.silent && now < signs.last_repeat + AVOID) || now < signs.dead_until
+        };
         self.signs.get(&target).is_some_and(silent)
     }
 
+    /// Tells whether a target has stopped for certain.
+    pub fn is_dead(&self, now: Duration, target: TargetStart) -> bool {
+        self.signs.get(&target).is_some_and(|signs| now < signs.dead_until)
+    }
+
+    /// Has a connection tried to a target that may have stopped, unless that was done lately
+    /// or the target has just answered.
+    pub fn doubt(&mut self, now: Duration, target: TargetStart, address: SocketAddr) {
+        let signs = self.signs.entry(target).or_default();
+        let answered = signs.life.is_some_and(|life| now < life + CONNECT_AFTER);
+        if !answered && now >= signs.next_connect {
+            signs.next_connect = now + CONNECT_EVERY;
+            signs.connecting = Some((address, now));
+            self.to_connect.push(address);
+        }
+    }
+
+    /// Returns the addresses to which connections are to be tried.
+    pub fn take_doubts(&mut self) -> Vec<SocketAddr> {
+        std::mem::take(&mut self.to_connect)
+    }
+
+    /// Takes the outcome of an attempt to connect. Returns the targets that count as dead
+    /// from now on: those that have not answered since the attempt began.
+    pub fn reached(
+        &mut self,
+        now: Duration,
+        address: SocketAddr,
+        accepted: bool,
+    ) -> Vec<TargetStart> {
+        let mut dead = Vec::new();
+        for (&target, signs) in &mut self.signs {
+            let Some((_, since)) = signs.connecting.filter(|(tried, _)| *tried == address) else {
+                continue;
+            };
+            signs.connecting = None;
+            if accepted || signs.life.is_some_and(|life| life >= since) {
+                signs.dead_until = Duration::ZERO;
+            } else {
+                if now >= signs.dead_until {
+                    dead.push(target);
+                }
+                signs.dead_until = now + DEAD_FOR;
+            }
+        }
+        dead
+    }
+
     /// Forgets targets of which nothing was seen for a time.
     pub fn forget(&mut self, now: Duration, after: Duration) {
-        let last = |signs: &Signs| signs.last_repeat.max(signs.life.unwrap_or_default());
+        let last = |signs: &Signs| {
+            signs.last_repeat.max(signs.next_connect).max(signs.life.unwrap_or_default())
+        };
         self.signs.retain(|_, signs| now < last(signs) + after);
     }
 }
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -337,6 +337,7 @@
             let (target, event) = match belief {
                 Belief::Silent(target) => (target, "target_silent"),
                 Belief::Answers(target) => (target, "target_answers"),
+                Belief::Dead(target) => (target, "target_dead"),
             };
             counter!("limpetdeck_target_beliefs_total", "event" => event).increment(1);
             log::info!(target = format!("{target:x}").as_str(); "{event}");
@@ -516,11 +517,19 @@
 impl Core for Node {
     fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
         match event {
-            Event::Packet(buf) => self.packet(now, buf, out),
+            Event::Packet(buf) => {
+                self.packet(now, buf, out);
+                out.extend(self.steer.take_doubts().into_iter().map(Action::Reach));
+            }
             Event::Peer(buf) => self.peer(now, &buf, out),
             Event::Platform(call, result) => self.platform(now, &call, &result, out),
             // Targets are never probed: their flows show whether they answer.
             Event::Probed(..) => {}
+            Event::Reached(address, accepted) => {
+                log::info!(address = address.to_string().as_str(), accepted = accepted; "target_connect");
+                self.steer.reached(now, address, accepted);
+                self.log_beliefs();
+            }
             Event::Tick => self.tick(now, out),
             Event::Stop => self.stop(now),
             Event::Changed(settings) => self.change(settings),
--- a/src/steering/steer.rs
+++ b/src/steering/steer.rs
@@ -1,5 +1,6 @@
 //! The way of one packet: to its target, back to its caller as a reset, or nowhere.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,9 +35,10 @@
     /// The flow's target has started again and knows nothing of it.
     #[display("target_restarted")]
     TargetRestarted,
-    /// The flow's target has stopped answering.
-    #[display("target_silent")]
-    TargetSilent,
+    /// The flow's target has stopped: it neither answers nor accepts connections, or its
+    /// address belongs to another target by now.
+    #[display("target_dead")]
+    TargetDead,
 }
 
 /// Why a packet goes nowhere.
@@ -74,6 +76,8 @@
     Silent(TargetKey),
     /// The target answers again.
     Answers(TargetKey),
+    /// The target accepts no connections either.
+    Dead(TargetKey),
 }
 
 /// All that decides about packets.
@@ -205,6 +209,10 @@
         if self.directory.is_over(start) {
             return Verdict::Reset(Refusal::TargetRestarted);
         }
+        if self.has_stopped(now, start) && packet.kind != PacketKind::Reset {
+            self.flows.remove(packet.flow.id());
+            return Verdict::Reset(Refusal::TargetDead);
+        }
         match self.flows.note(now, packet, start) {
             Seen::Life(waited) => self.note_life(now, start, waited),
             Seen::Unanswered(waited) => self.note_unanswered(now, start, packet, waited),
@@ -216,6 +224,30 @@
         }
     }
 
+    /// Tells whether a target has stopped for certain, and has that found out if there is a
+    /// doubt.
+    fn has_stopped(&mut self, now: Duration, start: TargetStart) -> bool {
+        if self.directory.is_gone(now, start) {
+            let Some(target) = self.directory.get(start) else { return false };
+            if self.directory.has_successor(target) {
+                return true;
+            }
+            self.health.doubt(now, start, target.address.into());
+        }
+        self.health.is_dead(now, start)
+    }
+
+    /// Takes the outcome of an attempt to connect.
+    pub fn reached(&mut self, now: Duration, address: SocketAddr, accepted: bool) {
+        let dead = self.health.reached(now, address, accepted);
+        self.beliefs.extend(dead.into_iter().map(|(key, _)| Belief::Dead(key)));
+    }
+
+    /// Returns the addresses to which connections are to be tried.
+    pub fn take_doubts(&mut self) -> Vec<SocketAddr> {
+        self.health.take_doubts()
+    }
+
     fn note_life(&mut self, now: Duration, target: TargetStart, waited: Option<Duration>) {
         if let Some(waited) = waited {
             histogram!("limpetdeck_answer_seconds").record(waited);
@@ -235,6 +267,11 @@
         if self.health.unanswered(now, target, packet.flow.id(), waited) {
             self.beliefs.push(Belief::Silent(target.0));
         }
+        if self.health.is_silent(now, target)
+            && let Some(address) = self.directory.get(target).map(|target| target.address)
+        {
+            self.health.doubt(now, target, address.into());
+        }
     }
 }
 
