Leave the span library out of the platform's daemon

Cause: after a full restart instances began to serve 0.35 to 0.9 s after power was back. Each start took 22 ms of processor time before main: the span library's clock calibrates itself by spinning, which is 130 ms on 0.17 of a core and 580 ms on 0.038. Ruled out: reading the store (37 ms from the first log line to readiness).

--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -87,7 +87,11 @@
                 self.events.push_back((id, Event::Platform(call, result)));
             }
             // The sample's targets have no load reports, and nobody stops the instances.
-            Action::Datagram(..) | Action::Reach(_) | Action::Probe(..) | Action::Exit => {}
+            Action::Datagram(..)
+            | Action::Reach(_)
+            | Action::Traced(_)
+            | Action::Probe(..)
+            | Action::Exit => {}
         }
     }
 }
--- a/lab/src/measure/world/members.rs
+++ b/lab/src/measure/world/members.rs
@@ -255,7 +255,7 @@
                 Action::Platform(call) => self.call(index, call),
                 Action::Probe(target, _) => self.probe(index, target),
                 // Only instances that steer by tokens want these; none runs here.
-                Action::Datagram(..) | Action::Reach(_) => {}
+                Action::Datagram(..) | Action::Reach(_) | Action::Traced(_) => {}
                 Action::Exit => self.kill_member(index),
             }
         }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,7 +15,7 @@
 use smol::{Async, LocalExecutor, Task};
 
 use crate::http::{self, HandlerFuture, Request, Response};
-use crate::ids::{Incarnation, TargetId};
+use crate::ids::{FlowId, Incarnation, TargetId};
 use crate::instance::{Action, Changeable, Core, Event};
 use crate::platform::{Call, Platform};
 use crate::rpc::Rpc;
@@ -23,7 +23,9 @@
 use crate::settings::LogLevel;
 use crate::signals::{Signalled, Signals};
 use crate::targets::read_report;
-use crate::telemetry::{MetricsPage, finish_logs, flush_logs, report_spans, start_daemon_logs};
+use crate::telemetry::{
+    MetricsPage, finish_logs, flush_logs, flush_spans, report_spans, start_daemon_logs,
+};
 
 /// Time between two ticks.
 const TICK: Duration = Duration::from_millis(100);
@@ -120,7 +122,7 @@
     let ex = Rc::new(LocalExecutor::new());
     let core = Box::new(make(Duration::ZERO));
     smol::block_on(ex.run(serve(Rc::clone(&ex), cfg, core, page)))?;
-    fastrace::flush();
+    flush_spans();
     finish_logs();
     Ok(())
 }
@@ -185,10 +187,15 @@
 impl Daemon {
     /// Hands an event to the instance and does what it wants done.
     fn handle(self: &Rc<Self>, event: Event) {
+        let begin = self.started.elapsed();
         let mut out = Vec::new();
-        self.core.borrow_mut().handle(self.started.elapsed(), event, &mut out);
+        self.core.borrow_mut().handle(begin, event, &mut out);
         for action in out {
-            self.act(action);
+            if let Action::Traced(flow) = action {
+                self.log_span(flow, begin);
+            } else {
+                self.act(action);
+            }
         }
     }
 
@@ -203,10 +210,23 @@
             Action::Platform(call) => self.call(call),
             Action::Probe(target, report) => self.probe(target, report),
             Action::Reach(address) => self.reach(address),
+            Action::Traced(_) => {}
             Action::Exit => self.exit(),
         }
     }
 
+    /// Logs the hop of a sampled flow's packet over this instance.
+    fn log_span(&self, flow: FlowId, begin: Duration) {
+        let duration = self.started.elapsed().saturating_sub(begin);
+        log::info!(
+            trace = format!("{flow:016x}").as_str(),
+            step = "steer",
+            begin_ms = begin.as_millis() as u64,
+            duration_ns = duration.as_nanos() as u64;
+            "span"
+        );
+    }
+
     fn call(self: &Rc<Self>, call: Call) {
         let daemon = Rc::clone(self);
         let deregisters = matches!(call, Call::Delete { .. });
--- a/src/instance/event.rs
+++ b/src/instance/event.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::ids::TargetId;
+use crate::ids::{FlowId, TargetId};
 use crate::platform::{Call, PlatformError, Reply};
 use crate::services::ReportAddress;
 use crate::targets::ProbeResult;
@@ -53,6 +53,8 @@
     Platform(Call),
     /// Read the load report of a target.
     Probe(TargetId, ReportAddress),
+    /// Log a span over the handling of the event: the flow of its packet is sampled.
+    Traced(FlowId),
     /// Find out whether something accepts connections at an address.
     Reach(SocketAddr),
     /// End the process: the graceful stop is complete.
--- a/src/pipeline/run.rs
+++ b/src/pipeline/run.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use derive_more::Display;
-use fastrace::Span;
 
 use super::admit::{Admission, Refusal};
 use super::{answer, forward};
@@ -13,7 +12,7 @@
 use crate::packet::{DecodeError, Segment, decode};
 use crate::placement::{DropReason, Placement, Route, Stage, Verdict};
 use crate::services::Services;
-use crate::telemetry::Tracer;
+use crate::telemetry::{Span, Tracer};
 
 /// Why a packet ends inside the instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -23,7 +23,6 @@
 use crate::membership::Membership;
 use crate::peer::{Body, MemberInfo};
 use crate::platform::{Call, Object, PlatformError, Reply, Revision};
-use crate::telemetry::Tracer;
 
 /// Shortest time for which a leaving instance keeps forwarding: callers' packets come until
 /// health checks that fail have taken it out of the rotation.
@@ -77,7 +76,7 @@
     sharing: Sharing,
     membership: Membership,
     link: Link,
-    tracer: Tracer,
+    trace_one_in: u64,
     log: DecisionLog,
     waiting: VecDeque<(Duration, Vec<u8>)>,
     started: Duration,
@@ -107,7 +106,7 @@
             feeds: Feeds::new(fork()),
             sharing: Sharing::new(fork()),
             link: Link::new(cfg.peer_key, id, cfg.me.incarnation, cfg.control_budget, now),
-            tracer: Tracer::new(id, cfg.trace_one_in),
+            trace_one_in: u64::from(cfg.trace_one_in),
             membership: Membership::new(now, cfg.me, cfg.seeds, fork()),
             log: DecisionLog::new(now),
             waiting: VecDeque::new(),
@@ -141,7 +140,9 @@
             Ok(packet) => packet,
             Err(e) => return self.dropped(now, None, &e.to_string()),
         };
-        let _span = self.tracer.root(packet.flow.id(), 0, 0);
+        if self.trace_one_in > 0 && packet.flow.id().is_multiple_of(self.trace_one_in) {
+            out.push(Action::Traced(packet.flow.id()));
+        }
         log::debug!(
             caller = packet.flow.caller.to_string().as_str(),
             service = packet.flow.service.to_string().as_str(),
--- a/src/telemetry/trace.rs
+++ b/src/telemetry/trace.rs
@@ -1,6 +1,6 @@
 //! Traces: a span for each step of a sampled packet, joined over instances by the flow.
 
-use fastrace::Span;
+pub use fastrace::Span;
 use fastrace::collector::{Config, Reporter, SpanContext, SpanId, SpanRecord, TraceId};
 
 use crate::ids::{FlowId, InstanceId};
@@ -66,3 +66,8 @@
 pub fn report_spans() {
     fastrace::set_reporter(LogReporter, Config::default());
 }
+
+/// Sends the spans that have ended to the log.
+pub fn flush_spans() {
+    fastrace::flush();
+}
