--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -7,6 +7,7 @@
 use metrics::{counter, gauge};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use serde::Deserialize;
 
 use super::decision_log::DecisionLog;
 use super::feed::{Feeds, INSTANCES, ROUTES, TARGETS, Wants};
@@ -432,7 +433,7 @@
     fn take_routes(&mut self, objects: &[Object]) -> bool {
         let mut news = false;
         for object in objects.iter().filter(|object| !object.value.is_null()) {
-            let raw = match serde_json::from_value::<RawRoutes>(object.value.clone()) {
+            let raw = match RawRoutes::deserialize(&object.value) {
                 Ok(raw) => raw,
                 Err(e) => {
                     refused(&object.name, &e.to_string());
@@ -478,7 +479,7 @@
 
     fn take_instances(&mut self, now: Duration, objects: &[Object]) -> bool {
         for object in objects.iter().filter(|object| !object.value.is_null()) {
-            match serde_json::from_value::<MemberInfo>(object.value.clone()) {
+            match MemberInfo::deserialize(&object.value) {
                 Ok(info) => self.membership.listed(now, info),
                 Err(e) => refused(&object.name, &e.to_string()),
             }
@@ -571,7 +572,7 @@
     if object.value.is_null() {
         return Some(TargetRecord { key, revision, target: None });
     }
-    let raw = serde_json::from_value::<RawTarget>(object.value.clone());
+    let raw = RawTarget::deserialize(&object.value);
     let target = raw.map_err(|e| e.to_string()).and_then(Target::try_from);
     match target {
         Ok(target) => Some(TargetRecord { key, revision, target: Some(target) }),
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -9,6 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use jiff::tz::TimeZone;
 use log::LevelFilter;
 use logforth::layout::LogfmtLayout;
 use logforth::record::Record;
@@ -67,7 +68,7 @@
 /// Starts the log of a daemon, on standard output; a second call changes nothing.
 pub fn start_daemon_logs(level: LogLevel) {
     BUFFER.get_or_init(|| Mutex::new(Buffer { lines: Vec::new(), writer: start_writer() }));
-    start(Buffered { layout: LogfmtLayout::default() }, level);
+    start(Buffered { layout: LogfmtLayout::default().timezone(TimeZone::UTC) }, level);
 }
 
 fn start(append: impl Append, level: LogLevel) {
--- /dev/null
+++ b/tests/steering_choice.rs
@@ -0,0 +1,100 @@
+//! The choice of a target, replayed with the loads that its rules answer.
+
+#[path = "support/steering.rs"]
+#[allow(dead_code)]
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use limpetdeck::steering::{Candidate, Target, choose};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use support::*;
+
+const NOW: Duration = Duration::from_secs(1);
+
+fn candidate(home: bool) -> Candidate {
+    Candidate { home, slots: 3, flows: 0, waiting: 0, cold: Duration::ZERO }
+}
+
+#[test]
+fn own_domain() {
+    let targets = [target(1, TILL), target(2, TILL), away(3, TILL), away(4, TILL)];
+    let mut steer = steer(&[TILL], &targets);
+    for caller in 1..100 {
+        let (key, token) = placed(&mut steer, NOW, &opening(caller, 1));
+        assert!(key <= 2, "target {key} of another domain");
+        steer.decide(NOW, &request(caller, 1, token, 0));
+        steer.decide(NOW, &answered(caller, 1, token, 0));
+    }
+}
+
+/// All callers come back within a moment and the domain has one target: the others help.
+#[test]
+fn herd_spills() {
+    let targets = [target(1, SHEETS), away(2, SHEETS), away(3, SHEETS), away(4, SHEETS)];
+    let mut steer = steer(&[SHEETS], &targets);
+    let mut placed_at: BTreeMap<_, u32> = BTreeMap::new();
+    for caller in 1..=160 {
+        let (key, token) = placed(&mut steer, NOW, &opening(caller, 1));
+        steer.decide(NOW, &request(caller, 1, token, 0));
+        *placed_at.entry(key).or_default() += 1;
+    }
+    println!("placed={placed_at:?}");
+    let most = placed_at.values().max().expect("some");
+    assert!(*most <= 44, "one target got {most} of 160 flows, a fair share is 40");
+}
+
+/// Long flows that are opened at once stay where they are put, so they are put evenly.
+#[test]
+fn herd_even() {
+    let targets: Vec<_> = (1..=5).map(|key| target(key, TILL)).collect();
+    let mut steer = steer(&[TILL], &targets);
+    let mut placed_at: BTreeMap<_, u32> = BTreeMap::new();
+    for caller in 1..=100 {
+        let (key, token) = placed(&mut steer, NOW, &opening(caller, 1));
+        steer.decide(NOW, &request(caller, 1, token, 0));
+        *placed_at.entry(key).or_default() += 1;
+    }
+    assert!(placed_at.values().all(|&flows| flows == 20), "{placed_at:?}");
+}
+
+#[test]
+fn busy_target() {
+    let busy = Candidate { waiting: 2, flows: 2, ..candidate(true) };
+    let crowded = Candidate { flows: 8, ..candidate(true) };
+    let mut rng = SmallRng::seed_from_u64(3);
+    assert_eq!(choose(&[busy, crowded], &mut rng), Some(1));
+}
+
+#[test]
+fn more_slots() {
+    let small = Candidate { slots: 1, waiting: 1, flows: 1, ..candidate(true) };
+    let large = Candidate { slots: 4, waiting: 2, flows: 2, ..candidate(true) };
+    let mut rng = SmallRng::seed_from_u64(3);
+    assert_eq!(choose(&[small, large], &mut rng), Some(1));
+}
+
+#[test]
+fn cold_target() {
+    let cold = Target { cold: ms(2_000), ..target(1, TILL) };
+    let mut steer = steer(&[TILL], &[cold, target(2, TILL)]);
+    let mut at = |now: Duration, callers: std::ops::Range<u16>| {
+        callers.filter(|&c| placed(&mut steer, now, &opening(c, 1)).0 == 1).count()
+    };
+    let while_cold = at(ms(100), 1..160);
+    assert!(while_cold < 70, "{while_cold} of 160 flows at the cold target");
+}
+
+#[test]
+fn nobody() {
+    assert_eq!(choose(&[], &mut SmallRng::seed_from_u64(3)), None);
+}
+
+/// A target of another domain is better than none.
+#[test]
+fn only_away() {
+    let mut steer = steer(&[TILL], &[away(3, TILL)]);
+    assert_eq!(placed(&mut steer, NOW, &opening(1, 1)).0, 3);
+}
--- /dev/null
+++ b/tests/support/steering.rs
@@ -0,0 +1,196 @@
+//! Targets, routes and packets for tests of steering.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::time::Duration;
+
+use limpetdeck::flow::FlowKey;
+use limpetdeck::ids::Version;
+use limpetdeck::platform::{Object, Revision};
+use limpetdeck::steering::{
+    FlowPacket, NO_TOKEN, PacketError, PacketFormat, PacketKind, RawRoute, RawRoutes, RawTarget,
+    Steer, Target, TargetKey, TargetRecord, TargetState, Token, Verdict, WeightedService,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+pub const KEY: [u8; 32] = [9; 32];
+pub const HOME: &str = "gt-centro-a";
+pub const AWAY: &str = "gt-centro-b";
+pub const TILL: &str = "estacion";
+pub const SHEETS: &str = "tarifas";
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// The service address number n.
+pub fn address(n: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, n), 443)
+}
+
+/// A ready target with three slots, warm, in the home domain.
+pub fn target(key: TargetKey, service: &str) -> Target {
+    let raw = RawTarget {
+        key,
+        start: 1_000,
+        service: service.to_owned(),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 128, 0, key as u8), 8_080),
+        failure_domain: HOME.to_owned(),
+        slots: 3,
+        state: TargetState::Ready,
+        cold_ms: 0,
+    };
+    Target::try_from(raw).expect("a valid target")
+}
+
+pub fn away(key: TargetKey, service: &str) -> Target {
+    Target { failure_domain: AWAY.to_owned(), ..target(key, service) }
+}
+
+pub fn record(revision: Revision, target: Target) -> TargetRecord {
+    TargetRecord { key: target.key, revision, target: Some(target) }
+}
+
+pub fn gone(revision: Revision, key: TargetKey) -> TargetRecord {
+    TargetRecord { key, revision, target: None }
+}
+
+/// Routes that lead the addresses 1, 2, ... to the services, one each.
+pub fn routes(version: Version, services: &[&str]) -> RawRoutes {
+    let route = |(i, service): (usize, &&str)| RawRoute {
+        name: format!("r{i}"),
+        address: address(i as u8 + 1),
+        services: vec![WeightedService { service: (*service).to_owned(), weight: 1 }],
+    };
+    let routes = services.iter().enumerate().map(route).collect();
+    RawRoutes { version, routes, idle_timeout_ms: 15_000 }
+}
+
+/// An instance's decisions with these targets, all listed at revision 10.
+pub fn steer(services: &[&str], targets: &[Target]) -> Steer {
+    let mut steer = Steer::new(HOME.to_owned(), KEY, SmallRng::seed_from_u64(1));
+    steer.routes.adopt(routes(1, services)).expect("valid routes");
+    let records = targets.iter().cloned().map(|target| record(5, target)).collect();
+    steer.directory.replace_all(Duration::ZERO, 10, records);
+    steer
+}
+
+fn packet(caller: u16, n: u8, kind: PacketKind, token: Token) -> FlowPacket {
+    let caller = SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), caller);
+    FlowPacket {
+        flow: FlowKey { caller, service: address(n) },
+        kind,
+        token,
+        sequence: 1_000,
+        acknowledged: 0,
+        data_len: 0,
+    }
+}
+
+/// The opening packet of a caller's flow to address n.
+pub fn opening(caller: u16, n: u8) -> FlowPacket {
+    packet(caller, n, PacketKind::Opening { repeats: 0 }, NO_TOKEN)
+}
+
+pub fn reopening(caller: u16, n: u8, repeats: u32) -> FlowPacket {
+    packet(caller, n, PacketKind::Opening { repeats }, NO_TOKEN)
+}
+
+/// A request of a caller; `nth` counts the requests on its flow.
+pub fn request(caller: u16, n: u8, token: Token, nth: u32) -> FlowPacket {
+    let sequence = 1_001 + 100 * nth;
+    // The caller has read the answers to all earlier requests.
+    let acknowledged = 5_000 + 1_000 * nth;
+    let packet = packet(caller, n, PacketKind::Within, token);
+    FlowPacket { sequence, acknowledged, data_len: 100, ..packet }
+}
+
+/// The caller's word that it has read the answer to its nth request.
+pub fn answered(caller: u16, n: u8, token: Token, nth: u32) -> FlowPacket {
+    let request = request(caller, n, token, nth);
+    FlowPacket {
+        sequence: request.sequence + 100,
+        acknowledged: request.acknowledged + 1_000,
+        data_len: 0,
+        ..request
+    }
+}
+
+/// Decides and returns the target and the token that the flow was given.
+pub fn placed(steer: &mut Steer, now: Duration, packet: &FlowPacket) -> (TargetKey, Token) {
+    match steer.decide(now, packet) {
+        Verdict::Forward(target, Some(token)) => (target.key, token),
+        other => panic!("not placed: {other:?}"),
+    }
+}
+
+/// A target as an object of the platform.
+pub fn object(revision: Revision, target: &Target) -> Object {
+    let raw = RawTarget {
+        key: target.key,
+        start: target.start,
+        service: target.service.clone(),
+        address: target.address,
+        failure_domain: target.failure_domain.clone(),
+        slots: target.slots,
+        state: target.state,
+        cold_ms: target.cold.as_millis() as u64,
+    };
+    let value = serde_json::to_value(raw).expect("plain data");
+    Object { name: format!("targets/{:x}", target.key), version: revision, value }
+}
+
+/// A format for tests: packets are written and read as numbers in text.
+#[derive(Debug)]
+pub struct TextPackets;
+
+pub fn text(packet: &FlowPacket) -> Vec<u8> {
+    let (opens, repeats) = match packet.kind {
+        PacketKind::Opening { repeats } => (1, repeats),
+        _ => (0, 0),
+    };
+    let FlowPacket { flow, token, sequence, acknowledged, data_len, .. } = packet;
+    let (caller, service) = (flow.caller, flow.service);
+    format!(
+        "{caller} {service} {opens} {repeats} {token} {sequence} {acknowledged} {data_len}"
+    )
+    .into_bytes()
+}
+
+impl PacketFormat for TextPackets {
+    fn read(&self, buf: &[u8]) -> Result<FlowPacket, PacketError> {
+        let text = std::str::from_utf8(buf).map_err(|_| PacketError::Truncated)?;
+        let words: Vec<_> = text.split(' ').collect();
+        let [caller, service, opens, repeats, token, sequence, acknowledged, len] = words[..]
+        else {
+            return Err(PacketError::Truncated);
+        };
+        let number = |text: &str| text.parse::<u32>().map_err(|_| PacketError::WrongLength);
+        let end = |text: &str| text.parse().map_err(|_| PacketError::Truncated);
+        let kind = match opens {
+            "1" => PacketKind::Opening { repeats: number(repeats)? },
+            _ => PacketKind::Within,
+        };
+        Ok(FlowPacket {
+            flow: FlowKey { caller: end(caller)?, service: end(service)? },
+            kind,
+            token: number(token)?,
+            sequence: number(sequence)?,
+            acknowledged: number(acknowledged)?,
+            data_len: number(len)? as u16,
+        })
+    }
+
+    fn forward(&self, buf: &[u8], token: Option<Token>, target: &Target) -> Vec<u8> {
+        let token = token.map_or(String::new(), |token| format!(" {token}"));
+        [format!("{:x}", target.key).as_bytes(), b">", buf, token.as_bytes()].concat()
+    }
+
+    fn reset(&self, packet: &FlowPacket) -> (SocketAddrV4, Vec<u8>) {
+        (packet.flow.caller, b"reset".to_vec())
+    }
+}
+
+pub fn socket(address: SocketAddrV4) -> SocketAddr {
+    SocketAddr::V4(address)
+}
