--- a/src/ctl/error.rs
+++ b/src/ctl/error.rs
@@ -65,7 +65,9 @@
             | Self::Unsettled { .. }
             | Self::Platform(PlatformError::NoAnswer(_)) => 4,
             Self::Failed(_)
-            | Self::Platform(PlatformError::NotFound | PlatformError::Refused(_) | PlatformError::HistoryGone) => 1,
+            | Self::Platform(
+                PlatformError::NotFound | PlatformError::Refused(_) | PlatformError::HistoryGone,
+            ) => 1,
         })
     }
 }
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -303,6 +303,7 @@
             log::info!(live = live.len(), owners = owners.len(); "members");
             gauge!("limpetdeck_instances_live").set(live.len() as f64);
             self.link.set_addresses(self.membership.addresses());
+            self.link.set_incarnation(self.membership.me().incarnation);
             let domains =
                 self.membership.infos().map(|info| (info.id, info.failure_domain.clone()));
             self.targets.set_members(domains);
--- a/src/link.rs
+++ b/src/link.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Takes a higher start number of this instance.
+    pub fn set_incarnation(&mut self, incarnation: Incarnation) {
+        self.sealer.set_incarnation(incarnation);
+    }
+
     /// Takes the addresses of the live instances.
     pub fn set_addresses(&mut self, addresses: HashMap<InstanceId, SocketAddr>) {
         self.addresses = addresses;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -23,7 +23,7 @@
 
 use crate::budget::Class;
 use crate::hash::{HashMap, stable_pair};
-use crate::ids::InstanceId;
+use crate::ids::{Incarnation, InstanceId};
 use crate::link::Outbox;
 use crate::peer::{Body, MemberInfo, MemberState};
 use contacts::Contacts;
@@ -393,7 +393,9 @@
         match news {
             News::Alive { info, .. } => self.meet_namesake(info),
             News::Suspect(_, said) | News::Dead(_, said) => {
-                if said.incarnation == self.me.incarnation && *said >= self.revision() {
+                if said.incarnation > self.me.incarnation {
+                    self.overtake(said.incarnation);
+                } else if said.incarnation == self.me.incarnation && *said >= self.revision() {
                     log::info!(instance = self.me.id; "suspicion_refuted");
                     self.announcement = said.announcement;
                     self.announce(self.me.state);
@@ -408,11 +410,24 @@
         if key(other) <= key(&self.me) || self.superseded {
             return;
         }
+        if other.peer_address == self.me.peer_address {
+            return self.overtake(other.incarnation);
+        }
         let address = other.peer_address.to_string();
         log::error!(instance = self.me.id, other = address.as_str(); "instance_superseded");
         self.superseded = true;
     }
 
+    /// Goes beyond an earlier start of this instance that had a higher number, as its clock
+    /// was ahead: until then the others take what this one sends for a replay.
+    fn overtake(&mut self, earlier: Incarnation) {
+        log::warn!(own = self.me.incarnation, earlier = earlier; "clock_was_ahead");
+        self.me.incarnation = earlier.saturating_add(1);
+        self.announcement = 0;
+        self.changed = true;
+        self.announce(self.me.state);
+    }
+
     /// Tells an instance's earlier start at another address that it was superseded.
     fn tell_predecessor(&mut self, info: &MemberInfo, out: &mut Outbox<'_>) {
         let Some(known) = self.table.get(info.id) else { return };
--- a/src/peer/seal.rs
+++ b/src/peer/seal.rs
@@ -125,6 +125,11 @@
         Self { key, me, incarnation, sequence: 0, received: HashMap::default(), opened: 0 }
     }
 
+    /// Takes a higher start number: see [`crate::membership`] on clocks that were ahead.
+    pub fn set_incarnation(&mut self, incarnation: Incarnation) {
+        self.incarnation = self.incarnation.max(incarnation);
+    }
+
     /// Seals a message.
     pub fn seal(&mut self, body: &Body) -> Vec<u8> {
         self.sequence += 1;
--- a/src/settings/findings.rs
+++ b/src/settings/findings.rs
@@ -42,6 +42,11 @@
         self.list.push(Finding { place: place.into(), problem: problem.into() });
     }
 
+    /// Adds the findings of another list.
+    pub fn extend(&mut self, more: Self) {
+        self.list.extend(more.list);
+    }
+
     /// Takes the value of a check, or notes its problem and gives nothing.
     pub fn check<T>(
         &mut self,
--- a/src/steering/feed.rs
+++ b/src/steering/feed.rs
@@ -134,8 +134,11 @@
     pub fn due(&mut self, now: Duration, wants: Wants) -> Vec<Call> {
         let routes = self.routes.due(now, wants.watches, wants.routes, &mut self.rng);
         let targets = self.targets.due(now, wants.watches, false, &mut self.rng);
-        let instances =
-            if wants.instances { self.instances.due(now, false, true, &mut self.rng) } else { None };
+        let instances = if wants.instances {
+            self.instances.due(now, false, true, &mut self.rng)
+        } else {
+            None
+        };
         routes.into_iter().chain(targets).chain(instances).collect()
     }
 
--- a/src/steering/flows.rs
+++ b/src/steering/flows.rs
@@ -121,14 +121,17 @@
         self.remove(id);
         let first_sent = before.filter(|_| repeats > 0).and_then(|flow| flow.waits_since);
         let next = packet.sequence.wrapping_add(1);
-        self.insert(id, Flow {
-            target,
-            last: now,
-            open: false,
-            next,
-            acknowledged: 0,
-            waits_since: Some(first_sent.unwrap_or(now)),
-        });
+        self.insert(
+            id,
+            Flow {
+                target,
+                last: now,
+                open: false,
+                next,
+                acknowledged: 0,
+                waits_since: Some(first_sent.unwrap_or(now)),
+            },
+        );
         Seen::Nothing
     }
 
@@ -141,8 +144,7 @@
             self.remove(id);
             let waits_since = (packet.data_len > 0).then_some(now);
             let acknowledged = packet.acknowledged;
-            let flow =
-                Flow { target, last: now, open: true, next: end, acknowledged, waits_since };
+            let flow = Flow { target, last: now, open: true, next: end, acknowledged, waits_since };
             self.insert(id, flow);
             return Seen::Nothing;
         };
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -386,6 +386,7 @@
         self.sharing.set_peers(Peers { home: ids(home), away: ids(away) });
         let addresses: HashMap<_, _> = self.membership.addresses();
         self.link.set_addresses(addresses);
+        self.link.set_incarnation(self.membership.me().incarnation);
     }
 
     fn platform(
--- a/src/steering/sharing.rs
+++ b/src/steering/sharing.rs
@@ -115,8 +115,7 @@
         self.next_push = now + PUSH_EVERY;
         let changes = changes(now, steer, since);
         let digest = Message::Digest { known: digest(steer), asks: false };
-        let message =
-            if changes.records.is_empty() { digest } else { Message::Targets(changes) };
+        let message = if changes.records.is_empty() { digest } else { Message::Targets(changes) };
         let some = self.peers.home.choose_multiple(&mut self.rng, FANOUT);
         for &to in some {
             send(to, message.clone(), out);
--- a/src/steering/steer.rs
+++ b/src/steering/steer.rs
@@ -11,8 +11,8 @@
 
 use super::token::TargetStart;
 use super::{
-    Candidate, Directory, FlowPacket, Flows, Health, Load, NO_TOKEN, PacketKind, Route, RouteTable, Seen,
-    Target, TargetKey, Token, Tokens, choose,
+    Candidate, Directory, FlowPacket, Flows, Health, Load, NO_TOKEN, PacketKind, Route, RouteTable,
+    Seen, Target, TargetKey, Token, Tokens, choose,
 };
 use crate::flow::FlowKey;
 use crate::ids::FailureDomain;
@@ -184,8 +184,7 @@
             let Load { flows, waiting } = self.flows.load(start);
             let home = target.failure_domain == self.home;
             let candidate = Candidate { home, slots: target.slots, flows, waiting, cold };
-            let list =
-                if self.health.is_silent(now, start) { &mut silent } else { &mut answering };
+            let list = if self.health.is_silent(now, start) { &mut silent } else { &mut answering };
             list.push((start, candidate));
         }
         // If all seem silent, the way there may be at fault rather than the targets.
@@ -276,10 +275,7 @@
 }
 
 /// Draws a service by weight.
-fn pick_service<'a>(
-    services: &'a [super::WeightedService],
-    rng: &mut SmallRng,
-) -> Option<&'a str> {
+fn pick_service<'a>(services: &'a [super::WeightedService], rng: &mut SmallRng) -> Option<&'a str> {
     let total: u32 = services.iter().map(|service| service.weight).sum();
     let mut drawn = if total == 0 { return None } else { rng.random_range(0..total) };
     for service in services {
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -106,9 +106,8 @@
 }
 
 fn backlog() -> usize {
-    let lines = |buffer: &Mutex<Buffer>| {
-        buffer.lock().unwrap_or_else(PoisonError::into_inner).lines.len()
-    };
+    let lines =
+        |buffer: &Mutex<Buffer>| buffer.lock().unwrap_or_else(PoisonError::into_inner).lines.len();
     BUFFER.get().map_or(0, lines)
 }
 
--- a/tests/settings_findings.rs
+++ b/tests/settings_findings.rs
@@ -53,7 +53,8 @@
 
 #[test]
 fn unknown_key() {
-    assert_eq!(places("instance = 1\ncolour = 2\n"), ["line 2, column 1"]);
+    // The second one says which key is missing: the first does not hide it.
+    assert_eq!(places("instance = 1\ncolour = 2\n"), ["line 2, column 1", "line 1, column 1"]);
 }
 
 #[test]
@@ -77,3 +78,13 @@
         services.1.targets.1.address: the address stands twice";
     assert_eq!(findings, expected);
 }
+
+/// A key that is not known does not hide what else is wrong.
+#[test]
+fn unknown_among_others() {
+    let text = std::fs::read_to_string("sample_configs/recarga/entry.toml").expect("a sample");
+    let odd = format!("colour = \"blue\"\n{text}").replace("instance = ", "instance = -");
+    let findings = limpetdeck::settings::parse(&odd).expect_err("two findings").to_string();
+    assert!(findings.contains("line 1, column 1: unknown field `colour`"), "{findings}");
+    assert!(findings.contains("instance: "), "{findings}");
+}
--- a/tests/steering_directory.rs
+++ b/tests/steering_directory.rs
@@ -8,8 +8,8 @@
 
 use std::time::Duration;
 
-use limpetdeck::steering::{Directory, Target, TargetRecord, TargetState};
 use checks::checker;
+use limpetdeck::steering::{Directory, Target, TargetRecord, TargetState};
 use support::*;
 
 fn usable(directory: &Directory, now: Duration) -> Vec<u64> {
@@ -22,11 +22,15 @@
 #[test]
 fn any_order() {
     fn property(changes: Vec<(u8, bool)>, order: Vec<usize>) -> bool {
-        let records: Vec<TargetRecord> = changes.iter().enumerate().map(|(i, &(key, lives))| {
-            let (key, revision) = (u64::from(key % 5) + 1, i as u64 + 1);
-            let version = Target { start: revision, ..target(key, TILL) };
-            if lives { record(revision, version) } else { gone(revision, key) }
-        }).collect();
+        let records: Vec<TargetRecord> = changes
+            .iter()
+            .enumerate()
+            .map(|(i, &(key, lives))| {
+                let (key, revision) = (u64::from(key % 5) + 1, i as u64 + 1);
+                let version = Target { start: revision, ..target(key, TILL) };
+                if lives { record(revision, version) } else { gone(revision, key) }
+            })
+            .collect();
         let (mut straight, mut mixed) = (Directory::default(), Directory::default());
         for record in &records {
             straight.merge(Duration::ZERO, record.clone());
--- a/tests/steering_routes.rs
+++ b/tests/steering_routes.rs
@@ -6,7 +6,9 @@
 
 use std::time::Duration;
 
-use limpetdeck::steering::{RawRoutes, Refusal, RouteTable, Steer, Unforwarded, Verdict, WeightedService};
+use limpetdeck::steering::{
+    RawRoutes, Refusal, RouteTable, Steer, Unforwarded, Verdict, WeightedService,
+};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use support::*;
--- a/tests/steering_tokens.rs
+++ b/tests/steering_tokens.rs
@@ -36,7 +36,8 @@
 #[test]
 fn made_up() {
     let mut steer = steer(&[TILL], &[target(1, TILL), target(2, TILL)]);
-    let real: Vec<_> = (1..50).map(|caller| placed(&mut steer, NOW, &opening(caller, 1)).1).collect();
+    let real: Vec<_> =
+        (1..50).map(|caller| placed(&mut steer, NOW, &opening(caller, 1)).1).collect();
     for token in (0..1_000_000).step_by(97).filter(|token| !real.contains(token)) {
         let verdict = steer.decide(NOW, &request(60_000, 1, token, 0));
         assert_eq!(verdict, Verdict::Drop(Unforwarded::UnknownToken), "token {token}");
--- a/tests/support/steering.rs
+++ b/tests/support/steering.rs
@@ -151,10 +151,8 @@
     };
     let FlowPacket { flow, token, sequence, acknowledged, data_len, .. } = packet;
     let (caller, service) = (flow.caller, flow.service);
-    format!(
-        "{caller} {service} {opens} {repeats} {token} {sequence} {acknowledged} {data_len}"
-    )
-    .into_bytes()
+    format!("{caller} {service} {opens} {repeats} {token} {sequence} {acknowledged} {data_len}")
+        .into_bytes()
 }
 
 impl PacketFormat for TextPackets {
