Tell callers at once that their idle flow's target has stopped

A request that may not run twice is lost once it is sent on an open flow to a dead target, and callers learned of the death only by sending one. Ruled out: earlier detection alone; the flows are idle for seconds, so nothing shows there.

Change: when a target has certainly stopped, all its flows that pass here are reset, idle ones too. A target that vanished from the list is tried while flows to it are known. Peers of the domain are told of the doubt and try for themselves. A flow that its caller has closed no longer counts as work.

New tests: idle_flows_told, vanished, closed_flows, doubts_spread.

--- a/src/steering.rs
+++ b/src/steering.rs
@@ -31,4 +31,4 @@
 pub use sharing::Sharing;
 pub use steer::{Belief, Refusal, Steer, Unforwarded, Verdict};
 pub use target::{RawTarget, Target, TargetKey, TargetState};
-pub use token::{NO_TOKEN, Token, Tokens};
+pub use token::{NO_TOKEN, TargetStart, Token, Tokens};
--- a/src/steering/flows.rs
+++ b/src/steering/flows.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use super::token::TargetStart;
-use super::{FlowPacket, PacketKind};
+use super::{FlowPacket, NO_TOKEN, PacketKind};
+use crate::flow::FlowKey;
 use crate::hash::HashMap;
 use crate::ids::FlowId;
 
@@ -27,11 +28,15 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Flow {
+    key: FlowKey,
     target: TargetStart,
     /// When the last packet passed.
     last: Duration,
     /// Whether the handshake is over.
     open: bool,
+    /// Whether the caller has ended its side. What still comes is no work, but is
+    /// remembered, so that it does not look like another flow.
+    closed: bool,
     /// Number of the byte after the last one that the caller sent.
     next: u32,
     /// Number of the next byte that the caller expected.
@@ -84,7 +89,11 @@
         match packet.kind {
             PacketKind::Opening { repeats } => self.opened(now, packet, target, repeats),
             PacketKind::Within => self.within(now, packet, target),
-            PacketKind::Closing | PacketKind::Reset => {
+            PacketKind::Closing => {
+                self.close(now, id);
+                Seen::Nothing
+            }
+            PacketKind::Reset => {
                 self.remove(id);
                 Seen::Nothing
             }
@@ -92,6 +101,34 @@
         }
     }
 
+    /// Returns the targets that flows go to.
+    pub(super) fn targets(&self) -> impl Iterator<Item = TargetStart> {
+        self.loads.keys().copied()
+    }
+
+    /// Forgets the flows of a target, and returns each as the packet that its caller would
+    /// send next.
+    pub(super) fn take_flows(&mut self, target: TargetStart) -> Vec<FlowPacket> {
+        let ids = self.flows.iter().filter(|(_, flow)| flow.target == target).map(|(id, _)| *id);
+        let ids: Vec<_> = ids.collect();
+        let mut taken = Vec::new();
+        for id in ids {
+            if let Some(flow) = self.flows.remove(&id) {
+                self.uncount(&flow);
+                taken.push(flow);
+            }
+        }
+        let next = |flow: Flow| FlowPacket {
+            flow: flow.key,
+            kind: PacketKind::Within,
+            token: NO_TOKEN,
+            sequence: flow.next,
+            acknowledged: flow.acknowledged,
+            data_len: 0,
+        };
+        taken.into_iter().filter(|flow| flow.open && !flow.closed).map(next).collect()
+    }
+
     /// Forgets flows that have been silent for a time.
     pub fn expire(&mut self, now: Duration, idle: Duration) {
         let over = |flow: &Flow| now >= flow.last + idle;
@@ -109,6 +146,15 @@
         }
     }
 
+    fn close(&mut self, now: Duration, id: FlowId) {
+        if let Some(mut flow) = self.flows.get(&id).copied() {
+            self.uncount(&flow);
+            flow.closed = true;
+            flow.last = now;
+            self.flows.insert(id, flow);
+        }
+    }
+
     fn opened(
         &mut self,
         now: Duration,
@@ -124,9 +170,11 @@
         self.insert(
             id,
             Flow {
+                key: packet.flow,
                 target,
                 last: now,
                 open: false,
+                closed: false,
                 next,
                 acknowledged: 0,
                 waits_since: Some(first_sent.unwrap_or(now)),
@@ -144,10 +192,22 @@
             self.remove(id);
             let waits_since = (packet.data_len > 0).then_some(now);
             let acknowledged = packet.acknowledged;
-            let flow = Flow { target, last: now, open: true, next: end, acknowledged, waits_since };
+            let flow = Flow {
+                key: packet.flow,
+                target,
+                last: now,
+                open: true,
+                closed: false,
+                next: end,
+                acknowledged,
+                waits_since,
+            };
             self.insert(id, flow);
             return Seen::Nothing;
         };
+        if flow.closed {
+            return Seen::Nothing;
+        }
         self.uncount(&flow);
         flow.last = now;
         let answered = !flow.open || after(packet.acknowledged, flow.acknowledged);
@@ -182,6 +242,9 @@
     }
 
     fn uncount(&mut self, flow: &Flow) {
+        if flow.closed {
+            return;
+        }
         let Some(load) = self.loads.get_mut(&flow.target) else { return };
         load.flows = load.flows.saturating_sub(1);
         load.waiting = load.waiting.saturating_sub(u32::from(flow.waits_since.is_some()));
--- a/src/steering/message.rs
+++ b/src/steering/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::TargetRecord;
+use super::{TargetRecord, TargetStart};
 use crate::ids::Version;
 use crate::platform::Revision;
 
@@ -32,6 +32,8 @@
     },
     /// Changes of targets.
     Targets(Changes),
+    /// Targets that the sender takes for dead: the receiver finds out for itself.
+    Doubt(Vec<TargetStart>),
     /// The sender lacks a piece of the routes.
     PullRoutes {
         /// Version that the sender has begun to fetch; 0 stands for any.
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -14,8 +14,8 @@
 use super::sharing::{Peers, Sharing};
 use super::steer::Belief;
 use super::{
-    FlowPacket, PacketFormat, PacketKind, RawRoutes, RawTarget, Steer, Target, TargetRecord,
-    Unforwarded, Verdict,
+    FlowPacket, PacketFormat, PacketKind, RawRoutes, RawTarget, Refusal, Steer, Target,
+    TargetRecord, TargetStart, Unforwarded, Verdict,
 };
 use crate::hash::HashMap;
 use crate::instance::{Action, Changeable, Core, Event, Status};
@@ -135,6 +135,11 @@
         &self.membership
     }
 
+    /// Has it found out whether a target has stopped.
+    pub fn doubt(&mut self, now: Duration, target: TargetStart) {
+        self.steer.doubt(now, target);
+    }
+
     fn packet(&mut self, now: Duration, buf: Vec<u8>, out: &mut Vec<Action>) {
         self.last_packet = now;
         let packet = match self.format.read(&buf) {
@@ -164,14 +169,7 @@
                     self.placed(now, &packet, &target, token, repeats);
                 }
             }
-            Verdict::Reset(refusal) => {
-                let reason = refusal.to_string();
-                let (to, reset) = self.format.reset(&packet);
-                out.push(Action::Datagram(SocketAddr::V4(to), reset));
-                counter!("limpetdeck_flows_refused_total", "reason" => reason.clone()).increment(1);
-                self.log_refusal(now, &packet, &reason);
-                *self.refusals.entry(reason).or_default() += 1;
-            }
+            Verdict::Reset(refusal) => self.reset(now, &packet, refusal, out),
             Verdict::Drop(Unforwarded::NotReady) => self.hold(now, buf),
             Verdict::Drop(reason) => self.dropped(now, Some(&packet), &reason.to_string()),
         }
@@ -330,10 +328,48 @@
             gauge!("limpetdeck_targets_known").set(self.steer.directory.len() as f64);
             gauge!("limpetdeck_routes_version").set(self.steer.routes.version() as f64);
         }
+        self.end_flows(now, out);
         self.log_beliefs();
         self.end_stop(now, out);
     }
 
+    fn reached(
+        &mut self,
+        now: Duration,
+        address: SocketAddr,
+        accepted: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let name = address.to_string();
+        log::info!(address = name.as_str(), accepted = accepted; "target_connect");
+        let dead = self.steer.reached(now, address, accepted);
+        self.log_beliefs();
+        self.sharing.tell_doubts(now, &dead, &mut self.link.outbox(now, out));
+        self.end_flows(now, out);
+    }
+
+    /// Resets the flows whose targets have certainly stopped.
+    fn end_flows(&mut self, now: Duration, out: &mut Vec<Action>) {
+        for (packet, refusal) in self.steer.take_ended(now) {
+            self.reset(now, &packet, refusal, out);
+        }
+    }
+
+    fn reset(
+        &mut self,
+        now: Duration,
+        packet: &FlowPacket,
+        refusal: Refusal,
+        out: &mut Vec<Action>,
+    ) {
+        let reason = refusal.to_string();
+        let (to, reset) = self.format.reset(packet);
+        out.push(Action::Datagram(SocketAddr::V4(to), reset));
+        counter!("limpetdeck_flows_refused_total", "reason" => reason.clone()).increment(1);
+        self.log_refusal(now, packet, &reason);
+        *self.refusals.entry(reason).or_default() += 1;
+    }
+
     fn log_beliefs(&mut self) {
         for belief in self.steer.take_beliefs() {
             let (target, event) = match belief {
@@ -520,23 +556,19 @@
 impl Core for Node {
     fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
         match event {
-            Event::Packet(buf) => {
-                self.packet(now, buf, out);
-                out.extend(self.steer.take_doubts().into_iter().map(Action::Reach));
-            }
+            Event::Packet(buf) => self.packet(now, buf, out),
             Event::Peer(buf) => self.peer(now, &buf, out),
             Event::Platform(call, result) => self.platform(now, &call, &result, out),
             // Targets are never probed: their flows show whether they answer.
             Event::Probed(..) => {}
             Event::Reached(address, accepted) => {
-                log::info!(address = address.to_string().as_str(), accepted = accepted; "target_connect");
-                self.steer.reached(now, address, accepted);
-                self.log_beliefs();
+                self.reached(now, address, accepted, out);
             }
             Event::Tick => self.tick(now, out),
             Event::Stop => self.stop(now),
             Event::Changed(settings) => self.change(settings),
         }
+        out.extend(self.steer.take_doubts().into_iter().map(Action::Reach));
     }
 
     fn healthy(&self) -> bool {
--- a/src/steering/sharing.rs
+++ b/src/steering/sharing.rs
@@ -12,8 +12,9 @@
 use rand::seq::IndexedRandom;
 
 use super::message::{Changes, Digest, Message, Piece};
-use super::{RawRoutes, Steer, TargetRecord};
+use super::{RawRoutes, Steer, TargetRecord, TargetStart};
 use crate::budget::Class;
+use crate::hash::HashMap;
 use crate::ids::{InstanceId, Version};
 use crate::link::Outbox;
 use crate::peer::Body;
@@ -23,6 +24,10 @@
 const FANOUT: usize = 2;
 /// Least time between two pushes: when many targets change, their changes go together.
 const PUSH_EVERY: Duration = Duration::from_millis(200);
+/// Peers of the own failure domain that are told of a target that may be dead.
+const DOUBT_FANOUT: usize = 3;
+/// Time within which the same doubt is not told again.
+const TELL_DOUBT_EVERY: Duration = Duration::from_secs(3);
 /// Mean time between two digests.
 const DIGEST_EVERY: Duration = Duration::from_millis(800);
 /// Time between two digests of an instance that knows nothing yet.
@@ -64,6 +69,8 @@
     fetch: Option<Fetch>,
     /// The highest version of the routes that a peer has told of, and the peer.
     heard: Option<(Version, InstanceId)>,
+    /// When others last told, or were told, that a target may be dead.
+    doubted: HashMap<TargetStart, Duration>,
     /// The routes in force in their encoded form.
     encoded: (Version, Vec<u8>),
     rng: SmallRng,
@@ -79,6 +86,7 @@
             unpushed: None,
             fetch: None,
             heard: None,
+            doubted: HashMap::default(),
             encoded: (0, Vec::new()),
             rng,
         }
@@ -107,6 +115,20 @@
         self.push(now, steer, out);
     }
 
+    /// Tells peers that targets may be dead, unless that was told lately.
+    pub fn tell_doubts(&mut self, now: Duration, targets: &[TargetStart], out: &mut Outbox<'_>) {
+        let doubted = &mut self.doubted;
+        doubted.retain(|_, told| now < *told + TELL_DOUBT_EVERY);
+        let news = targets.iter().filter(|&&target| doubted.insert(target, now).is_none());
+        let news: Vec<_> = news.copied().collect();
+        if news.is_empty() {
+            return;
+        }
+        for &to in self.peers.home.choose_multiple(&mut self.rng, DOUBT_FANOUT) {
+            send(to, Message::Doubt(news.clone()), out);
+        }
+    }
+
     fn push(&mut self, now: Duration, steer: &Steer, out: &mut Outbox<'_>) {
         if now < self.next_push {
             return;
@@ -164,6 +186,13 @@
                 false
             }
             Message::Targets(changes) => take_changes(now, from, changes, steer, out),
+            Message::Doubt(targets) => {
+                for &target in &targets {
+                    steer.doubt(now, target);
+                }
+                self.tell_doubts(now, &targets, out);
+                false
+            }
             Message::PullRoutes { version, piece } => {
                 self.send_piece(from, version, piece, steer, out);
                 false
@@ -365,9 +394,10 @@
 fn send(to: InstanceId, message: Message, out: &mut Outbox<'_>) {
     let class = match &message {
         // Small, and late news of a target that leaves break flows: never held back.
-        Message::Digest { .. } | Message::PullTargets { .. } | Message::Targets(_) => {
-            Class::Liveness
-        }
+        Message::Digest { .. }
+        | Message::PullTargets { .. }
+        | Message::Targets(_)
+        | Message::Doubt(_) => Class::Liveness,
         Message::PullRoutes { .. } | Message::Routes(_) => Class::Lists,
     };
     out.send(to, class, &Body::Steering(message));
--- a/src/steering/steer.rs
+++ b/src/steering/steer.rs
@@ -236,10 +236,40 @@
         self.health.is_dead(now, start)
     }
 
-    /// Takes the outcome of an attempt to connect.
-    pub fn reached(&mut self, now: Duration, address: SocketAddr, accepted: bool) {
+    /// Takes the outcome of an attempt to connect. Returns the targets that count as dead
+    /// from now on.
+    pub fn reached(
+        &mut self,
+        now: Duration,
+        address: SocketAddr,
+        accepted: bool,
+    ) -> Vec<TargetStart> {
         let dead = self.health.reached(now, address, accepted);
-        self.beliefs.extend(dead.into_iter().map(|(key, _)| Belief::Dead(key)));
+        self.beliefs.extend(dead.iter().map(|&(key, _)| Belief::Dead(key)));
+        dead
+    }
+
+    /// Takes the word of another instance that a target may have stopped.
+    pub fn doubt(&mut self, now: Duration, start: TargetStart) {
+        if let Some(target) = self.directory.get(start) {
+            self.health.doubt(now, start, target.address.into());
+        }
+    }
+
+    /// Ends the flows whose targets have certainly stopped, and returns each with the reason.
+    /// A caller that is told at once opens its next flow before it has something to send.
+    pub fn take_ended(&mut self, now: Duration) -> Vec<(FlowPacket, Refusal)> {
+        let mut ended = Vec::new();
+        let targets: Vec<_> = self.flows.targets().collect();
+        for start in targets {
+            let reason = match () {
+                () if self.directory.is_over(start) => Refusal::TargetRestarted,
+                () if self.has_stopped(now, start) => Refusal::TargetDead,
+                () => continue,
+            };
+            ended.extend(self.flows.take_flows(start).into_iter().map(|flow| (flow, reason)));
+        }
+        ended
     }
 
     /// Returns the addresses to which connections are to be tried.
--- a/src/steering/token.rs
+++ b/src/steering/token.rs
@@ -15,7 +15,7 @@
 const MOST_KNOWN: usize = 65_536;
 
 /// A target in one of its starts.
-pub(super) type TargetStart = (TargetKey, Incarnation);
+pub type TargetStart = (TargetKey, Incarnation);
 
 /// Makes tokens, and remembers which ones it has matched.
 #[derive(Debug)]
--- a/tests/steering_health.rs
+++ b/tests/steering_health.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use limpetdeck::steering::{Refusal, Steer, Target, Verdict};
+use limpetdeck::steering::{PacketKind, Refusal, Steer, Target, Verdict};
 use support::*;
 
 /// Opens flows at one target and returns their tokens; all have had an answer.
@@ -157,3 +157,62 @@
     let (other, _) = placed(&mut steer, ms(600), &reopening(1, 1, 2));
     assert_ne!(other, first);
 }
+
+/// Callers whose flows are idle learn that their target has stopped before they have
+/// something to send, which many could not send again.
+#[test]
+fn idle_flows_told() {
+    let mut steer = steer(&[TILL], &[target(1, TILL), target(2, TILL)]);
+    let flows = open_flows(&mut steer, 1..21);
+    let at_one = flows.iter().filter(|&&(caller, token)| {
+        let verdict = steer.decide(ms(50), &answered(caller, 1, token, 0));
+        matches!(verdict, Verdict::Forward(target, _) if target.key == 1)
+    });
+    let at_one: Vec<u16> = at_one.map(|&(caller, _)| caller).collect();
+    assert!((5..16).contains(&at_one.len()), "{at_one:?}");
+    steer.doubt(ms(2_000), (1, 1_000));
+    assert!(steer.take_ended(ms(2_100)).is_empty(), "a doubt is no proof");
+    let doubts = steer.take_doubts();
+    assert_eq!(steer.reached(ms(2_350), doubts[0], false), [(1, 1_000)]);
+    let ended = steer.take_ended(ms(2_360));
+    let mut told: Vec<u16> = ended.iter().map(|(flow, _)| flow.flow.caller.port()).collect();
+    told.sort_unstable();
+    assert_eq!(told, at_one);
+    // A caller takes a reset that is where its own packets are.
+    assert!(
+        ended
+            .iter()
+            .all(|(flow, reason)| { flow.acknowledged == 6_000 && *reason == Refusal::TargetDead })
+    );
+    assert!(steer.take_ended(ms(2_400)).is_empty());
+}
+
+/// A target that left the platform's list is tried before its idle flows are reset.
+#[test]
+fn vanished() {
+    let mut steer = steer(&[TILL], &[target(1, TILL)]);
+    open_flows(&mut steer, 1..4);
+    steer.directory.merge(ms(5_000), gone(11, 1));
+    assert!(steer.take_ended(ms(5_100)).is_empty());
+    let doubts = steer.take_doubts();
+    assert_eq!(doubts.len(), 1);
+    steer.reached(ms(5_110), doubts[0], true);
+    assert!(steer.take_ended(ms(5_900)).is_empty(), "it lives, its entry has lapsed");
+    assert!(steer.take_ended(ms(6_200)).is_empty());
+    let doubts = steer.take_doubts();
+    steer.reached(ms(6_550), doubts[0], false);
+    assert_eq!(steer.take_ended(ms(6_560)).len(), 3);
+}
+
+#[test]
+fn closed_flows() {
+    let mut steer = steer(&[TILL], &[target(1, TILL)]);
+    let (caller, token) = open_flows(&mut steer, 1..2)[0];
+    assert_eq!(steer.flows.load((1, 1_000)).flows, 1);
+    let mut end = answered(caller, 1, token, 0);
+    end.kind = PacketKind::Closing;
+    steer.decide(ms(100), &end);
+    // The caller still acknowledges the target's end.
+    steer.decide(ms(101), &answered(caller, 1, token, 1));
+    assert_eq!(steer.flows.load((1, 1_000)).flows, 0);
+}
--- a/tests/steering_spread.rs
+++ b/tests/steering_spread.rs
@@ -65,6 +65,8 @@
     /// Datagrams to targets and callers, by instance.
     out: Vec<Vec<(SocketAddr, Vec<u8>)>>,
     exited: Vec<bool>,
+    /// Addresses to which connections were tried, by instance.
+    tried: Vec<Vec<SocketAddr>>,
     rng: SmallRng,
 }
 
@@ -84,6 +86,7 @@
             sent: 0,
             out: vec![Vec::new(); instances],
             exited: vec![false; instances],
+            tried: vec![Vec::new(); instances],
             rng: SmallRng::seed_from_u64(11),
         };
         world.store.routes(&routes(1, &[TILL]));
@@ -143,6 +146,7 @@
                 }
                 Action::Platform(call) => self.call(i, call),
                 Action::Datagram(to, buf) => self.out[i].push((to, buf)),
+                Action::Reach(address) => self.tried[i].push(address),
                 Action::Exit => self.exited[i] = true,
                 _ => {}
             }
@@ -412,3 +416,19 @@
     assert_eq!(world.node(0).steer().directory.len(), 4);
     assert!(world.node(0).healthy());
 }
+
+/// What one instance takes for dead the others of its domain try for themselves.
+#[test]
+fn doubts_spread() {
+    let mut world = World::new(12);
+    world.run(Duration::from_secs(12));
+    let dead = socket(target(1, TILL).address);
+    world.nodes[0].as_mut().expect("it runs").doubt(world.now, (1, 1_000));
+    world.run(TICK);
+    assert_eq!(world.tried[0], [dead]);
+    world.handle(0, Event::Reached(dead, false));
+    world.run(ms(600));
+    let home: Vec<_> = (0..12).step_by(2).filter(|&i| !world.tried[i].is_empty()).collect();
+    assert!(home.len() >= 5, "only {home:?} of six have tried");
+    assert!(world.tried.iter().all(|tried| tried.len() <= 1), "{:?}", world.tried);
+}
