--- a/src/steering/health.rs
+++ b/src/steering/health.rs
@@ -25,6 +25,8 @@
 const CONNECT_EVERY: Duration = Duration::from_millis(1_000);
 /// Silence after which an attempt to connect is worth its price: a single repeated packet.
 const CONNECT_AFTER: Duration = Duration::from_millis(190);
+/// Failed attempts after which a target is dead even if its flows show nothing.
+const FAILED_ALONE: u32 = 2;
 /// Time for which a target that accepted no connection counts as dead.
 const DEAD_FOR: Duration = Duration::from_millis(2_500);
 
@@ -42,6 +44,8 @@
     /// Address to which a connection is tried, and since when.
     connecting: Option<(SocketAddr, Duration)>,
     next_connect: Duration,
+    /// Attempts to connect that failed in a row.
+    failed: u32,
     /// Until when the target counts as dead.
     dead_until: Duration,
 }
@@ -62,6 +66,7 @@
         signs.unanswered.clear();
         signs.life = Some(now);
         signs.silent = false;
+        signs.failed = 0;
         signs.dead_until = Duration::ZERO;
         was_silent
     }
@@ -103,6 +108,11 @@
         self.signs.get(&target).is_some_and(silent)
     }
 
+    /// Tells whether something sent to a target went unanswered since it last answered.
+    pub fn is_doubtful(&self, target: TargetStart) -> bool {
+        self.signs.get(&target).is_some_and(|signs| !signs.unanswered.is_empty())
+    }
+
     /// Tells whether a target has stopped for certain.
     pub fn is_dead(&self, now: Duration, target: TargetStart) -> bool {
         self.signs.get(&target).is_some_and(|signs| now < signs.dead_until)
@@ -126,7 +136,8 @@
     }
 
     /// Takes the outcome of an attempt to connect. Returns the targets that count as dead
-    /// from now on: those that have not answered since the attempt began.
+    /// from now on: those that have not answered since the attempt began, if they are silent
+    /// to their flows too. If the flows show nothing, a second attempt has to fail.
     pub fn reached(
         &mut self,
         now: Duration,
@@ -140,13 +151,20 @@
             };
             signs.connecting = None;
             if accepted || signs.life.is_some_and(|life| life >= since) {
+                signs.failed = 0;
                 signs.dead_until = Duration::ZERO;
-            } else {
-                if now >= signs.dead_until {
-                    dead.push(target);
-                }
-                signs.dead_until = now + DEAD_FOR;
+                continue;
+            }
+            signs.failed += 1;
+            if !signs.silent && signs.failed < FAILED_ALONE {
+                signs.connecting = Some((address, since));
+                self.to_connect.push(address);
+                continue;
+            }
+            if now >= signs.dead_until {
+                dead.push(target);
             }
+            signs.dead_until = now + DEAD_FOR;
         }
         dead
     }
