--- a/tests/steering_spread.rs
+++ b/tests/steering_spread.rs
@@ -17,6 +17,8 @@
 use support::*;
 
 const TICK: Duration = Duration::from_millis(100);
+/// Bytes that IPv4 and UDP add to each message.
+const OVERHEAD: usize = 28;
 /// Delay of a message or an answer.
 const DELAY: Duration = Duration::from_millis(4);
 
@@ -65,6 +67,8 @@
     /// Datagrams to targets and callers, by instance.
     out: Vec<Vec<(SocketAddr, Vec<u8>)>>,
     exited: Vec<bool>,
+    /// Bytes of messages to peers, with what IPv4 and UDP add.
+    control: usize,
     /// Addresses to which connections were tried, by instance.
     tried: Vec<Vec<SocketAddr>>,
     rng: SmallRng,
@@ -86,6 +90,7 @@
             sent: 0,
             out: vec![Vec::new(); instances],
             exited: vec![false; instances],
+            control: 0,
             tried: vec![Vec::new(); instances],
             rng: SmallRng::seed_from_u64(11),
         };
@@ -140,6 +145,7 @@
         for action in actions {
             match action {
                 Action::Peer(to, buf) => {
+                    self.control += buf.len() + OVERHEAD;
                     if let Some(to) = (0..self.nodes.len()).find(|&i| peer(i) == to) {
                         self.later(to, Event::Peer(buf));
                     }
@@ -272,6 +278,30 @@
     assert!(many <= few + few / 4, "{few} calls of 10 instances, {many} of 40");
 }
 
+/// Messages between instances stay within what the users allow, at rest and while targets
+/// change, whatever the number of instances.
+#[test]
+fn control_bytes() {
+    for instances in [10, 40, 100] {
+        let mut world = World::new(instances);
+        world.run(Duration::from_secs(60));
+        let mut spent = Vec::new();
+        for changes in [0, 40] {
+            world.control = 0;
+            for n in 0..20 {
+                for key in 0..changes / 20_u64 {
+                    let start = 2_000 + n;
+                    world.store.target(&Target { start, ..target(key + 1, TILL) });
+                }
+                world.run(ms(500));
+            }
+            spent.push(world.control / instances / 10);
+        }
+        println!("instances={instances} at_rest={} busy={} bytes_per_s", spent[0], spent[1]);
+        assert!(spent.iter().all(|&bytes| bytes <= 3_000), "{spent:?} bytes a second");
+    }
+}
+
 /// An instance that starts while the platform is away learns all from the others.
 #[test]
 fn start_in_outage() {
