Learn targets that were gone before the start

Ruled out: resetting flows with unknown tokens; a token may be unknown because this instance lags.

Change: after its start an instance asks peers for targets that are gone and may still have flows. They are known, tried and their flows reset like others; they are never used.

Tests gone_before_start (failed first) and remembered_by_others.

--- a/src/steering/directory.rs
+++ b/src/steering/directory.rs
@@ -89,7 +89,8 @@
     /// Takes a record. Answers true if it was news.
     pub fn merge(&mut self, now: Duration, record: TargetRecord) -> bool {
         // What is not known any more was gone at the revision up to which all is known.
-        let held = self.known.get(&record.key).map_or(self.complete_to, |known| known.revision);
+        let held = self.known.get(&record.key).map_or(0, |known| known.revision);
+        let held = if held == 0 { self.complete_to } else { held };
         if record.revision <= held || self.is_known(&record) {
             return false;
         }
@@ -202,6 +203,25 @@
         Some((now.saturating_sub(known.learnt), known.revision))
     }
 
+    /// Returns the targets that are gone and may still have flows, in the order of their
+    /// numbers.
+    pub fn gone(&self) -> impl Iterator<Item = &Target> {
+        self.known.values().filter(|known| known.gone).map(|known| &known.target)
+    }
+
+    /// Takes a target that was gone before this instance started. One that is known stays as
+    /// it is.
+    pub fn remember_gone(&mut self, now: Duration, target: Target) {
+        if self.known.contains_key(&target.key) {
+            return;
+        }
+        let key = target.key;
+        self.put(now, 0, target);
+        if let Some(known) = self.known.get_mut(&key) {
+            known.gone = true;
+        }
+    }
+
     /// Forgets what no flow can need any more.
     pub fn forget(&mut self, now: Duration) {
         self.replaced.retain(|_, (_, at)| now < *at + REMEMBER_GONE);
--- a/src/steering/message.rs
+++ b/src/steering/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{TargetRecord, TargetStart};
+use super::{Target, TargetRecord, TargetStart};
 use crate::ids::Version;
 use crate::platform::Revision;
 
@@ -32,6 +32,20 @@
     },
     /// Changes of targets.
     Targets(Changes),
+    /// The sender has started lately and lacks the targets that were gone by then.
+    PullGone {
+        /// Targets that it has already.
+        skip: u32,
+    },
+    /// Targets that are gone and may still have flows.
+    Gone {
+        /// Targets that come before these.
+        skip: u32,
+        /// The targets as they were.
+        targets: Vec<Target>,
+        /// There are others behind these.
+        more: bool,
+    },
     /// Targets that the sender takes for dead: the receiver finds out for itself.
     Doubt(Vec<TargetStart>),
     /// The sender lacks a piece of the routes.
--- a/src/steering/sharing.rs
+++ b/src/steering/sharing.rs
@@ -12,7 +12,7 @@
 use rand::seq::IndexedRandom;
 
 use super::message::{Changes, Digest, Message, Piece};
-use super::{RawRoutes, Steer, TargetRecord, TargetStart};
+use super::{RawRoutes, Steer, Target, TargetRecord, TargetStart};
 use crate::budget::Class;
 use crate::hash::HashMap;
 use crate::ids::{InstanceId, Version};
@@ -34,6 +34,12 @@
 const ASK_EVERY: Duration = Duration::from_millis(100);
 /// Bytes of records or routes in one message: with its header it fits a datagram of 1,200.
 const MESSAGE_BYTES: usize = 1_000;
+/// Time between two requests for targets that are gone.
+const GONE_EVERY: Duration = Duration::from_millis(300);
+/// Requests for targets that are gone: then there may be nobody to ask.
+const GONE_TRIES: u32 = 10;
+/// Targets that are gone in one message, some 60 bytes each.
+const GONE_AT_ONCE: usize = 12;
 /// Time after which a piece of routes is asked for again.
 const PIECE_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -58,6 +64,14 @@
     asked: Duration,
 }
 
+/// The targets that were gone when this instance started, as far as it still asks for them.
+#[derive(Debug)]
+struct Gone {
+    skip: u32,
+    tries_left: u32,
+    next: Duration,
+}
+
 /// Spreads what an instance knows.
 #[derive(Debug)]
 pub struct Sharing {
@@ -67,6 +81,7 @@
     /// Revision after which changes are still to be pushed.
     unpushed: Option<Revision>,
     fetch: Option<Fetch>,
+    gone: Option<Gone>,
     /// The highest version of the routes that a peer has told of, and the peer.
     heard: Option<(Version, InstanceId)>,
     /// When others last told, or were told, that a target may be dead.
@@ -85,6 +100,7 @@
             next_push: Duration::ZERO,
             unpushed: None,
             fetch: None,
+            gone: Some(Gone { skip: 0, tries_left: GONE_TRIES, next: Duration::ZERO }),
             heard: None,
             doubted: HashMap::default(),
             encoded: (0, Vec::new()),
@@ -162,6 +178,7 @@
             }
         }
         self.push(now, steer, out);
+        self.ask_gone(now, steer, out);
         if platform_fails {
             self.fetch_routes(now, steer, out);
         }
@@ -186,6 +203,14 @@
                 false
             }
             Message::Targets(changes) => take_changes(now, from, changes, steer, out),
+            Message::PullGone { skip } => {
+                send(from, gone(steer, skip), out);
+                false
+            }
+            Message::Gone { skip, targets, more } => {
+                self.take_gone(now, skip, targets, more, steer);
+                false
+            }
             Message::Doubt(targets) => {
                 for &target in &targets {
                     steer.doubt(now, target);
@@ -226,6 +251,45 @@
         }
     }
 
+    /// Asks for targets that were gone when this instance started: their flows may still come
+    /// here, and their callers have to be told.
+    fn ask_gone(&mut self, now: Duration, steer: &Steer, out: &mut Outbox<'_>) {
+        let Some(wanted) = self.gone.as_mut().filter(|wanted| now >= wanted.next) else { return };
+        let peers = if self.peers.home.is_empty() { &self.peers.away } else { &self.peers.home };
+        let Some(&to) = peers.choose(&mut self.rng) else { return };
+        if !steer.ready() {
+            return;
+        }
+        wanted.next = now + GONE_EVERY;
+        wanted.tries_left -= 1;
+        send(to, Message::PullGone { skip: wanted.skip }, out);
+        if wanted.tries_left == 0 {
+            self.gone = None;
+        }
+    }
+
+    fn take_gone(
+        &mut self,
+        now: Duration,
+        skip: u32,
+        targets: Vec<Target>,
+        more: bool,
+        steer: &mut Steer,
+    ) {
+        let Some(wanted) = self.gone.as_mut().filter(|wanted| wanted.skip == skip) else { return };
+        wanted.skip += targets.len() as u32;
+        wanted.next = now;
+        if !targets.is_empty() {
+            log::info!(targets = targets.len(); "gone_targets_learnt");
+        }
+        for target in targets {
+            steer.directory.remember_gone(now, target);
+        }
+        if !more {
+            self.gone = None;
+        }
+    }
+
     /// Asks for the next piece of newer routes, if one is due.
     fn fetch_routes(&mut self, now: Duration, steer: &Steer, out: &mut Outbox<'_>) {
         let Some((version, from)) = self.heard.filter(|_| self.routes_behind(steer)) else {
@@ -311,6 +375,13 @@
     Digest { routes: steer.routes.version(), targets: steer.directory.complete_to() }
 }
 
+/// Returns the targets that are gone, without the first ones.
+fn gone(steer: &Steer, skip: u32) -> Message {
+    let mut rest = steer.directory.gone().skip(skip as usize);
+    let targets: Vec<_> = rest.by_ref().take(GONE_AT_ONCE).cloned().collect();
+    Message::Gone { skip, targets, more: rest.next().is_some() }
+}
+
 /// Returns the changes after a revision, as many as fit a message.
 fn changes(now: Duration, steer: &Steer, since: Revision) -> Changes {
     let newest = steer.directory.complete_to();
@@ -398,7 +469,10 @@
         | Message::PullTargets { .. }
         | Message::Targets(_)
         | Message::Doubt(_) => Class::Liveness,
-        Message::PullRoutes { .. } | Message::Routes(_) => Class::Lists,
+        Message::PullGone { .. }
+        | Message::Gone { .. }
+        | Message::PullRoutes { .. }
+        | Message::Routes(_) => Class::Lists,
     };
     out.send(to, class, &Body::Steering(message));
 }
--- a/tests/steering_directory.rs
+++ b/tests/steering_directory.rs
@@ -119,3 +119,19 @@
     // The list at revision 20 does not have it, so it was gone by then.
     assert!(!directory.merge(ms(1), record(12, target(1, TILL))));
 }
+
+/// A target that others remember is known, but never used, also right after an outage.
+#[test]
+fn remembered_by_others() {
+    let mut directory = Directory::default();
+    directory.replace_all(ms(0), 20, vec![record(3, target(2, TILL))]);
+    directory.platform_regained(ms(0));
+    directory.remember_gone(ms(1), target(1, TILL));
+    directory.remember_gone(ms(1), target(2, TILL));
+    assert_eq!(usable(&directory, ms(2)), [2]);
+    assert!(directory.is_gone(ms(2), (1, 1_000)));
+    // Should it be back, the platform says so later.
+    assert!(!directory.merge(ms(3), record(20, target(1, TILL))));
+    assert!(directory.merge(ms(3), record(21, target(1, TILL))));
+    assert_eq!(usable(&directory, ms(4)), [1, 2]);
+}
--- a/tests/steering_spread.rs
+++ b/tests/steering_spread.rs
@@ -14,6 +14,7 @@
 use limpetdeck::steering::{Node, NodeConfig, RawRoutes, Target, TargetState};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use serde_json::Value;
 use support::*;
 
 const TICK: Duration = Duration::from_millis(100);
@@ -49,6 +50,13 @@
         self.put(Object { name: "routes/main".to_owned(), version: 0, value });
     }
 
+    fn remove(&mut self, key: u64) {
+        self.revision += 1;
+        let name = format!("targets/{key:x}");
+        let gone = Object { name: name.clone(), version: self.revision, value: Value::Null };
+        self.objects.insert(name, gone);
+    }
+
     fn changes(&self, prefix: &str, after: Revision) -> Changes {
         let named = self.objects.values().filter(|object| object.name.starts_with(prefix));
         let objects = named.filter(|object| object.version > after).cloned().collect();
@@ -171,7 +179,11 @@
             return self.later(i, Event::Platform(call, Err(refused)));
         }
         let reply = match &call {
-            Call::List { prefix } => Reply::Changes(self.store.changes(prefix, 0)),
+            Call::List { prefix } => {
+                let mut all = self.store.changes(prefix, 0);
+                all.objects.retain(|object| !object.value.is_null());
+                Reply::Changes(all)
+            }
             Call::Watch { wait, .. } => {
                 let until = self.now + *wait;
                 return self.watches.push((i, call, until));
@@ -317,6 +329,27 @@
     assert_eq!(world.node(5).steer().routes.version(), 1);
 }
 
+/// An instance that starts after a target was gone learns of it, so that it can tell the
+/// callers of its flows.
+#[test]
+fn gone_before_start() {
+    let mut world = World::new(8);
+    world.run(Duration::from_secs(10));
+    world.kill(4);
+    for key in 1..=3 {
+        world.store.remove(key);
+    }
+    world.run(Duration::from_secs(5));
+    world.start(4);
+    world.run(ms(1_500));
+    assert!(world.node(4).healthy());
+    for key in 1..=3 {
+        assert!(world.node(4).steer().directory.get((key, 1_000)).is_some(), "target {key}");
+        assert!(has_left(key)(world.node(4)));
+    }
+    assert_eq!(world.node(4).steer().directory.len(), 1);
+}
+
 /// All instances start while the platform is away: nobody knows anything, and none says
 /// that it is ready before the platform is back.
 #[test]
