--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -1,5 +1,8 @@
 //! One instance that steers by tokens, without its sockets: events in, actions out.
 
+mod intake;
+mod logging;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -7,15 +10,12 @@
 use metrics::{counter, gauge};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use serde::Deserialize;
 
 use super::decision_log::DecisionLog;
-use super::feed::{Feeds, INSTANCES, ROUTES, TARGETS, Wants};
+use super::feed::{Feeds, INSTANCES, Wants};
 use super::sharing::{Peers, Sharing};
-use super::steer::Belief;
 use super::{
-    FlowPacket, PacketFormat, PacketKind, RawRoutes, RawTarget, Refusal, Steer, Target,
-    TargetRecord, TargetStart, Unforwarded, Verdict,
+    FlowPacket, PacketFormat, PacketKind, Refusal, Steer, TargetStart, Unforwarded, Verdict,
 };
 use crate::hash::HashMap;
 use crate::instance::{Action, Changeable, Core, Event, Status};
@@ -23,7 +23,7 @@
 use crate::lists::Versions;
 use crate::membership::Membership;
 use crate::peer::{Body, MemberInfo};
-use crate::platform::{Call, Object, PlatformError, Reply, Revision};
+use crate::platform::Call;
 
 /// Shortest time for which a leaving instance keeps forwarding: callers' packets come until
 /// health checks that fail have taken it out of the rotation.
@@ -209,68 +209,6 @@
         }
     }
 
-    fn placed(
-        &mut self,
-        now: Duration,
-        packet: &FlowPacket,
-        target: &Target,
-        token: u32,
-        repeats: u32,
-    ) {
-        counter!("limpetdeck_flows_placed_total").increment(1);
-        let Some(unlogged) = self.log.line(now) else { return };
-        let load = self.steer.flows.load((target.key, target.start));
-        let (age, revision) = self.steer.directory.age(now, target.key).unwrap_or_default();
-        log::info!(
-            caller = packet.flow.caller.to_string().as_str(),
-            service = packet.flow.service.to_string().as_str(),
-            target = format!("{:x}", target.key).as_str(),
-            to = target.service.as_str(),
-            failure_domain = target.failure_domain.as_str(),
-            token = format!("{token:08x}").as_str(),
-            repeats = repeats,
-            flows = load.flows,
-            waiting = load.waiting,
-            target_revision = revision,
-            target_age_ms = age.as_millis() as u64,
-            routes_version = self.steer.routes.version(),
-            unlogged = unlogged;
-            "flow_placed"
-        );
-    }
-
-    fn log_refusal(&mut self, now: Duration, packet: &FlowPacket, reason: &str) {
-        let Some(unlogged) = self.log.line(now) else { return };
-        log::info!(
-            caller = packet.flow.caller.to_string().as_str(),
-            service = packet.flow.service.to_string().as_str(),
-            reason = reason,
-            token = format!("{:08x}", packet.token).as_str(),
-            routes_version = self.steer.routes.version(),
-            targets_revision = self.steer.directory.complete_to(),
-            unlogged = unlogged;
-            "flow_reset"
-        );
-    }
-
-    fn dropped(&mut self, now: Duration, packet: Option<&FlowPacket>, reason: &str) {
-        counter!("limpetdeck_packets_dropped_total", "reason" => reason.to_owned()).increment(1);
-        let Some(unlogged) = self.log.line(now) else { return };
-        let (caller, service, token) = packet.map_or_else(Default::default, |packet| {
-            (packet.flow.caller.to_string(), packet.flow.service.to_string(), packet.token)
-        });
-        log::warn!(
-            reason = reason,
-            caller = caller.as_str(),
-            service = service.as_str(),
-            token = format!("{token:08x}").as_str(),
-            routes_version = self.steer.routes.version(),
-            targets_revision = self.steer.directory.complete_to(),
-            unlogged = unlogged;
-            "packet_dropped"
-        );
-    }
-
     fn peer(&mut self, now: Duration, buf: &[u8], out: &mut Vec<Action>) {
         let (from, body) = match self.link.open(buf) {
             Ok(opened) => opened,
@@ -370,18 +308,6 @@
         *self.refusals.entry(reason).or_default() += 1;
     }
 
-    fn log_beliefs(&mut self) {
-        for belief in self.steer.take_beliefs() {
-            let (target, event) = match belief {
-                Belief::Silent(target) => (target, "target_silent"),
-                Belief::Answers(target) => (target, "target_answers"),
-                Belief::Dead(target) => (target, "target_dead"),
-            };
-            counter!("limpetdeck_target_beliefs_total", "event" => event).increment(1);
-            log::info!(target = format!("{target:x}").as_str(); "{event}");
-        }
-    }
-
     fn call_platform(&mut self, now: Duration, out: &mut Vec<Action>) {
         if self.leaving_since.is_some() {
             return;
@@ -425,105 +351,6 @@
         self.link.set_incarnation(self.membership.me().incarnation);
     }
 
-    fn platform(
-        &mut self,
-        now: Duration,
-        call: &Call,
-        result: &Result<Reply, PlatformError>,
-        out: &mut Vec<Action>,
-    ) {
-        self.feeds.done(now, call, result);
-        if self.feeds.take_regained() {
-            self.steer.directory.platform_regained(now);
-        }
-        match (call, result) {
-            (_, Err(e)) => self.failed(call, e),
-            (Call::List { prefix } | Call::Watch { prefix, .. }, Ok(Reply::Changes(changes))) => {
-                self.platform_answered = Some(now);
-                let since = self.steer.directory.complete_to();
-                let news = match prefix.as_str() {
-                    ROUTES => self.take_routes(&changes.objects),
-                    TARGETS => {
-                        let is_list = matches!(call, Call::List { .. });
-                        self.take_targets(now, is_list, changes.revision, &changes.objects)
-                    }
-                    _ => self.take_instances(now, &changes.objects),
-                };
-                if news {
-                    let mut outbox = self.link.outbox(now, out);
-                    self.sharing.note_news(now, &self.steer, since, &mut outbox);
-                }
-                self.release(now, out);
-            }
-            (_, Ok(_)) => self.platform_answered = Some(now),
-        }
-    }
-
-    fn failed(&mut self, call: &Call, e: &PlatformError) {
-        counter!("limpetdeck_platform_errors_total").increment(1);
-        if matches!(call, Call::Put { .. }) {
-            self.registered = false;
-        }
-        log::warn!(call = describe(call).as_str(), error = e.to_string().as_str(); "platform_call_failed");
-    }
-
-    fn take_routes(&mut self, objects: &[Object]) -> bool {
-        let mut news = false;
-        for object in objects.iter().filter(|object| !object.value.is_null()) {
-            let raw = match RawRoutes::deserialize(&object.value) {
-                Ok(raw) => raw,
-                Err(e) => {
-                    refused(&object.name, &e.to_string());
-                    continue;
-                }
-            };
-            let version = raw.version;
-            match self.steer.routes.adopt(raw) {
-                Ok(true) => {
-                    log::info!(version = version, source = "platform"; "routes_adopted");
-                    news = true;
-                }
-                Ok(false) => {}
-                Err(findings) => refused(&object.name, &findings.to_string()),
-            }
-        }
-        news
-    }
-
-    fn take_targets(
-        &mut self,
-        now: Duration,
-        all: bool,
-        revision: Revision,
-        objects: &[Object],
-    ) -> bool {
-        let records: Vec<_> = objects.iter().filter_map(record).collect();
-        let directory = &mut self.steer.directory;
-        let news = if all {
-            directory.replace_all(now, revision, records)
-        } else {
-            let news = records.into_iter().filter(|r| directory.merge(now, r.clone())).count();
-            directory.complete(revision);
-            news
-        };
-        if news > 0 {
-            let source = if all { "list" } else { "watch" };
-            counter!("limpetdeck_target_changes_total", "source" => source).increment(news as u64);
-            log::info!(source = source, changes = news, revision = revision, targets = directory.len(); "targets_changed");
-        }
-        news > 0
-    }
-
-    fn take_instances(&mut self, now: Duration, objects: &[Object]) -> bool {
-        for object in objects.iter().filter(|object| !object.value.is_null()) {
-            match MemberInfo::deserialize(&object.value) {
-                Ok(info) => self.membership.listed(now, info),
-                Err(e) => refused(&object.name, &e.to_string()),
-            }
-        }
-        false
-    }
-
     fn change(&mut self, settings: Changeable) {
         self.grace = settings.grace;
         self.membership.set_seeds(settings.seeds);
@@ -596,37 +423,3 @@
         }
     }
 }
-
-/// Reads a target's object; one that cannot be read names no target to use.
-fn record(object: &Object) -> Option<TargetRecord> {
-    let hex = object.name.strip_prefix(TARGETS)?;
-    let key = u64::from_str_radix(hex, 16).ok()?;
-    let revision = object.version;
-    if object.value.is_null() {
-        return Some(TargetRecord { key, revision, target: None });
-    }
-    let raw = RawTarget::deserialize(&object.value);
-    let target = raw.map_err(|e| e.to_string()).and_then(Target::try_from);
-    match target {
-        Ok(target) => Some(TargetRecord { key, revision, target: Some(target) }),
-        Err(problem) => {
-            refused(&object.name, &problem);
-            Some(TargetRecord { key, revision, target: None })
-        }
-    }
-}
-
-fn refused(object: &str, problem: &str) {
-    counter!("limpetdeck_objects_refused_total").increment(1);
-    log::warn!(object = object, problem = problem; "object_refused");
-}
-
-fn describe(call: &Call) -> String {
-    match call {
-        Call::Get { name } => format!("get {name}"),
-        Call::Put { name, .. } => format!("put {name}"),
-        Call::Delete { name } => format!("delete {name}"),
-        Call::List { prefix } => format!("list {prefix}"),
-        Call::Watch { prefix, after, .. } => format!("watch {prefix} after {after}"),
-    }
-}
--- /dev/null
+++ b/src/steering/node/logging.rs
@@ -0,0 +1,84 @@
+//! The lines that tell of decisions about flows and of changed beliefs.
+
+use std::time::Duration;
+
+use metrics::counter;
+
+use super::Node;
+use crate::steering::{Belief, FlowPacket, Target};
+
+impl Node {
+    pub(super) fn placed(
+        &mut self,
+        now: Duration,
+        packet: &FlowPacket,
+        target: &Target,
+        token: u32,
+        repeats: u32,
+    ) {
+        counter!("limpetdeck_flows_placed_total").increment(1);
+        let Some(unlogged) = self.log.line(now) else { return };
+        let load = self.steer.flows.load((target.key, target.start));
+        let (age, revision) = self.steer.directory.age(now, target.key).unwrap_or_default();
+        log::info!(
+            caller = packet.flow.caller.to_string().as_str(),
+            service = packet.flow.service.to_string().as_str(),
+            target = format!("{:x}", target.key).as_str(),
+            to = target.service.as_str(),
+            failure_domain = target.failure_domain.as_str(),
+            token = format!("{token:08x}").as_str(),
+            repeats = repeats,
+            flows = load.flows,
+            waiting = load.waiting,
+            target_revision = revision,
+            target_age_ms = age.as_millis() as u64,
+            routes_version = self.steer.routes.version(),
+            unlogged = unlogged;
+            "flow_placed"
+        );
+    }
+
+    pub(super) fn log_refusal(&mut self, now: Duration, packet: &FlowPacket, reason: &str) {
+        let Some(unlogged) = self.log.line(now) else { return };
+        log::info!(
+            caller = packet.flow.caller.to_string().as_str(),
+            service = packet.flow.service.to_string().as_str(),
+            reason = reason,
+            token = format!("{:08x}", packet.token).as_str(),
+            routes_version = self.steer.routes.version(),
+            targets_revision = self.steer.directory.complete_to(),
+            unlogged = unlogged;
+            "flow_reset"
+        );
+    }
+
+    pub(super) fn dropped(&mut self, now: Duration, packet: Option<&FlowPacket>, reason: &str) {
+        counter!("limpetdeck_packets_dropped_total", "reason" => reason.to_owned()).increment(1);
+        let Some(unlogged) = self.log.line(now) else { return };
+        let (caller, service, token) = packet.map_or_else(Default::default, |packet| {
+            (packet.flow.caller.to_string(), packet.flow.service.to_string(), packet.token)
+        });
+        log::warn!(
+            reason = reason,
+            caller = caller.as_str(),
+            service = service.as_str(),
+            token = format!("{token:08x}").as_str(),
+            routes_version = self.steer.routes.version(),
+            targets_revision = self.steer.directory.complete_to(),
+            unlogged = unlogged;
+            "packet_dropped"
+        );
+    }
+
+    pub(super) fn log_beliefs(&mut self) {
+        for belief in self.steer.take_beliefs() {
+            let (target, event) = match belief {
+                Belief::Silent(target) => (target, "target_silent"),
+                Belief::Answers(target) => (target, "target_answers"),
+                Belief::Dead(target) => (target, "target_dead"),
+            };
+            counter!("limpetdeck_target_beliefs_total", "event" => event).increment(1);
+            log::info!(target = format!("{target:x}").as_str(); "{event}");
+        }
+    }
+}
