Share what two places did, and report what was swallowed

Change: one Backoff, one PauseWatch and one head of the command lines serve both daemons; Link counts the messages that it drops; sharing.rs (478 lines) is split into changes, pieces of routes and gone targets. Registrations and routes that cannot be written, a clock before 1970 and datagrams that cannot be sent are logged. Times of decisions (one in 16) and of platform calls are histograms with buckets, as is the time of answers, which was a summary. Registrations of dead instances are taken off: each watcher looks every 300 s on the mean, and takes off what was absent twice (tests dead_taken_off and living_restored; both fail with the look left out).

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,5 +1,7 @@
 //! Sockets, time and signals of one instance, on one thread.
 
+mod outlet;
+
 use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
@@ -9,11 +11,12 @@
 use derive_more::{Debug, Display, Error};
 use futures_lite::FutureExt;
 use hyper::{Method, StatusCode};
-use metrics::counter;
+use metrics::histogram;
 use smol::channel::{Sender, bounded};
 use smol::net::{TcpListener, TcpStream};
 use smol::{Async, LocalExecutor, Task};
 
+use self::outlet::Outlet;
 use crate::http::{self, HandlerFuture, Request, Response};
 use crate::ids::{FlowId, Incarnation, TargetId};
 use crate::instance::{Action, Changeable, Core, Event};
@@ -41,6 +44,9 @@
 /// Datagrams that are read in a row before other tasks get their turn.
 const READ_AT_ONCE: usize = 64;
 
+/// One decision about a packet in this many is timed, so that reading the clock costs little.
+const TIMED_ONE_IN: u32 = 16;
+
 /// Reads the settings that may change again; none if they are as before.
 pub type Reload = Box<dyn FnMut() -> Option<Changeable>>;
 
@@ -89,9 +95,11 @@
 struct Daemon {
     started: Clock,
     core: RefCell<Box<dyn Core>>,
-    packets: Arc<Async<UdpSocket>>,
-    peers: Arc<Async<UdpSocket>>,
+    packets: Outlet,
+    peers: Outlet,
     fabric: Option<SocketAddr>,
+    /// Packets until the next one whose decision is timed.
+    untimed: Cell<u32>,
     platform: Box<dyn Platform>,
     ex: Rc<LocalExecutor<'static>>,
     exit: Sender<()>,
@@ -101,10 +109,16 @@
     rpc: Rc<Rpc>,
 }
 
-/// Returns the number of this start: a later start of the same instance has a higher one.
+/// Returns the number of this start: a later start of the same instance has a higher one,
+/// unless its clock was set back; the membership then takes a higher one.
 pub fn start_number() -> Incarnation {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    now.as_millis() as Incarnation
+    match SystemTime::now().duration_since(UNIX_EPOCH) {
+        Ok(now) => now.as_millis() as Incarnation,
+        Err(e) => {
+            log::warn!(before_ms = e.duration().as_millis() as u64; "clock_before_1970");
+            0
+        }
+    }
 }
 
 /// Runs an instance until it has stopped gracefully.
@@ -144,9 +158,10 @@
     let rpc = Rpc::new().map_err(|e| DaemonError::Setup(e.to_string()))?;
     let daemon = Rc::new(Daemon {
         started: Clock::now(),
-        packets,
-        peers,
+        packets: Outlet::new(&packets),
+        peers: Outlet::new(&peers),
         fabric: cfg.fabric,
+        untimed: Cell::new(0),
         platform: cfg.platform,
         ex: Rc::clone(&ex),
         exit,
@@ -156,8 +171,8 @@
         rpc: Rc::new(rpc),
         core: RefCell::new(core),
     });
-    ex.spawn(read(Rc::clone(&daemon), Arc::clone(&daemon.packets), Event::Packet)).detach();
-    ex.spawn(read(Rc::clone(&daemon), Arc::clone(&daemon.peers), Event::Peer)).detach();
+    ex.spawn(read(Rc::clone(&daemon), packets, Event::Packet)).detach();
+    ex.spawn(read(Rc::clone(&daemon), peers, Event::Peer)).detach();
     ex.spawn(ticks(Rc::clone(&daemon))).detach();
     let signals = Signals::catch().map_err(|e| DaemonError::Setup(e.to_string()))?;
     ex.spawn(obey(Rc::clone(&daemon), signals)).detach();
@@ -188,8 +203,13 @@
     /// Hands an event to the instance and does what it wants done.
     fn handle(self: &Rc<Self>, event: Event) {
         let begin = self.started.elapsed();
+        let timed = matches!(event, Event::Packet(_)) && self.is_timed();
         let mut out = Vec::new();
         self.core.borrow_mut().handle(begin, event, &mut out);
+        if timed {
+            let taken = self.started.elapsed().saturating_sub(begin);
+            histogram!("limpetdeck_decision_seconds").record(taken);
+        }
         for action in out {
             if let Action::Traced(flow) = action {
                 self.log_span(flow, begin);
@@ -199,14 +219,21 @@
         }
     }
 
+    /// Tells whether the decision about the next packet is timed.
+    fn is_timed(&self) -> bool {
+        let left = self.untimed.get();
+        self.untimed.set(if left == 0 { TIMED_ONE_IN - 1 } else { left - 1 });
+        left == 0
+    }
+
     fn act(self: &Rc<Self>, action: Action) {
         match action {
             Action::Fabric(packet) => match self.fabric {
-                Some(fabric) => send(&self.packets, &packet, fabric),
+                Some(fabric) => self.packets.send(&packet, fabric),
                 None => log::error!("no_fabric"),
             },
-            Action::Datagram(to, packet) => send(&self.packets, &packet, to),
-            Action::Peer(to, buf) | Action::PassOn(to, buf) => send(&self.peers, &buf, to),
+            Action::Datagram(to, packet) => self.packets.send(&packet, to),
+            Action::Peer(to, buf) | Action::PassOn(to, buf) => self.peers.send(&buf, to),
             Action::Platform(call) => self.call(call),
             Action::Probe(target, report) => self.probe(target, report),
             Action::Reach(address) => self.reach(address),
@@ -231,7 +258,12 @@
         let daemon = Rc::clone(self);
         let deregisters = matches!(call, Call::Delete { .. });
         let task = self.ex.spawn(async move {
+            let begin = daemon.started.elapsed();
             let result = daemon.platform.call(call.clone()).await;
+            if !matches!(call, Call::Watch { .. }) {
+                let taken = daemon.started.elapsed().saturating_sub(begin);
+                histogram!("limpetdeck_platform_call_seconds").record(taken);
+            }
             daemon.handle(Event::Platform(call, result));
         });
         if deregisters {
@@ -289,13 +321,6 @@
     }
 }
 
-/// Sends without waiting: a full socket buffer loses the datagram, as a network would.
-fn send(socket: &Async<UdpSocket>, buf: &[u8], to: SocketAddr) {
-    if socket.get_ref().send_to(buf, to).is_err() {
-        counter!("limpetdeck_send_errors_total").increment(1);
-    }
-}
-
 async fn read(daemon: Rc<Daemon>, socket: Arc<Async<UdpSocket>>, event: fn(Vec<u8>) -> Event) {
     let mut buf = vec![0; LARGEST_DATAGRAM];
     loop {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -3,45 +3,25 @@
 mod arguments;
 mod core;
 
-pub use arguments::{Arguments, Command, HELP};
+pub use arguments::{Arguments, HELP};
 
 use std::process::ExitCode;
 
-/// Exit code for wrong arguments or settings.
-const EXIT_INVALID: u8 = 2;
+use crate::command::{Program, exit_code, report_findings};
+
+const PROGRAM: Program =
+    Program { name: "limpetdeck-entry", version: env!("CARGO_PKG_VERSION"), help: HELP };
 
 /// Runs the daemon as the command line says.
 pub fn main(args: Vec<std::ffi::OsString>) -> ExitCode {
-    match Arguments::parse(args) {
-        Ok(Command::Help) => {
-            print!("{HELP}");
-            ExitCode::SUCCESS
-        }
-        Ok(Command::Version) => {
-            println!("limpetdeck-entry {}", env!("CARGO_PKG_VERSION"));
-            ExitCode::SUCCESS
-        }
-        Ok(Command::Run(arguments)) => run(&arguments),
-        Err(e) => {
-            eprintln!("{e}\n\n{HELP}");
-            ExitCode::from(EXIT_INVALID)
-        }
-    }
+    PROGRAM.main(args, Arguments::parse, run)
 }
 
-fn run(arguments: &Arguments) -> ExitCode {
-    let settings = match crate::settings::load(&arguments.settings) {
-        Ok(settings) => settings,
-        Err(findings) => {
-            eprintln!("{findings}");
-            return ExitCode::from(EXIT_INVALID);
-        }
-    };
-    match crate::daemon::run(core::config(&settings), |now| core::make(now, settings)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("{e}");
-            ExitCode::FAILURE
+fn run(arguments: Arguments) -> ExitCode {
+    match crate::settings::load(&arguments.settings) {
+        Ok(settings) => {
+            exit_code(crate::daemon::run(core::config(&settings), |now| core::make(now, settings)))
         }
+        Err(findings) => report_findings(&findings),
     }
 }
--- a/src/instance/registry.rs
+++ b/src/instance/registry.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
+use crate::backoff::Backoff;
 use crate::platform::{Call, PlatformError, Reply, Revision};
 
 /// Beginning of the names under which instances register.
@@ -26,25 +27,9 @@
 /// Longest delay before any retry.
 const LONGEST_RETRY: Duration = Duration::from_secs(10);
 
-/// Delays between retries, drawn from the whole interval so that callers spread.
-#[derive(Debug, Default)]
-struct Backoff {
-    failures: u32,
-    next: Duration,
-}
-
-impl Backoff {
-    fn failed(&mut self, now: Duration, rng: &mut SmallRng) {
-        let longest = FIRST_RETRY * 2u32.saturating_pow(self.failures.min(16));
-        let longest = longest.min(LONGEST_RETRY);
-        self.failures = self.failures.saturating_add(1);
-        self.next = now + longest.mul_f64(rng.random());
-    }
-
-    fn succeeded(&mut self, next: Duration) {
-        self.failures = 0;
-        self.next = next;
-    }
+/// Retries come from the whole interval, as 800 instances may begin at the same moment.
+fn backoff() -> Backoff {
+    Backoff::new(FIRST_RETRY, LONGEST_RETRY, 0.0..=1.0)
 }
 
 /// Decides when to call the platform.
@@ -71,8 +56,8 @@
             reading: false,
             writing: false,
             watches: true,
-            read: Backoff::default(),
-            renewal: Backoff::default(),
+            read: backoff(),
+            renewal: backoff(),
             rng,
         }
     }
@@ -87,7 +72,7 @@
     ) -> Vec<Call> {
         self.set_watches(now, watches);
         let mut calls = Vec::new();
-        if !self.reading && now >= self.read.next {
+        if !self.reading && now >= self.read.next() {
             self.reading = true;
             calls.push(self.read_call());
         }
@@ -136,14 +121,14 @@
 
     /// A change of state is told at once, but not faster than failures allow.
     fn renewal_due(&self, now: Duration, me: &serde_json::Value) -> bool {
-        let changed = self.renewal.failures == 0 && self.written.as_ref() != Some(me);
-        changed || now >= self.renewal.next
+        let changed = self.renewal.failures() == 0 && self.written.as_ref() != Some(me);
+        changed || now >= self.renewal.next()
     }
 
     /// An instance that begins to watch reads at once, unless reads fail just now.
     fn set_watches(&mut self, now: Duration, watches: bool) {
-        if watches && !self.watches && self.read.failures == 0 {
-            self.read.next = now;
+        if watches && !self.watches && self.read.failures() == 0 {
+            self.read.set_next(now);
         }
         self.watches = watches;
     }
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -16,10 +16,11 @@
 use crate::link::Link;
 use crate::lists::Lists;
 use crate::membership::Membership;
+use crate::pause::PauseWatch;
 use crate::peer::{Body, Hop, MemberInfo};
 use crate::pipeline::{Discard, Outcome, Pipeline};
 use crate::placement::{Placement, PlacementConfig, Policy, Route, TargetView};
-use crate::platform::{Call, Object, PlatformError, Reply};
+use crate::platform::{Call, Object, PlatformError, Reply, object_value};
 use crate::targets::Targets;
 use crate::telemetry::Tracer;
 
@@ -27,8 +28,6 @@
 const LINGER: Duration = Duration::from_secs(4);
 /// Longest time that a leaving instance takes to hand over its records.
 const LONGEST_LINGER: Duration = Duration::from_secs(15);
-/// Gap between two ticks after which the instance was paused.
-const PAUSED_AFTER: Duration = Duration::from_secs(1);
 /// Least time after a pause until the instance has heard of all changes again.
 const REFRESH: Duration = Duration::from_secs(2);
 
@@ -62,7 +61,7 @@
     take_overs: TakeOvers,
     drop_log: DropLog,
     link: Link,
-    last_tick: Duration,
+    pauses: PauseWatch,
     stale_until: Option<Duration>,
     leaving_since: Option<Duration>,
     gone: bool,
@@ -89,7 +88,7 @@
             registry: Registry::new(id, rng),
             take_overs: TakeOvers::default(),
             drop_log: DropLog::default(),
-            last_tick: now,
+            pauses: PauseWatch::new(now),
             stale_until: None,
             leaving_since: None,
             gone: false,
@@ -202,14 +201,7 @@
     }
 
     fn peer(&mut self, now: Duration, buf: &[u8], out: &mut Vec<Action>) {
-        let (from, body) = match self.link.open(buf) {
-            Ok(opened) => opened,
-            Err(reason) => {
-                let reason = reason.to_string();
-                counter!("limpetdeck_peer_messages_dropped_total", "reason" => reason).increment(1);
-                return;
-            }
-        };
+        let Some((from, body)) = self.link.open(buf) else { return };
         if let Body::Hop(hop) = body {
             return self.packet(now, hop.packet, hop.route, hop.span, out);
         }
@@ -236,7 +228,7 @@
     fn tick(&mut self, now: Duration, out: &mut Vec<Action>) {
         let mut outbox = self.link.outbox(now, out);
         self.membership.tick(now, &mut outbox);
-        self.last_tick = now;
+        self.pauses.tick(now);
         self.end_refresh(now);
         if self.membership.superseded() {
             self.stop(now);
@@ -274,10 +266,7 @@
     /// A gap between ticks means that this instance was paused and may have missed changes.
     /// Whatever comes first after the gap meets an instance that knows it.
     fn notice_pause(&mut self, now: Duration) {
-        let gap = now.saturating_sub(self.last_tick);
-        if gap > PAUSED_AFTER {
-            log::warn!(gap_ms = gap.as_millis() as u64; "paused");
-            self.last_tick = now;
+        if self.pauses.paused(now) {
             self.stale_until = Some(now + REFRESH);
             self.pipeline.placement.set_stale(true);
         }
@@ -334,7 +323,7 @@
 
     fn call_platform(&mut self, now: Duration, out: &mut Vec<Action>) {
         if self.leaving_since.is_none() {
-            let me = serde_json::to_value(self.membership.me()).unwrap_or_default();
+            let Some(me) = object_value(self.membership.me()) else { return };
             let calls = self.registry.due(now, &me, self.membership.watches(now));
             out.extend(calls.into_iter().map(Action::Platform));
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,9 @@
 //! seeds, so that the same code runs in the daemon, in tests and in the measuring driver.
 
 pub mod admission;
+pub mod backoff;
 pub mod budget;
+pub mod command;
 pub mod ctl;
 pub mod daemon;
 pub mod entry;
@@ -18,6 +20,7 @@
 pub mod lists;
 pub mod membership;
 pub mod packet;
+pub mod pause;
 pub mod peer;
 pub mod pipeline;
 pub mod placement;
--- a/src/link.rs
+++ b/src/link.rs
@@ -11,7 +11,7 @@
 use crate::hash::HashMap;
 use crate::ids::{Incarnation, InstanceId};
 use crate::instance::Action;
-use crate::peer::{Body, OpenError, Sealer};
+use crate::peer::{Body, Sealer};
 use crate::platform::Call;
 
 /// Bytes that IPv4 and UDP add to each message; they count against the budget too.
@@ -51,13 +51,13 @@
         self.addresses = addresses;
     }
 
-    /// Opens a message and returns its sender.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the message has to be dropped.
-    pub fn open(&mut self, buf: &[u8]) -> Result<(InstanceId, Body), OpenError> {
-        self.sealer.open(buf)
+    /// Opens a message and returns its sender; one that has to be dropped is counted.
+    pub fn open(&mut self, buf: &[u8]) -> Option<(InstanceId, Body)> {
+        let opened = self.sealer.open(buf);
+        if let Err(reason) = &opened {
+            drop_message(&reason.to_string());
+        }
+        opened.ok()
     }
 
     /// Returns the way out for what happens now.
@@ -126,3 +126,8 @@
         self.actions.push(action);
     }
 }
+
+/// Counts a message that is dropped.
+pub fn drop_message(reason: &str) {
+    counter!("limpetdeck_peer_messages_dropped_total", "reason" => reason.to_owned()).increment(1);
+}
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -2,6 +2,8 @@
 
 mod api;
 mod client;
+mod value;
 
 pub use api::{Call, Changes, Object, Platform, PlatformError, PlatformFuture, Reply, Revision};
 pub use client::HttpPlatform;
+pub use value::object_value;
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -13,6 +13,7 @@
 mod message;
 mod node;
 mod packet;
+mod registration;
 mod routes;
 mod sharing;
 mod steer;
--- a/src/steering/feed.rs
+++ b/src/steering/feed.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
+use crate::backoff::Backoff;
 use crate::platform::{Call, PlatformError, Reply, Revision};
 
 /// Beginning of the names of targets.
@@ -37,13 +38,13 @@
     prefix: &'static str,
     revision: Option<Revision>,
     busy: bool,
-    next: Duration,
-    failures: u32,
+    backoff: Backoff,
 }
 
 impl Feed {
     fn new(prefix: &'static str) -> Self {
-        Self { prefix, revision: None, busy: false, next: Duration::ZERO, failures: 0 }
+        let backoff = Backoff::new(FIRST_RETRY, LONGEST_RETRY, 0.5..=1.0);
+        Self { prefix, revision: None, busy: false, backoff }
     }
 
     /// Returns the call that is due. One that neither watches nor wants to read makes none
@@ -55,7 +56,7 @@
         wants: bool,
         rng: &mut SmallRng,
     ) -> Option<Call> {
-        if self.busy || now < self.next {
+        if self.busy || now < self.backoff.next() {
             return None;
         }
         let prefix = self.prefix.to_owned();
@@ -77,8 +78,7 @@
         match result {
             Ok(Reply::Changes(changes)) => {
                 self.revision = Some(changes.revision);
-                self.failures = 0;
-                self.next = now + WATCH_PAUSE;
+                self.backoff.succeeded(now + WATCH_PAUSE);
             }
             Ok(_) => {}
             Err(e) => {
@@ -86,10 +86,7 @@
                     // The revision means nothing any more.
                     self.revision = None;
                 }
-                let longest = FIRST_RETRY * 2u32.saturating_pow(self.failures.min(8));
-                let longest = longest.min(LONGEST_RETRY);
-                self.failures = self.failures.saturating_add(1);
-                self.next = now + longest.mul_f64(rng.random_range(0.5..=1.0));
+                self.backoff.failed(now, rng);
             }
         }
     }
@@ -154,7 +151,8 @@
         };
         feed.done(now, result, &mut self.rng);
         if is_list && result.is_ok() && prefix != TARGETS {
-            feed.next = now + READ_PAUSE.mul_f64(self.rng.random_range(0.5..=1.0));
+            let pause = READ_PAUSE.mul_f64(self.rng.random_range(0.5..=1.0));
+            feed.backoff.set_next(now + pause);
         }
         self.note_outage(result.is_ok());
     }
@@ -163,7 +161,7 @@
     pub fn refresh(&mut self, now: Duration) {
         for feed in [&mut self.routes, &mut self.targets] {
             feed.revision = None;
-            feed.next = now;
+            feed.backoff.set_next(now);
         }
     }
 
@@ -174,7 +172,7 @@
 
     /// Tells whether reads of the routes fail.
     pub fn routes_fail(&self) -> bool {
-        self.routes.failures > 0
+        self.routes.backoff.failures() > 0
     }
 
     /// Tells whether the platform has answered again after an outage since the last call.
@@ -188,7 +186,7 @@
             self.regained = true;
             log::info!("platform_regained");
         }
-        let failures = self.routes.failures.max(self.targets.failures);
+        let failures = self.routes.backoff.failures().max(self.targets.backoff.failures());
         if !answered && !self.lost && failures >= LOST_AFTER {
             self.lost = true;
             log::warn!(failures = failures; "platform_lost");
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -12,18 +12,19 @@
 use rand::rngs::SmallRng;
 
 use super::decision_log::DecisionLog;
-use super::feed::{Feeds, INSTANCES, Wants};
+use super::feed::{Feeds, Wants};
+use super::registration::Registration;
 use super::sharing::{Peers, Sharing};
 use super::{
     FlowPacket, PacketFormat, PacketKind, Refusal, Steer, TargetStart, Unforwarded, Verdict,
 };
 use crate::hash::HashMap;
 use crate::instance::{Action, Changeable, Core, Event, Status};
-use crate::link::Link;
+use crate::link::{Link, drop_message};
 use crate::lists::Versions;
 use crate::membership::Membership;
+use crate::pause::PauseWatch;
 use crate::peer::{Body, MemberInfo};
-use crate::platform::Call;
 
 /// Shortest time for which a leaving instance keeps forwarding: callers' packets come until
 /// health checks that fail have taken it out of the rotation.
@@ -32,13 +33,8 @@
 const QUIET: Duration = Duration::from_millis(600);
 /// Part of the time for a graceful stop that is kept for ending the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(700);
-/// Gap between two ticks after which the instance was paused.
-const PAUSED_AFTER: Duration = Duration::from_secs(1);
 /// Time between two rounds of forgetting.
 const EXPIRE_EVERY: Duration = Duration::from_secs(1);
-/// Time after the start until an instance that watches the platform registers, so that
-/// those that only watch while they join do not.
-const REGISTER_AFTER: Duration = Duration::from_secs(5);
 /// Time after the start until an instance watches the platform: until then it seems alone
 /// with those that it has not met yet.
 const WATCH_AFTER: Duration = Duration::from_millis(2_500);
@@ -81,11 +77,11 @@
     log: DecisionLog,
     waiting: VecDeque<(Duration, Vec<u8>)>,
     started: Duration,
-    last_tick: Duration,
+    pauses: PauseWatch,
     last_packet: Duration,
     next_expiry: Duration,
     platform_answered: Option<Duration>,
-    registered: bool,
+    registration: Registration,
     /// Peers of the own failure domain and of others, as last logged.
     members: (usize, usize),
     grace: Duration,
@@ -112,11 +108,11 @@
             log: DecisionLog::new(now),
             waiting: VecDeque::new(),
             started: now,
-            last_tick: now,
+            pauses: PauseWatch::new(now),
             last_packet: now,
             next_expiry: now,
             platform_answered: None,
-            registered: false,
+            registration: Registration::new(now, fork()),
             members: (0, 0),
             grace: cfg.grace,
             leaving_since: None,
@@ -210,14 +206,7 @@
     }
 
     fn peer(&mut self, now: Duration, buf: &[u8], out: &mut Vec<Action>) {
-        let (from, body) = match self.link.open(buf) {
-            Ok(opened) => opened,
-            Err(reason) => {
-                let reason = reason.to_string();
-                counter!("limpetdeck_peer_messages_dropped_total", "reason" => reason).increment(1);
-                return;
-            }
-        };
+        let Some((from, body)) = self.link.open(buf) else { return };
         let since = self.steer.directory.complete_to();
         let mut outbox = self.link.outbox(now, out);
         match body {
@@ -236,20 +225,15 @@
             | Body::Lists(_)
             | Body::Targets(_)
             | Body::Flows(_)
-            | Body::Admission(_) => {
-                counter!("limpetdeck_peer_messages_dropped_total", "reason" => "not_steering")
-                    .increment(1);
-            }
+            | Body::Admission(_) => drop_message("not_steering"),
         }
     }
 
     fn tick(&mut self, now: Duration, out: &mut Vec<Action>) {
-        let gap = now.saturating_sub(self.last_tick);
-        if gap > PAUSED_AFTER {
-            log::warn!(gap_ms = gap.as_millis() as u64; "paused");
+        if self.pauses.paused(now) {
             self.feeds.refresh(now);
         }
-        self.last_tick = now;
+        self.pauses.tick(now);
         let mut outbox = self.link.outbox(now, out);
         self.membership.tick(now, &mut outbox);
         let fails = self.feeds.routes_fail();
@@ -321,12 +305,9 @@
             instances: alone && age >= LOOK_AFTER,
         };
         out.extend(self.feeds.due(now, wants).into_iter().map(Action::Platform));
-        if watches && !self.registered && age >= REGISTER_AFTER && !self.feeds.lost() {
-            self.registered = true;
-            let me = self.membership.me();
-            let name = format!("{INSTANCES}{}", me.id);
-            let value = serde_json::to_value(me).unwrap_or_default();
-            out.push(Action::Platform(Call::Put { name, if_version: None, value }));
+        if watches && !alone && !self.feeds.lost() {
+            let calls = self.registration.due(now, self.membership.me());
+            out.extend(calls.into_iter().map(Action::Platform));
         }
     }
 
@@ -371,10 +352,9 @@
         let quiet = now >= since + LINGER && now >= self.last_packet + QUIET;
         if quiet || now >= latest {
             self.gone = true;
-            if self.registered && !self.membership.superseded() {
-                let name = format!("{INSTANCES}{}", self.membership.me().id);
-                out.push(Action::Platform(Call::Delete { name }));
-            }
+            let registered = self.registration.end(self.membership.me().id);
+            let ends = registered.filter(|_| !self.membership.superseded());
+            out.extend(ends.map(Action::Platform));
             out.push(Action::Exit);
         }
     }
--- a/src/steering/node/intake.rs
+++ b/src/steering/node/intake.rs
@@ -21,6 +21,9 @@
         out: &mut Vec<Action>,
     ) {
         self.feeds.done(now, call, result);
+        let (me, live) = (self.membership.me().id, self.membership.live());
+        let calls = self.registration.done(call, result, me, &live);
+        out.extend(calls.into_iter().map(Action::Platform));
         if self.feeds.take_regained() {
             self.steer.directory.platform_regained(now);
         }
@@ -49,9 +52,6 @@
 
     pub(super) fn failed(&mut self, call: &Call, e: &PlatformError) {
         counter!("limpetdeck_platform_errors_total").increment(1);
-        if matches!(call, Call::Put { .. }) {
-            self.registered = false;
-        }
         log::warn!(call = describe(call).as_str(), error = e.to_string().as_str(); "platform_call_failed");
     }
 
--- a/src/steering/sharing.rs
+++ b/src/steering/sharing.rs
@@ -4,18 +4,24 @@
 //! Digests find what was lost, and bring an instance or a domain up to date that cannot reach
 //! the platform.
 
+mod changes;
+mod exchange;
+mod gone;
+
 use std::time::Duration;
 
-use metrics::counter;
 use rand::Rng;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 
-use super::message::{Changes, Digest, Message, Piece};
-use super::{RawRoutes, Steer, Target, TargetRecord, TargetStart};
+use self::changes::{changes, take_changes};
+use self::exchange::RouteExchange;
+use self::gone::GoneTargets;
+use super::message::{Digest, Message};
+use super::{Steer, TargetStart};
 use crate::budget::Class;
 use crate::hash::HashMap;
-use crate::ids::{InstanceId, Version};
+use crate::ids::InstanceId;
 use crate::link::Outbox;
 use crate::peer::Body;
 use crate::platform::Revision;
@@ -32,17 +38,6 @@
 const DIGEST_EVERY: Duration = Duration::from_millis(800);
 /// Time between two digests of an instance that knows nothing yet.
 const ASK_EVERY: Duration = Duration::from_millis(100);
-/// Bytes of records or routes in one message: with its header it fits a datagram of 1,200.
-const MESSAGE_BYTES: usize = 1_000;
-/// Time between two requests for targets that are gone.
-const GONE_EVERY: Duration = Duration::from_millis(300);
-/// Requests for targets that are gone: then there may be nobody to ask.
-const GONE_TRIES: u32 = 10;
-/// Targets that are gone in one message, some 60 bytes each.
-const GONE_AT_ONCE: usize = 12;
-/// Time after which a piece of routes is asked for again.
-const PIECE_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// The live peers.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -52,26 +47,6 @@
     pub away: Vec<InstanceId>,
 }
 
-/// Routes that are being fetched from peers.
-#[derive(Debug)]
-struct Fetch {
-    version: Version,
-    pieces: u32,
-    bytes: Vec<u8>,
-    /// Number of the next piece.
-    next: u32,
-    from: InstanceId,
-    asked: Duration,
-}
-
-/// The targets that were gone when this instance started, as far as it still asks for them.
-#[derive(Debug)]
-struct Gone {
-    skip: u32,
-    tries_left: u32,
-    next: Duration,
-}
-
 /// Spreads what an instance knows.
 #[derive(Debug)]
 pub struct Sharing {
@@ -80,14 +55,10 @@
     next_push: Duration,
     /// Revision after which changes are still to be pushed.
     unpushed: Option<Revision>,
-    fetch: Option<Fetch>,
-    gone: Option<Gone>,
-    /// The highest version of the routes that a peer has told of, and the peer.
-    heard: Option<(Version, InstanceId)>,
+    exchange: RouteExchange,
+    gone: GoneTargets,
     /// When others last told, or were told, that a target may be dead.
     doubted: HashMap<TargetStart, Duration>,
-    /// The routes in force in their encoded form.
-    encoded: (Version, Vec<u8>),
     rng: SmallRng,
 }
 
@@ -99,11 +70,9 @@
             next_digest: Duration::ZERO,
             next_push: Duration::ZERO,
             unpushed: None,
-            fetch: None,
-            gone: Some(Gone { skip: 0, tries_left: GONE_TRIES, next: Duration::ZERO }),
-            heard: None,
+            exchange: RouteExchange::default(),
+            gone: GoneTargets::new(),
             doubted: HashMap::default(),
-            encoded: (0, Vec::new()),
             rng,
         }
     }
@@ -115,7 +84,7 @@
 
     /// Tells whether a peer has told of newer routes.
     pub fn routes_behind(&self, steer: &Steer) -> bool {
-        self.heard.is_some_and(|(version, _)| version > steer.routes.version())
+        self.exchange.behind(steer)
     }
 
     /// Notes that targets have changed after a revision, or that there are newer routes, and
@@ -180,7 +149,7 @@
         self.push(now, steer, out);
         self.ask_gone(now, steer, out);
         if platform_fails {
-            self.fetch_routes(now, steer, out);
+            self.exchange.fetch(now, steer, out);
         }
     }
 
@@ -204,11 +173,11 @@
             }
             Message::Targets(changes) => take_changes(now, from, changes, steer, out),
             Message::PullGone { skip } => {
-                send(from, gone(steer, skip), out);
+                send(from, gone::answer(steer, skip), out);
                 false
             }
             Message::Gone { skip, targets, more } => {
-                self.take_gone(now, skip, targets, more, steer);
+                self.gone.take(now, skip, targets, more, steer);
                 false
             }
             Message::Doubt(targets) => {
@@ -219,10 +188,10 @@
                 false
             }
             Message::PullRoutes { version, piece } => {
-                self.send_piece(from, version, piece, steer, out);
+                self.exchange.answer(from, version, piece, steer, out);
                 false
             }
-            Message::Routes(piece) => self.take_piece(now, from, piece, steer, out),
+            Message::Routes(piece) => self.exchange.take(now, from, piece, steer, out),
         }
     }
 
@@ -235,11 +204,7 @@
         out: &mut Outbox<'_>,
     ) {
         let ours = digest(steer);
-        if theirs.routes > ours.routes
-            && self.heard.is_none_or(|(version, _)| theirs.routes >= version)
-        {
-            self.heard = Some((theirs.routes, from));
-        }
+        self.exchange.hear(from, theirs.routes, steer);
         if theirs.targets > ours.targets {
             send(from, Message::PullTargets { since: ours.targets }, out);
         }
@@ -251,117 +216,15 @@
         }
     }
 
-    /// Asks for targets that were gone when this instance started: their flows may still come
-    /// here, and their callers have to be told.
+    /// Asks a peer for targets that were gone when this instance started.
     fn ask_gone(&mut self, now: Duration, steer: &Steer, out: &mut Outbox<'_>) {
-        let Some(wanted) = self.gone.as_mut().filter(|wanted| now >= wanted.next) else { return };
         let peers = if self.peers.home.is_empty() { &self.peers.away } else { &self.peers.home };
         let Some(&to) = peers.choose(&mut self.rng) else { return };
-        if !steer.ready() {
-            return;
-        }
-        wanted.next = now + GONE_EVERY;
-        wanted.tries_left -= 1;
-        send(to, Message::PullGone { skip: wanted.skip }, out);
-        if wanted.tries_left == 0 {
-            self.gone = None;
-        }
-    }
-
-    fn take_gone(
-        &mut self,
-        now: Duration,
-        skip: u32,
-        targets: Vec<Target>,
-        more: bool,
-        steer: &mut Steer,
-    ) {
-        let Some(wanted) = self.gone.as_mut().filter(|wanted| wanted.skip == skip) else { return };
-        wanted.skip += targets.len() as u32;
-        wanted.next = now;
-        if !targets.is_empty() {
-            log::info!(targets = targets.len(); "gone_targets_learnt");
-        }
-        for target in targets {
-            steer.directory.remember_gone(now, target);
-        }
-        if !more {
-            self.gone = None;
-        }
-    }
-
-    /// Asks for the next piece of newer routes, if one is due.
-    fn fetch_routes(&mut self, now: Duration, steer: &Steer, out: &mut Outbox<'_>) {
-        let Some((version, from)) = self.heard.filter(|_| self.routes_behind(steer)) else {
-            self.fetch = None;
-            return;
-        };
-        let stale = |fetch: &Fetch| fetch.version != 0 && fetch.version < version;
-        if self.fetch.as_ref().is_none_or(stale) {
-            let asked = now.saturating_sub(PIECE_TIMEOUT);
-            self.fetch =
-                Some(Fetch { version: 0, pieces: 1, bytes: Vec::new(), next: 0, from, asked });
-        }
-        if let Some(fetch) = self.fetch.as_mut().filter(|f| now >= f.asked + PIECE_TIMEOUT) {
-            fetch.asked = now;
-            let pull = Message::PullRoutes { version: fetch.version, piece: fetch.next };
-            send(fetch.from, pull, out);
-        }
-    }
-
-    fn send_piece(
-        &mut self,
-        to: InstanceId,
-        version: Version,
-        piece: u32,
-        steer: &Steer,
-        out: &mut Outbox<'_>,
-    ) {
-        let Some(raw) = steer.routes.raw() else { return };
-        if self.encoded.0 != raw.version {
-            // Routes hold strings and numbers alone, which can always be written.
-            self.encoded = (raw.version, postcard::to_stdvec(raw).unwrap_or_default());
-        }
-        // One that has begun an older version starts again with this one.
-        let piece = if version == 0 || version == raw.version { piece } else { 0 };
-        let chunks = self.encoded.1.chunks(MESSAGE_BYTES);
-        let pieces = chunks.len() as u32;
-        let Some(bytes) = self.encoded.1.chunks(MESSAGE_BYTES).nth(piece as usize) else { return };
-        let message = Piece { version: raw.version, pieces, piece, bytes: bytes.to_vec() };
-        send(to, Message::Routes(message), out);
-    }
-
-    fn take_piece(
-        &mut self,
-        now: Duration,
-        from: InstanceId,
-        piece: Piece,
-        steer: &mut Steer,
-        out: &mut Outbox<'_>,
-    ) -> bool {
-        let Some(fetch) = &mut self.fetch else { return false };
-        let begins = piece.piece == 0 && fetch.version != piece.version;
-        if begins {
-            fetch.version = piece.version;
-            fetch.pieces = piece.pieces;
-            fetch.bytes.clear();
-            fetch.next = 0;
-            fetch.from = from;
-        }
-        if piece.version != fetch.version || piece.piece != fetch.next {
-            return false;
-        }
-        fetch.bytes.extend_from_slice(&piece.bytes);
-        fetch.next += 1;
-        fetch.asked = now;
-        if fetch.next < fetch.pieces {
-            let pull = Message::PullRoutes { version: fetch.version, piece: fetch.next };
-            send(fetch.from, pull, out);
-            return false;
+        if steer.ready()
+            && let Some(request) = self.gone.ask(now)
+        {
+            send(to, request, out);
         }
-        let bytes = std::mem::take(&mut fetch.bytes);
-        self.fetch = None;
-        adopt(&bytes, from, steer)
     }
 
     fn digest_peers(&mut self) -> Vec<InstanceId> {
@@ -375,93 +238,6 @@
     Digest { routes: steer.routes.version(), targets: steer.directory.complete_to() }
 }
 
-/// Returns the targets that are gone, without the first ones.
-fn gone(steer: &Steer, skip: u32) -> Message {
-    let mut rest = steer.directory.gone().skip(skip as usize);
-    let targets: Vec<_> = rest.by_ref().take(GONE_AT_ONCE).cloned().collect();
-    Message::Gone { skip, targets, more: rest.next().is_some() }
-}
-
-/// Returns the changes after a revision, as many as fit a message.
-fn changes(now: Duration, steer: &Steer, since: Revision) -> Changes {
-    let newest = steer.directory.complete_to();
-    let mut records = steer.directory.since(since);
-    let fits = fitting(&records);
-    let upto = if fits < records.len() { records[fits - 1].revision } else { newest };
-    records.truncate(fits);
-    let lapse_ms = steer.directory.lapse_grace(now).as_millis() as u32;
-    Changes { since, upto, newest, lapse_ms, records }
-}
-
-/// Returns how many of the first records go into a message; records of one revision stay
-/// together.
-fn fitting(records: &[TargetRecord]) -> usize {
-    let mut bytes = 0;
-    let mut fits = 0;
-    for (i, record) in records.iter().enumerate() {
-        bytes += postcard::experimental::serialized_size(record).unwrap_or(MESSAGE_BYTES);
-        let ends = records.get(i + 1).is_none_or(|next| next.revision != record.revision);
-        if fits > 0 && bytes > MESSAGE_BYTES {
-            break;
-        }
-        if ends {
-            fits = i + 1;
-        }
-    }
-    fits
-}
-
-fn take_changes(
-    now: Duration,
-    from: InstanceId,
-    changes: Changes,
-    steer: &mut Steer,
-    out: &mut Outbox<'_>,
-) -> bool {
-    let known = steer.directory.complete_to();
-    steer.directory.extend_lapse(now, Duration::from_millis(u64::from(changes.lapse_ms)));
-    let mut news = 0;
-    for record in changes.records {
-        news += usize::from(steer.directory.merge(now, record));
-    }
-    if changes.since <= known {
-        steer.directory.complete(changes.upto);
-    }
-    let known = steer.directory.complete_to();
-    if changes.newest > known {
-        send(from, Message::PullTargets { since: known }, out);
-    }
-    if news > 0 {
-        counter!("limpetdeck_target_changes_total", "source" => "peer").increment(news as u64);
-        log::info!(source = "peer", from = from, changes = news, revision = known; "targets_changed");
-    }
-    news > 0
-}
-
-fn adopt(bytes: &[u8], from: InstanceId, steer: &mut Steer) -> bool {
-    let raw: RawRoutes = match postcard::from_bytes(bytes) {
-        Ok(raw) => raw,
-        Err(e) => {
-            // The peer may be of another release.
-            log::warn!(from = from, problem = e.to_string().as_str(); "routes_unusable");
-            return false;
-        }
-    };
-    let version = raw.version;
-    match steer.routes.adopt(raw) {
-        Ok(news) => {
-            if news {
-                log::info!(version = version, source = "peer", from = from; "routes_adopted");
-            }
-            news
-        }
-        Err(findings) => {
-            log::warn!(version = version, from = from, findings = findings.to_string().as_str(); "routes_refused");
-            false
-        }
-    }
-}
-
 fn send(to: InstanceId, message: Message, out: &mut Outbox<'_>) {
     let class = match &message {
         // Small, and late news of a target that leaves break flows: never held back.
--- a/src/steering/steer.rs
+++ b/src/steering/steer.rs
@@ -296,10 +296,8 @@
         if self.health.unanswered(now, target, packet.flow.id(), waited) {
             self.beliefs.push(Belief::Silent(target.0));
         }
-        if self.health.is_doubtful(target)
-            && let Some(address) = self.directory.get(target).map(|target| target.address)
-        {
-            self.health.doubt(now, target, address.into());
+        if self.health.is_doubtful(target) {
+            self.doubt(now, target);
         }
     }
 }
--- a/tests/support/members.rs
+++ b/tests/support/members.rs
@@ -202,7 +202,7 @@
             return inbox.push(buf.to_vec());
         }
         let mut actions = Vec::new();
-        if let Ok((from, Body::Membership(message))) = node.link.open(buf) {
+        if let Some((from, Body::Membership(message))) = node.link.open(buf) {
             let mut out = node.link.outbox(now, &mut actions);
             node.members.on_message(now, from, message, &mut out);
         }
--- a/tests/support/net.rs
+++ b/tests/support/net.rs
@@ -226,7 +226,7 @@
             return;
         }
         self.act(to, |lists, link, now, actions| {
-            if let Ok((from, Body::Lists(message))) = link.open(buf) {
+            if let Some((from, Body::Lists(message))) = link.open(buf) {
                 lists.on_message(now, from, message, &mut link.outbox(now, actions));
             }
         });
--- a/tests/support/target_fleet.rs
+++ b/tests/support/target_fleet.rs
@@ -208,7 +208,7 @@
     }
 
     fn peer(&mut self, to: usize, buf: &[u8]) {
-        if let Ok((from, Body::Targets(message))) = self.nodes[to].link.open(buf) {
+        if let Some((from, Body::Targets(message))) = self.nodes[to].link.open(buf) {
             self.with(to, |targets, now, out| targets.on_message(now, from, message, out));
         }
     }
