Soak real instances under faults, compare choices, and fuzz all readers

Change, all in lab/: - soak: limpetdeck-node processes on loopback, with stand-ins of store, servers, routers and callers, a proxy before the store and one between instances; signals, faults of the store, cuts, harmed datagrams, crashes, drains and changes of routes from one seed; promises are checked while it runs. Not covered: clocks that jump (no way without root), connections between instances and servers that hang instead of being refused.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,11 +3,14 @@
 pub mod arguments;
 pub mod caller;
 pub mod fabric;
+pub mod fuzz;
 pub mod measure;
+pub mod place;
 pub mod platform;
 pub mod protocol;
 pub mod report;
 pub mod result;
 pub mod slopes;
+pub mod soak;
 pub mod stack;
 pub mod target;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,7 +3,9 @@
 use std::process::ExitCode;
 
 use limpetdeck_lab::arguments::{Args, Usage};
-use limpetdeck_lab::{caller, fabric, measure, platform, report, result, slopes, target};
+use limpetdeck_lab::{
+    caller, fabric, fuzz, measure, place, platform, report, result, slopes, soak, target,
+};
 
 /// Text for `--help`.
 const HELP: &str = "\
@@ -18,6 +20,9 @@
   result     compares the journals of callers and targets
   measure    steps the decision parts under load and faults, in virtual time
   slopes     prints how cost and state grow with the size
+  fuzz       reads damaged input, which must neither panic nor pass for whole
+  place      compares ways to choose targets under load, in virtual time
+  soak       runs instances under faults from outside, and checks the promises
   report     measures policies, faults and deployments, and writes a page
 
   COMMAND --help    arguments of a command
@@ -34,6 +39,9 @@
         Some("result") => result::main(args),
         Some("measure") => measure::main(args),
         Some("slopes") => slopes::main(args),
+        Some("fuzz") => fuzz::main(args),
+        Some("place") => place::main(args),
+        Some("soak") => soak::main(args),
         Some("report") => report::main(args),
         _ if args.flag("--version") => {
             println!("limpetdeck-lab {}", env!("CARGO_PKG_VERSION"));
--- a/lab/src/platform/store.rs
+++ b/lab/src/platform/store.rs
@@ -36,6 +36,11 @@
         self.revision
     }
 
+    /// Returns the revision of an object's last change.
+    pub fn revision_of(&self, name: &str) -> Option<Revision> {
+        self.objects.get(name).map(|stored| stored.revision)
+    }
+
     /// Reads an object.
     pub fn get(&self, name: &str) -> Option<&Object> {
         let object = &self.objects.get(name)?.object;
