Keep new flows away from targets that keep callers waiting

One instance of 101 sees each of its callers too rarely. Ruled out: silence (the target acknowledges what it gets), the load seen (it is idle). Change: an answer that is overdue by 1 s counts as a waiting request for 6 s, and peers of the domain are told once in 3 s and target. Tests: steering_overdue mute_avoided and peers_told fail without the rule.

--- a/src/steering.rs
+++ b/src/steering.rs
@@ -12,6 +12,7 @@
 mod health;
 mod message;
 mod node;
+mod overdue;
 mod packet;
 mod registration;
 mod routes;
--- a/src/steering/flows.rs
+++ b/src/steering/flows.rs
@@ -14,6 +14,10 @@
 /// Flows that are remembered at most, some 80 bytes each.
 const MOST_FLOWS: usize = 32_768;
 
+/// Time after which the answer to a request is overdue: more than the users' longest aim, and
+/// half of the shortest time after which their callers give up.
+const OVERDUE_AFTER: Duration = Duration::from_secs(1);
+
 /// What a packet shows of its flow's target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Seen {
@@ -43,6 +47,8 @@
     acknowledged: u32,
     /// When the request that waits for an answer was first sent, if one waits.
     waits_since: Option<Duration>,
+    /// Whether its answer was found to be overdue.
+    overdue: bool,
 }
 
 /// What a target has to do, as far as it passes here.
@@ -129,6 +135,19 @@
         taken.into_iter().filter(|flow| flow.open && !flow.closed).map(next).collect()
     }
 
+    /// Returns the target of each open flow on which an answer has become overdue.
+    pub fn take_overdue(&mut self, now: Duration) -> Vec<TargetStart> {
+        let late = |since: Duration| now >= since + OVERDUE_AFTER;
+        let open = self.flows.values_mut().filter(|flow| flow.open && !flow.closed);
+        let overdue = open.filter(|flow| !flow.overdue && flow.waits_since.is_some_and(late));
+        overdue
+            .map(|flow| {
+                flow.overdue = true;
+                flow.target
+            })
+            .collect()
+    }
+
     /// Forgets flows that have been silent for a time.
     pub fn expire(&mut self, now: Duration, idle: Duration) {
         let over = |flow: &Flow| now >= flow.last + idle;
@@ -178,6 +197,7 @@
                 next,
                 acknowledged: 0,
                 waits_since: Some(first_sent.unwrap_or(now)),
+                overdue: false,
             },
         );
         Seen::Nothing
@@ -201,6 +221,7 @@
                 next: end,
                 acknowledged,
                 waits_since,
+                overdue: false,
             };
             self.insert(id, flow);
             return Seen::Nothing;
@@ -218,6 +239,7 @@
             flow.open = true;
             flow.acknowledged = packet.acknowledged;
             flow.waits_since = None;
+            flow.overdue = false;
         }
         if fresh {
             flow.next = end;
--- a/src/steering/message.rs
+++ b/src/steering/message.rs
@@ -57,6 +57,8 @@
     },
     /// A piece of the routes.
     Routes(Piece),
+    /// Targets that keep callers waiting: new flows had better go elsewhere for a time.
+    Overdue(Vec<TargetStart>),
 }
 
 /// All changes of targets between two revisions.
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -35,6 +35,8 @@
 const EXIT_RESERVE: Duration = Duration::from_millis(700);
 /// Time between two rounds of forgetting.
 const EXPIRE_EVERY: Duration = Duration::from_secs(1);
+/// Time between two looks for overdue answers, which go over all flows.
+const OVERDUE_EVERY: Duration = Duration::from_millis(250);
 /// Time after the start until an instance watches the platform: until then it seems alone
 /// with those that it has not met yet.
 const WATCH_AFTER: Duration = Duration::from_millis(2_500);
@@ -80,6 +82,7 @@
     pauses: PauseWatch,
     last_packet: Duration,
     next_expiry: Duration,
+    next_overdue: Duration,
     platform_answered: Option<Duration>,
     registration: Registration,
     /// Peers of the own failure domain and of others, as last logged.
@@ -111,6 +114,7 @@
             pauses: PauseWatch::new(now),
             last_packet: now,
             next_expiry: now,
+            next_overdue: now,
             platform_answered: None,
             registration: Registration::new(now, fork()),
             members: (0, 0),
@@ -251,6 +255,10 @@
             gauge!("limpetdeck_routes_version").set(self.steer.routes.version() as f64);
         }
         self.end_flows(now, out);
+        if now >= self.next_overdue {
+            self.next_overdue = now + OVERDUE_EVERY;
+            self.tell_overdue(now, out);
+        }
         self.log_beliefs();
         self.end_stop(now, out);
     }
@@ -270,6 +278,16 @@
         self.end_flows(now, out);
     }
 
+    /// Tells peers of targets that keep callers waiting.
+    fn tell_overdue(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let targets = self.steer.take_overdue(now);
+        if targets.is_empty() {
+            return;
+        }
+        self.log_overdue(now, &targets);
+        self.sharing.tell_overdue(now, &targets, &mut self.link.outbox(now, out));
+    }
+
     /// Resets the flows whose targets have certainly stopped.
     fn end_flows(&mut self, now: Duration, out: &mut Vec<Action>) {
         for (packet, refusal) in self.steer.take_ended(now) {
--- a/src/steering/node/logging.rs
+++ b/src/steering/node/logging.rs
@@ -5,7 +5,7 @@
 use metrics::counter;
 
 use super::Node;
-use crate::steering::{Belief, FlowPacket, Target};
+use crate::steering::{Belief, FlowPacket, Target, TargetStart};
 
 impl Node {
     pub(super) fn placed(
@@ -70,6 +70,14 @@
         );
     }
 
+    pub(super) fn log_overdue(&mut self, now: Duration, targets: &[TargetStart]) {
+        for &(target, _) in targets {
+            counter!("limpetdeck_answers_overdue_total").increment(1);
+            let Some(unlogged) = self.log.line(now) else { continue };
+            log::info!(target = format!("{target:x}").as_str(), unlogged = unlogged; "answer_overdue");
+        }
+    }
+
     pub(super) fn log_beliefs(&mut self) {
         for belief in self.steer.take_beliefs() {
             let (target, event) = match belief {
--- a/src/steering/sharing.rs
+++ b/src/steering/sharing.rs
@@ -7,6 +7,7 @@
 mod changes;
 mod exchange;
 mod gone;
+mod told;
 
 use std::time::Duration;
 
@@ -17,10 +18,10 @@
 use self::changes::{changes, take_changes};
 use self::exchange::RouteExchange;
 use self::gone::GoneTargets;
+use self::told::Told;
 use super::message::{Digest, Message};
 use super::{Steer, TargetStart};
 use crate::budget::Class;
-use crate::hash::HashMap;
 use crate::ids::InstanceId;
 use crate::link::Outbox;
 use crate::peer::Body;
@@ -30,10 +31,8 @@
 const FANOUT: usize = 2;
 /// Least time between two pushes: when many targets change, their changes go together.
 const PUSH_EVERY: Duration = Duration::from_millis(200);
-/// Peers of the own failure domain that are told of a target that may be dead.
-const DOUBT_FANOUT: usize = 3;
-/// Time within which the same doubt is not told again.
-const TELL_DOUBT_EVERY: Duration = Duration::from_secs(3);
+/// Peers of the own failure domain that are told of a target that does not answer.
+const TELL_FANOUT: usize = 3;
 /// Mean time between two digests.
 const DIGEST_EVERY: Duration = Duration::from_millis(800);
 /// Time between two digests of an instance that knows nothing yet.
@@ -57,8 +56,10 @@
     unpushed: Option<Revision>,
     exchange: RouteExchange,
     gone: GoneTargets,
-    /// When others last told, or were told, that a target may be dead.
-    doubted: HashMap<TargetStart, Duration>,
+    /// Targets that may be dead.
+    doubted: Told,
+    /// Targets that keep callers waiting.
+    overdue: Told,
     rng: SmallRng,
 }
 
@@ -72,7 +73,8 @@
             unpushed: None,
             exchange: RouteExchange::default(),
             gone: GoneTargets::new(),
-            doubted: HashMap::default(),
+            doubted: Told::default(),
+            overdue: Told::default(),
             rng,
         }
     }
@@ -102,15 +104,27 @@
 
     /// Tells peers that targets may be dead, unless that was told lately.
     pub fn tell_doubts(&mut self, now: Duration, targets: &[TargetStart], out: &mut Outbox<'_>) {
-        let doubted = &mut self.doubted;
-        doubted.retain(|_, told| now < *told + TELL_DOUBT_EVERY);
-        let news = targets.iter().filter(|&&target| doubted.insert(target, now).is_none());
-        let news: Vec<_> = news.copied().collect();
+        let news = self.doubted.news(now, targets);
+        self.tell(Message::Doubt, news, out);
+    }
+
+    /// Tells peers that targets keep callers waiting, unless that was told lately.
+    pub fn tell_overdue(&mut self, now: Duration, targets: &[TargetStart], out: &mut Outbox<'_>) {
+        let news = self.overdue.news(now, targets);
+        self.tell(Message::Overdue, news, out);
+    }
+
+    fn tell(
+        &mut self,
+        message: fn(Vec<TargetStart>) -> Message,
+        news: Vec<TargetStart>,
+        out: &mut Outbox<'_>,
+    ) {
         if news.is_empty() {
             return;
         }
-        for &to in self.peers.home.choose_multiple(&mut self.rng, DOUBT_FANOUT) {
-            send(to, Message::Doubt(news.clone()), out);
+        for &to in self.peers.home.choose_multiple(&mut self.rng, TELL_FANOUT) {
+            send(to, message(news.clone()), out);
         }
     }
 
@@ -187,6 +201,14 @@
                 self.tell_doubts(now, &targets, out);
                 false
             }
+            Message::Overdue(targets) => {
+                let news = self.overdue.news(now, &targets);
+                for &target in &news {
+                    steer.note_overdue(now, target);
+                }
+                self.tell(Message::Overdue, news, out);
+                false
+            }
             Message::PullRoutes { version, piece } => {
                 self.exchange.answer(from, version, piece, steer, out);
                 false
@@ -245,6 +267,8 @@
         | Message::PullTargets { .. }
         | Message::Targets(_)
         | Message::Doubt(_) => Class::Liveness,
+        // A hint that is lost costs a few flows.
+        Message::Overdue(_) => Class::Lists,
         Message::PullGone { .. }
         | Message::Gone { .. }
         | Message::PullRoutes { .. }
--- a/src/steering/steer.rs
+++ b/src/steering/steer.rs
@@ -9,6 +9,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
+use super::overdue::Overdue;
 use super::token::TargetStart;
 use super::{
     Candidate, Directory, FlowPacket, Flows, Health, Load, NO_TOKEN, PacketKind, Route, RouteTable,
@@ -91,6 +92,7 @@
     /// The flows that pass.
     pub flows: Flows,
     health: Health,
+    overdue: Overdue,
     tokens: Tokens,
     beliefs: Vec<Belief>,
     rng: SmallRng,
@@ -105,6 +107,7 @@
             directory: Directory::default(),
             flows: Flows::default(),
             health: Health::default(),
+            overdue: Overdue::default(),
             tokens: Tokens::new(key),
             beliefs: Vec::new(),
             rng,
@@ -141,6 +144,7 @@
         self.flows.expire(now, idle);
         self.directory.forget(now);
         self.health.forget(now, idle);
+        self.overdue.forget(now);
     }
 
     fn open(&mut self, now: Duration, packet: &FlowPacket, repeats: u32) -> Verdict<'_> {
@@ -182,6 +186,7 @@
                 continue;
             }
             let Load { flows, waiting } = self.flows.load(start);
+            let waiting = waiting + self.overdue.count(start);
             let home = target.failure_domain == self.home;
             let candidate = Candidate { home, slots: target.slots, flows, waiting, cold };
             let list = if self.health.is_silent(now, start) { &mut silent } else { &mut answering };
@@ -256,6 +261,18 @@
         }
     }
 
+    /// Takes the word of another instance that a target keeps callers waiting.
+    pub fn note_overdue(&mut self, now: Duration, start: TargetStart) {
+        self.overdue.note(now, start);
+    }
+
+    /// Returns the targets that have begun to keep a caller waiting, one for each caller.
+    pub fn take_overdue(&mut self, now: Duration) -> Vec<TargetStart> {
+        let overdue = self.flows.take_overdue(now);
+        overdue.iter().for_each(|&start| self.overdue.note(now, start));
+        overdue
+    }
+
     /// Ends the flows whose targets have certainly stopped, and returns each with the reason.
     /// A caller that is told at once opens its next flow before it has something to send.
     pub fn take_ended(&mut self, now: Duration) -> Vec<(FlowPacket, Refusal)> {
--- /dev/null
+++ b/tests/steering_overdue.rs
@@ -0,0 +1,105 @@
+//! Targets that take requests and leave them unanswered: new flows have to go elsewhere,
+//! although such a target looks idle once its callers have given up.
+
+#[path = "support/steering.rs"]
+#[allow(dead_code)]
+mod support;
+#[path = "support/steering_world.rs"]
+#[allow(dead_code)]
+mod world;
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use limpetdeck::instance::Event;
+use limpetdeck::steering::{FlowPacket, PacketKind, Steer, TargetKey, Token};
+use support::*;
+use world::*;
+
+/// Time after which callers give up: the users' shortest deadline.
+const DEADLINE: Duration = Duration::from_secs(2);
+
+/// The end of a caller's flow on which it has read `answers` answers.
+fn closing(caller: u16, token: Token, answers: u32) -> FlowPacket {
+    FlowPacket { kind: PacketKind::Closing, ..request(caller, 1, token, answers) }
+}
+
+/// Plays callers that open a flow each 50 ms; one target answers none of them. Returns the
+/// flows that were opened there after the first callers had given up.
+fn flows_to_mute(steer: &mut Steer, mute: TargetKey) -> usize {
+    let mut late = 0;
+    let mut waiting: VecDeque<(Duration, u16, Token)> = VecDeque::new();
+    for caller in 1..=200u16 {
+        let now = ms(u64::from(caller) * 50);
+        steer.expire(now);
+        steer.take_overdue(now);
+        let over = waiting.partition_point(|(until, ..)| now >= *until);
+        for (_, caller, token) in waiting.drain(..over) {
+            steer.decide(now, &closing(caller, token, 0));
+        }
+        let (key, token) = placed(steer, now, &opening(caller, 1));
+        steer.decide(now, &request(caller, 1, token, 0));
+        if key == mute {
+            // The target has the request, so nothing is sent again; the caller waits.
+            late += usize::from(now > DEADLINE + ms(200));
+            waiting.push_back((now + DEADLINE, caller, token));
+        } else {
+            steer.decide(now + ms(40), &answered(caller, 1, token, 0));
+            steer.decide(now + ms(41), &closing(caller, token, 1));
+        }
+    }
+    late
+}
+
+#[test]
+fn mute_avoided() {
+    let targets: Vec<_> = (1..=4).map(|key| target(key, TILL)).collect();
+    let mut steer = steer(&[TILL], &targets);
+    let late = flows_to_mute(&mut steer, 1);
+    println!("flows_to_mute={late}");
+    assert!(late <= 2, "{late} flows opened at a target that answers nobody");
+}
+
+/// Callers that end flows in the usual way say nothing about the target.
+#[test]
+fn usual_ends() {
+    let targets = [target(1, TILL), target(2, TILL)];
+    let mut steer = steer(&[TILL], &targets);
+    for caller in 1..100 {
+        let now = ms(u64::from(caller) * 100);
+        let (_, token) = placed(&mut steer, now, &opening(caller, 1));
+        steer.decide(now, &request(caller, 1, token, 0));
+        steer.decide(now + ms(90), &answered(caller, 1, token, 0));
+        steer.decide(now + ms(95), &closing(caller, token, 1));
+        assert!(steer.take_overdue(now + ms(96)).is_empty());
+    }
+}
+
+/// What one instance sees keeps the others of its failure domain away too.
+#[test]
+fn peers_told() {
+    let mut world = World::new(8);
+    world.run(Duration::from_secs(10));
+    let send = |world: &mut World, i, packet: &FlowPacket| {
+        world.handle(i, Event::Packet(text(packet)));
+    };
+    send(&mut world, 0, &opening(7, 1));
+    let (_, sent) = world.out[0].pop().expect("a datagram");
+    let sent = String::from_utf8(sent).expect("text");
+    let key = TargetKey::from_str_radix(sent.split('>').next().expect("a key"), 16);
+    let token: Token = sent.rsplit(' ').next().expect("a token").parse().expect("a number");
+    send(&mut world, 0, &request(7, 1, token, 0));
+    world.run(DEADLINE);
+    send(&mut world, 0, &closing(7, token, 0));
+    world.run(ms(700));
+    let key = key.expect("a number");
+    for i in (0..8).step_by(2) {
+        for n in 0..3 {
+            world.out[i].clear();
+            send(&mut world, i, &opening(100 + n, 1));
+            let (_, buf) = world.out[i].pop().expect("a datagram");
+            let chosen = String::from_utf8_lossy(&buf).split('>').next().map(str::to_owned);
+            assert_ne!(chosen, Some(format!("{key:x}")), "instance {i} chose the mute target");
+        }
+    }
+}
--- a/tests/support/steering.rs
+++ b/tests/support/steering.rs
@@ -147,6 +147,7 @@
 pub fn text(packet: &FlowPacket) -> Vec<u8> {
     let (opens, repeats) = match packet.kind {
         PacketKind::Opening { repeats } => (1, repeats),
+        PacketKind::Closing => (2, 0),
         _ => (0, 0),
     };
     let FlowPacket { flow, token, sequence, acknowledged, data_len, .. } = packet;
@@ -167,6 +168,7 @@
         let end = |text: &str| text.parse().map_err(|_| PacketError::Truncated);
         let kind = match opens {
             "1" => PacketKind::Opening { repeats: number(repeats)? },
+            "2" => PacketKind::Closing,
             _ => PacketKind::Within,
         };
         Ok(FlowPacket {
