--- a/lab/src/measure.rs
+++ b/lab/src/measure.rs
@@ -1,6 +1,9 @@
 //! The measuring driver: the decision parts under load and faults, in virtual time.
 
 mod burst;
+mod burst_count;
+mod changes;
+mod fault;
 mod faults;
 mod figures;
 mod node;
@@ -10,7 +13,7 @@
 mod traffic;
 mod world;
 
-pub use faults::{FAULTS, Fault};
+pub use fault::{FAULTS, Fault};
 pub use figures::{Figures, Values};
 pub use settings::{Deployment, Faults, Policy, Settings};
 
--- a/lab/src/measure/burst.rs
+++ b/lab/src/measure/burst.rs
@@ -7,14 +7,10 @@
     ALLOWANCES, PLANS, RawAllowance, RawAllowances, RawCustomer, RawPlan, RawPlans,
 };
 
-use super::figures::Figures;
-use super::traffic::{End, Kind};
+use super::burst_count::{MAX_NEW, MAX_OPEN};
+use super::traffic::Kind;
 use super::world::World;
 
-/// Open flows that the bursting customer may have at one service.
-const MAX_OPEN: u32 = 600;
-/// Flows that it may open in a second.
-const MAX_NEW: u32 = 100;
 /// Flows that it tries to open in a second.
 const TRIES: u32 = 300;
 /// Time for which it tries.
@@ -29,67 +25,6 @@
 const STEADY_MAX_OPEN: u32 = 500;
 /// What other customers may have: more than they will use.
 const PLENTY: u32 = 1_000_000;
-/// Time at the beginning in which saved allowances may be used up.
-const SAVED: Duration = Duration::from_secs(2);
-
-/// What is counted about a burst.
-#[derive(Debug, Default)]
-pub struct Burst {
-    began: Option<Duration>,
-    /// Flows of the bursting customer that were let in, by second since it began.
-    admitted: Vec<u32>,
-    /// Most open flows of the bursting customer.
-    most_open: usize,
-    /// Flows of all other customers.
-    others: u64,
-    /// Refused flows of all other customers.
-    others_refused: u64,
-}
-
-impl Burst {
-    /// Tells whether the burst has begun.
-    pub fn began(&self) -> bool {
-        self.began.is_some()
-    }
-
-    /// Notes a flow that was opened or refused.
-    pub fn note(&mut self, now: Duration, kind: Kind, end: Option<End>) {
-        let Some(began) = self.began else { return };
-        let refused = end == Some(End::Refused);
-        match (kind, end) {
-            (Kind::Burst, None) => {
-                let second = now.saturating_sub(began).as_secs() as usize;
-                self.admitted.resize(self.admitted.len().max(second + 1), 0);
-                self.admitted[second] += 1;
-            }
-            (Kind::Burst, Some(_)) => {}
-            (_, None) => self.others += 1,
-            (_, Some(_)) => {
-                self.others += u64::from(refused);
-                self.others_refused += u64::from(refused);
-            }
-        }
-    }
-
-    /// Notes how many flows of the bursting customer are open.
-    pub fn note_open(&mut self, open: usize) {
-        self.most_open = self.most_open.max(open);
-    }
-
-    /// Gives the results to the figures.
-    pub fn finish(&self, f: &mut Figures) {
-        if self.began.is_none() {
-            return;
-        }
-        let steady = self.admitted.iter().skip(SAVED.as_secs() as usize);
-        let fastest = steady.max().copied().unwrap_or(0);
-        let open = self.most_open as f64 / f64::from(MAX_OPEN) - 1.0;
-        let rate = f64::from(fastest) / f64::from(MAX_NEW) - 1.0;
-        f.overshoot = Some(open.max(rate).max(0.0));
-        f.wrong_refusals = Some(self.others_refused as f64 / self.others.max(1) as f64);
-    }
-}
-
 /// Writes the lists that the burst is held against.
 pub fn write_lists(world: &mut World) {
     let plan = |name: &str, service: &str, max_open_flows, max_new_flows_per_s| RawPlan {
@@ -135,7 +70,7 @@
 /// Begins the burst and the steady customer's flows.
 pub fn begin(world: &mut World) {
     let Some(service) = world.first_service() else { return };
-    world.burst.began = Some(world.now);
+    world.burst.begin(world.now);
     for i in 0..TRIES * LASTS.as_secs() as u32 {
         let after = Duration::from_secs(1).mul_f64(f64::from(i) / f64::from(TRIES));
         world.later(after, move |world| {
--- a/lab/src/measure/faults.rs
+++ b/lab/src/measure/faults.rs
@@ -1,12 +1,12 @@
 //! What goes wrong in a run: each fault is a small function that schedules its steps.
 
-use std::str::FromStr;
 use std::time::Duration;
 
 use limpetdeck::placement::TargetState;
 use limpetdeck::targets::Report;
 use rand::Rng;
 
+use super::fault::Fault;
 use super::node::takes_new;
 use super::platform::Mode;
 use super::settings::Settings;
@@ -36,64 +36,41 @@
 /// Time after a fault from which the balance counts.
 const SETTLE: Duration = Duration::from_secs(10);
 
-/// One fault.
-#[derive(Debug, Clone, Copy)]
-pub struct Fault {
-    /// Name on the command line.
-    pub name: &'static str,
-    /// What it does, for the help.
-    pub about: &'static str,
-    /// Whether it is a planned change, which breaks no flow.
-    pub planned: bool,
-    begin: fn(&mut World),
-}
-
-/// All faults.
-pub const FAULTS: &[Fault] = &[
-    fault("instance-killed", "an instance ends without notice", instance_killed),
-    fault("instance-paused", "an instance stops for 10 s and gets what waited", instance_paused),
-    planned("instance-leaves", "an instance stops gracefully", instance_leaves),
-    planned("instance-joins", "an instance starts", instance_joins),
-    planned(
-        "rolling-restart",
-        "instances are restarted, the next 2 s after the last",
-        rolling_restart,
-    ),
-    planned("target-leaves", "a target drains, and says so when it is probed", target_leaves),
-    fault("target-killed", "a target ends without notice", target_killed),
-    planned("target-returns", "operators drain a target and return it 10 s later", target_returns),
-    planned("target-cold", "a target that was away from the start comes cold", target_cold),
-    fault("target-sheds", "a target refuses new work for 10 s", target_sheds),
-    fault("load-report-frozen", "a target reports the load of that time for ever", load_frozen),
-    fault("load-report-false", "a target reports that it has no load", load_false),
-    fault("platform-down", "the platform closes all calls for 10 s", platform_down),
-    fault("platform-slow", "the platform answers after 2 s for 10 s", platform_slow),
-    fault("answer-lost", "writes take effect unanswered for 10 s", answer_lost),
-    fault("platform-stale", "reads give the state of when it began for 10 s", platform_stale),
-    fault("domain-cut", "a failure domain is cut off for 10 s", domain_cut),
-    fault("domain-and-platform-cut", "the same, from the platform too", domain_and_platform_cut),
-    fault("uneven-updates", "news reaches instances up to 4 s apart", uneven_updates),
-    fault("port-reused", "callers use the ports of ended flows", port_reused),
-    fault("list-change", "a list is changed each second for 16 s", list_change),
-    fault("burst", "a customer opens 3 times what its plan allows for 16 s", burst::begin),
-    fault("two-operators", "two operators change a list at once, 5 times", two_operators),
-    fault("lapsed-lease", "an operator sleeps for 6 s between read and write", lapsed_lease),
+/// What begins a fault.
+type Begin = fn(&mut World);
+
+/// The faults by name.
+const BEGINS: &[(&str, Begin)] = &[
+    ("instance-killed", instance_killed),
+    ("instance-paused", instance_paused),
+    ("instance-leaves", instance_leaves),
+    ("instance-joins", instance_joins),
+    ("rolling-restart", rolling_restart),
+    ("target-leaves", target_leaves),
+    ("target-killed", target_killed),
+    ("target-returns", target_returns),
+    ("target-cold", target_cold),
+    ("target-sheds", target_sheds),
+    ("load-report-frozen", load_frozen),
+    ("load-report-false", load_false),
+    ("platform-down", platform_down),
+    ("platform-slow", platform_slow),
+    ("answer-lost", answer_lost),
+    ("platform-stale", platform_stale),
+    ("domain-cut", domain_cut),
+    ("domain-and-platform-cut", domain_and_platform_cut),
+    ("uneven-updates", uneven_updates),
+    ("port-reused", port_reused),
+    ("list-change", list_change),
+    ("burst", burst::begin),
+    ("two-operators", two_operators),
+    ("lapsed-lease", lapsed_lease),
 ];
 
-const fn fault(name: &'static str, about: &'static str, begin: fn(&mut World)) -> Fault {
-    Fault { name, about, planned: false, begin }
-}
-
-const fn planned(name: &'static str, about: &'static str, begin: fn(&mut World)) -> Fault {
-    Fault { name, about, planned: true, begin }
-}
-
-impl FromStr for Fault {
-    type Err = String;
-
-    fn from_str(text: &str) -> Result<Self, String> {
-        let found = FAULTS.iter().find(|fault| fault.name == text);
-        found.copied().ok_or_else(|| format!("no fault {text:?}"))
+fn begin(world: &mut World, name: &str) {
+    match BEGINS.iter().find(|(known, _)| *known == name) {
+        Some((_, begin)) => begin(world),
+        None => log::error!(name = name; "fault_without_steps"),
     }
 }
 
@@ -114,15 +91,15 @@
     let conditions =
         |fault: &&Fault| matches!(fault.name, "uneven-updates" | "port-reused" | "target-cold");
     // What holds from the start has to meet the first change.
-    faults.iter().filter(conditions).for_each(|fault| (fault.begin)(world));
+    faults.iter().filter(conditions).for_each(|fault| begin(world, fault.name));
     if faults.iter().any(|fault| conditions(&fault)) {
         world.balance_from = FIRST + SETTLE;
     }
     let events = faults.iter().filter(|fault| !conditions(fault));
     for (i, fault) in events.enumerate() {
-        let (at, begin) = (FIRST + GAP * i as u32, fault.begin);
+        let (at, name) = (FIRST + GAP * i as u32, fault.name);
         world.balance_from = WARM.max(at + SETTLE);
-        world.later(at, begin);
+        world.later(at, move |world| begin(world, name));
     }
 }
 
--- a/lab/src/measure/node.rs
+++ b/lab/src/measure/node.rs
@@ -19,7 +19,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
-use super::operators::Marks;
+use super::changes::Marks;
 use super::settings::Policy;
 
 /// Key of the messages between instances.
--- a/lab/src/measure/settings.rs
+++ b/lab/src/measure/settings.rs
@@ -5,7 +5,7 @@
 
 use limpetdeck::services::{RawServices, Services};
 
-use super::faults::Fault;
+use super::fault::Fault;
 use crate::arguments::{Args, Usage};
 
 /// Services of the deployments, as the samples have them.
--- a/lab/src/measure/world.rs
+++ b/lab/src/measure/world.rs
@@ -22,10 +22,10 @@
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp1};
 
-use super::burst::Burst;
+use super::burst_count::Burst;
+use super::changes::Changes;
 use super::figures::Figures;
 use super::node::Central;
-use super::operators::Changes;
 use super::platform::{Answer, FakePlatform};
 use super::settings::Settings;
 use super::traffic::{Callers, Effects, End, Host, Kind, Timer};
