Let flows leave a failure domain that has too few targets, however many instances share it

Cause: flows left their domain only once one instance alone saw requests waiting for two thirds of each target's slots. Change: an instance takes what waits at the domain's targets as it sees it, averaged over a second, times the instances of the domain; from 1.2 requests a slot on, targets of other domains count too. Tried in the rig: 1.1 and 1.3, one second and two.

--- a/lab/src/place.rs
+++ b/lab/src/place.rs
@@ -14,10 +14,11 @@
 
 /// Text for `--help`.
 const HELP: &str = "\
-usage: limpetdeck-lab place --seed N [--pattern NAME] [--policy NAME]
+usage: limpetdeck-lab place --seed N [--instances N] [--pattern NAME] [--policy NAME]
 
   --seed N        the arrivals follow from it
-  --pattern NAME  steady, herd, burst, cold, slow or uneven; all if not given
+  --instances N   instances in three failure domains, 15 if not given
+  --pattern NAME  steady, herd, burst, cold, slow, uneven or lean; all if not given
   --policy NAME   random, round-robin, two-choices, least-local, least-shared, home-first
                   (the product's) or ideal; all if not given
 ";
@@ -28,23 +29,24 @@
         print!("{HELP}");
         return Ok(ExitCode::SUCCESS);
     }
-    let (seed, pattern, policy) = match parse(args) {
+    let (seed, instances, pattern, policy) = match parse(args) {
         Ok(parsed) => parsed,
         Err(usage) => return Ok(usage.report(HELP)),
     };
-    println!("seed={seed}");
+    println!("seed={seed} instances={instances}");
     let patterns = Pattern::ALL.iter().filter(|p| pattern.is_empty() || p.name() == pattern);
     for &pattern in patterns {
         for &policy in Policy::ALL.iter().filter(|p| policy.is_empty() || p.name() == policy) {
             let (at, by) = (pattern.name(), policy.name());
-            println!("pattern={at} policy={by} {}", run(seed, pattern, policy));
+            println!("pattern={at} policy={by} {}", run(seed, instances, pattern, policy));
         }
     }
     Ok(ExitCode::SUCCESS)
 }
 
-fn parse(mut args: Args) -> Result<(u64, String, String), Usage> {
+fn parse(mut args: Args) -> Result<(u64, usize, String, String), Usage> {
     let seed = args.value("--seed")?;
+    let instances: usize = args.value_or("--instances", 15)?;
     let pattern: String = args.value_or("--pattern", String::new())?;
     let policy: String = args.value_or("--policy", String::new())?;
     args.finish()?;
@@ -52,5 +54,8 @@
     if !known || !(policy.is_empty() || Policy::ALL.iter().any(|p| p.name() == policy)) {
         return Err(Usage::new("the pattern or the policy is not known"));
     }
-    Ok((seed, pattern, policy))
+    if !(3..=3_000).contains(&instances) {
+        return Err(Usage::new("--instances is not from 3 to 3000"));
+    }
+    Ok((seed, instances, pattern, policy))
 }
--- a/lab/src/place/pattern.rs
+++ b/lab/src/place/pattern.rs
@@ -17,12 +17,14 @@
     Slow,
     /// One instance of each failure domain gets half of the domain's flows.
     Uneven,
+    /// One failure domain has a third of the targets that its callers need.
+    Lean,
 }
 
 impl Pattern {
     /// All loads.
-    pub const ALL: [Self; 6] =
-        [Self::Steady, Self::Herd, Self::Burst, Self::Cold, Self::Slow, Self::Uneven];
+    pub const ALL: [Self; 7] =
+        [Self::Steady, Self::Herd, Self::Burst, Self::Cold, Self::Slow, Self::Uneven, Self::Lean];
 
     /// Returns the name.
     pub fn name(self) -> &'static str {
@@ -33,6 +35,7 @@
             Self::Cold => "cold",
             Self::Slow => "slow",
             Self::Uneven => "uneven",
+            Self::Lean => "lean",
         }
     }
 
--- a/lab/src/place/policy.rs
+++ b/lab/src/place/policy.rs
@@ -50,8 +50,14 @@
     }
 
     /// Chooses among candidates, whose loads are those that this way goes by. `turn` counts
-    /// the flows of the instance.
-    pub fn choose(self, candidates: &[Candidate], turn: usize, rng: &mut SmallRng) -> usize {
+    /// the flows of the instance, and `crowding` is its estimate for the own domain.
+    pub fn choose(
+        self,
+        candidates: &[Candidate],
+        turn: usize,
+        crowding: f64,
+        rng: &mut SmallRng,
+    ) -> usize {
         let count = candidates.len();
         match self {
             Self::Random => rng.random_range(0..count),
@@ -60,7 +66,7 @@
                 let two = [rng.random_range(0..count), rng.random_range(0..count)];
                 two[least(&two.map(|i| candidates[i]), rng)]
             }
-            Self::HomeFirst => choose(candidates, rng).unwrap_or_default(),
+            Self::HomeFirst => choose(candidates, crowding, rng).unwrap_or_default(),
             Self::LeastLocal | Self::LeastShared | Self::Ideal => least(candidates, rng),
         }
     }
@@ -69,5 +75,5 @@
 /// The product's order without its preference for the own domain.
 fn least(candidates: &[Candidate], rng: &mut SmallRng) -> usize {
     let alike: Vec<_> = candidates.iter().map(|c| Candidate { home: true, ..*c }).collect();
-    choose(&alike, rng).unwrap_or_default()
+    choose(&alike, 0.0, rng).unwrap_or_default()
 }
--- a/lab/src/place/rig.rs
+++ b/lab/src/place/rig.rs
@@ -4,17 +4,19 @@
 use std::fmt::{self, Display, Formatter};
 use std::time::Duration;
 
-use limpetdeck::steering::Candidate;
+use limpetdeck::steering::{Candidate, Crowding};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use super::{Pattern, Policy};
 
+const SERVICE: &str = "till";
 const DOMAINS: usize = 3;
-const INSTANCES: usize = 15;
 const TARGETS: usize = 18;
 /// Targets that join under [`Pattern::Cold`].
 const JOINING: usize = 6;
+/// Targets that are spread over all domains under [`Pattern::Lean`]; the others leave out one.
+const LEAN: usize = 6;
 const SLOTS: u32 = 3;
 const CALLERS: usize = 240;
 /// Work of a request, that of the users' feeds.
@@ -27,6 +29,8 @@
 const AIM: Duration = Duration::from_millis(200);
 /// Age of what instances tell each other about loads.
 const SHARED_AGE: Duration = Duration::from_millis(500);
+/// Time between two samples, that of the daemon's ticks.
+const SAMPLE_EVERY: Duration = Duration::from_millis(100);
 /// When a pattern's change comes, and how long it lasts.
 const CHANGE: Duration = Duration::from_secs(6);
 const LASTS: Duration = Duration::from_secs(4);
@@ -91,6 +95,8 @@
     Answered(usize, usize),
     /// The instances tell each other of loads.
     Shared,
+    /// The instances sample how crowded their domains are.
+    Sampled,
 }
 
 #[derive(Debug)]
@@ -126,14 +132,15 @@
     callers: Vec<Caller>,
     loads: Loads,
     shared: Loads,
+    crowding: Vec<Crowding>,
     turns: Vec<usize>,
     rng: SmallRng,
     figures: Figures,
 }
 
-/// Runs a way to choose under a load; all arrivals follow from the seed.
-pub fn run(seed: u64, pattern: Pattern, policy: Policy) -> Figures {
-    let mut rig = Rig::new(seed, pattern, policy);
+/// Runs a way to choose under a load, on a number of instances; all arrivals follow from the seed.
+pub fn run(seed: u64, instances: usize, pattern: Pattern, policy: Policy) -> Figures {
+    let mut rig = Rig::new(seed, instances, pattern, policy);
     while let Some(((at, _), event)) = rig.events.pop_first()
         && at < LENGTH
     {
@@ -145,7 +152,7 @@
 }
 
 impl Rig {
-    fn new(seed: u64, pattern: Pattern, policy: Policy) -> Self {
+    fn new(seed: u64, instances: usize, pattern: Pattern, policy: Policy) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let joining = if pattern == Pattern::Cold { JOINING } else { 0 };
         let target = |i: usize| {
@@ -155,7 +162,11 @@
             let slow = if pattern == Pattern::Slow && i.is_multiple_of(6) { 4.0 } else { 1.0 };
             let cold_until = if joins { CHANGE + COLD } else { Duration::ZERO };
             let queue = VecDeque::new();
-            Target { domain: i % DOMAINS, slow, cold_until, from, working: 0, queue }
+            let domain = match pattern {
+                Pattern::Lean if i >= LEAN => 1 + i % (DOMAINS - 1),
+                _ => i % DOMAINS,
+            };
+            Target { domain, slow, cold_until, from, working: 0, queue }
         };
         let targets: Vec<_> = (0..TARGETS + joining).map(target).collect();
         let more = if pattern == Pattern::Burst { CALLERS } else { 0 };
@@ -165,11 +176,12 @@
             now: Duration::ZERO,
             events: BTreeMap::new(),
             scheduled: 0,
-            loads: vec![vec![(0, 0); targets.len()]; INSTANCES],
-            shared: vec![vec![(0, 0); targets.len()]; INSTANCES],
+            loads: vec![vec![(0, 0); targets.len()]; instances],
+            shared: vec![vec![(0, 0); targets.len()]; instances],
             targets,
             callers: Vec::new(),
-            turns: vec![0; INSTANCES],
+            crowding: (0..instances).map(|_| Crowding::default()).collect(),
+            turns: vec![0; instances],
             rng: SmallRng::from_rng(&mut rng),
             figures: Figures { times: Vec::new(), flows: 0, away: 0 },
         };
@@ -177,12 +189,13 @@
             rig.add_caller(i, i >= CALLERS, &mut rng);
         }
         rig.schedule(SHARED_AGE, Event::Shared);
+        rig.schedule(SAMPLE_EVERY, Event::Sampled);
         rig
     }
 
     fn add_caller(&mut self, i: usize, bursts: bool, rng: &mut SmallRng) {
         let domain = i % DOMAINS;
-        let nth = self.pattern.instance(INSTANCES / DOMAINS, rng.random());
+        let nth = self.pattern.instance(self.turns.len() / DOMAINS, rng.random());
         let (from, until) =
             if bursts { (CHANGE, CHANGE + LASTS) } else { (Duration::ZERO, LENGTH) };
         self.callers.push(Caller {
@@ -206,6 +219,7 @@
         match event {
             Event::Sends(caller) => self.send(caller),
             Event::Answered(target, caller) => self.answer(target, caller),
+            Event::Sampled => self.sample(),
             Event::Shared => {
                 self.shared = self.loads.clone();
                 self.schedule(self.now + SHARED_AGE, Event::Shared);
@@ -266,14 +280,26 @@
         let there = self.targets.iter().filter(|target| self.now >= target.from).count();
         let candidates: Vec<_> = (0..there).map(|t| self.candidate(instance, t)).collect();
         self.turns[instance] += 1;
-        self.policy.choose(&candidates, self.turns[instance], &mut self.rng)
+        let slots = candidates.iter().filter(|c| c.home).map(|c| c.slots).sum();
+        let alike = self.loads.len() / DOMAINS;
+        let crowding = self.crowding[instance].per_slot(SERVICE, alike, slots);
+        self.policy.choose(&candidates, self.turns[instance], crowding, &mut self.rng)
+    }
+
+    fn sample(&mut self) {
+        for (i, crowding) in self.crowding.iter_mut().enumerate() {
+            let home = self.targets.iter().zip(&self.loads[i]);
+            let home = home.filter(|(target, _)| target.domain == i % DOMAINS);
+            crowding.sample(self.now, home.map(|(_, load)| (SERVICE, load.1)));
+        }
+        self.schedule(self.now + SAMPLE_EVERY, Event::Sampled);
     }
 
     fn candidate(&self, instance: usize, t: usize) -> Candidate {
         let target = &self.targets[t];
         let domain = instance % DOMAINS;
         let others = |all: bool| {
-            (0..INSTANCES).filter(move |&i| i != instance && (all || i % DOMAINS == domain))
+            (0..self.loads.len()).filter(move |&i| i != instance && (all || i % DOMAINS == domain))
         };
         let sum = |loads: &Loads, all: bool| {
             let of = others(all).map(|i| loads[i][t]);
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -5,6 +5,7 @@
 //! packet, without a record of the flow and without asking anybody.
 
 mod choice;
+mod crowding;
 mod decision_log;
 mod directory;
 mod feed;
@@ -22,6 +23,7 @@
 mod token;
 
 pub use choice::{Candidate, choose};
+pub use crowding::Crowding;
 pub use directory::{Directory, TargetRecord};
 pub use feed::{Feeds, INSTANCES, ROUTES, TARGETS};
 pub use flows::{Flows, Load, Seen};
--- a/src/steering/choice.rs
+++ b/src/steering/choice.rs
@@ -2,6 +2,8 @@
 //!
 //! - *A failure domain is cut off*: flows that stay in their domain do not notice, so targets
 //!   of the own one come first.
+//! - *A domain has too few targets for its callers*: once more requests wait there than it has
+//!   slots, by estimate, the others count too.
 //! - *All callers come back at once* after a restart, and find few targets in their domain:
 //!   once even the least busy target there has requests waiting for most of its slots, the
 //!   others count too.
@@ -22,6 +24,10 @@
 /// failure domains count too. An instance sees a part of a target's requests alone.
 const SPILL_FROM: f64 = 0.66;
 
+/// Requests waiting for each slot of the own domain, by estimate, from which on targets of
+/// other failure domains count too: all slots are taken, and one request in six waits for one.
+const CROWDED_FROM: f64 = 1.2;
+
 /// A target that may get a new flow, with what decides.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Candidate {
@@ -54,9 +60,11 @@
     }
 }
 
-/// Chooses among candidates; none if there are none.
-pub fn choose(candidates: &[Candidate], rng: &mut SmallRng) -> Option<usize> {
-    let stay = candidates.iter().any(|candidate| candidate.home && !candidate.is_busy());
+/// Chooses among candidates; none if there are none. `crowding` estimates the requests that
+/// wait for each slot of the own failure domain.
+pub fn choose(candidates: &[Candidate], crowding: f64, rng: &mut SmallRng) -> Option<usize> {
+    let room = candidates.iter().any(|candidate| candidate.home && !candidate.is_busy());
+    let stay = room && crowding < CROWDED_FROM;
     let near = candidates.iter().enumerate().filter(|(_, candidate)| candidate.home || !stay);
     let ranked = near.map(|(i, candidate)| (i, candidate.crowding(), rng.random::<u32>()));
     ranked.min_by(|a, b| a.1.total_cmp(&b.1).then(a.2.cmp(&b.2))).map(|(i, ..)| i)
--- a/src/steering/flows.rs
+++ b/src/steering/flows.rs
@@ -112,6 +112,11 @@
         self.loads.keys().copied()
     }
 
+    /// Returns what the targets that flows go to have to do.
+    pub(super) fn loads(&self) -> impl Iterator<Item = (TargetStart, Load)> {
+        self.loads.iter().map(|(&target, &load)| (target, load))
+    }
+
     /// Forgets the flows of a target, and returns each as the packet that its caller would
     /// send next.
     pub(super) fn take_flows(&mut self, target: TargetStart) -> Vec<FlowPacket> {
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -247,6 +247,7 @@
             self.stop(now);
         }
         self.call_platform(now, out);
+        self.steer.sample(now);
         if now >= self.next_expiry {
             self.next_expiry = now + EXPIRE_EVERY;
             self.steer.expire(now);
@@ -344,6 +345,7 @@
             log::info!(home = home.len(), away = away.len(); "members");
         }
         gauge!("limpetdeck_instances_live").set((home.len() + away.len() + 1) as f64);
+        self.steer.set_home_instances(sizes.0 + 1);
         self.sharing.set_peers(Peers { home: ids(home), away: ids(away) });
         let addresses: HashMap<_, _> = self.membership.addresses();
         self.link.set_addresses(addresses);
--- a/src/steering/steer.rs
+++ b/src/steering/steer.rs
@@ -12,8 +12,8 @@
 use super::overdue::Overdue;
 use super::token::TargetStart;
 use super::{
-    Candidate, Directory, FlowPacket, Flows, Health, Load, NO_TOKEN, PacketKind, Route, RouteTable,
-    Seen, Target, TargetKey, Token, Tokens, choose,
+    Candidate, Crowding, Directory, FlowPacket, Flows, Health, Load, NO_TOKEN, PacketKind, Route,
+    RouteTable, Seen, Target, TargetKey, Token, Tokens, choose,
 };
 use crate::flow::FlowKey;
 use crate::ids::FailureDomain;
@@ -93,6 +93,9 @@
     pub flows: Flows,
     health: Health,
     overdue: Overdue,
+    crowding: Crowding,
+    /// Instances of the own failure domain, this one among them.
+    home_instances: usize,
     tokens: Tokens,
     beliefs: Vec<Belief>,
     rng: SmallRng,
@@ -108,6 +111,8 @@
             flows: Flows::default(),
             health: Health::default(),
             overdue: Overdue::default(),
+            crowding: Crowding::default(),
+            home_instances: 1,
             tokens: Tokens::new(key),
             beliefs: Vec::new(),
             rng,
@@ -119,6 +124,21 @@
         self.routes.version() > 0 && self.directory.complete_to() > 0
     }
 
+    /// Takes the number of instances in the own failure domain, this one among them.
+    pub fn set_home_instances(&mut self, instances: usize) {
+        self.home_instances = instances;
+    }
+
+    /// Samples how crowded the own failure domain is; due about ten times a second.
+    pub fn sample(&mut self, now: Duration) {
+        let (directory, home) = (&self.directory, &self.home);
+        let loads = self.flows.loads().filter_map(|(start, load)| {
+            let target = directory.get(start).filter(|target| target.failure_domain == *home)?;
+            Some((target.service.as_str(), load.waiting))
+        });
+        self.crowding.sample(now, loads);
+    }
+
     /// Decides about a packet.
     pub fn decide(&mut self, now: Duration, packet: &FlowPacket) -> Verdict<'_> {
         if !self.ready() {
@@ -195,7 +215,9 @@
         // If all seem silent, the way there may be at fault rather than the targets.
         let list = if answering.is_empty() { silent } else { answering };
         let candidates: Vec<_> = list.iter().map(|(_, candidate)| *candidate).collect();
-        choose(&candidates, &mut self.rng).map(|i| list[i].0)
+        let slots = candidates.iter().filter(|c| c.home).map(|c| c.slots).sum();
+        let crowding = self.crowding.per_slot(service, self.home_instances, slots);
+        choose(&candidates, crowding, &mut self.rng).map(|i| list[i].0)
     }
 
     /// Finds the target of a packet within a flow.
--- a/tests/steering_choice.rs
+++ b/tests/steering_choice.rs
@@ -65,7 +65,7 @@
     let busy = Candidate { waiting: 2, flows: 2, ..candidate(true) };
     let crowded = Candidate { flows: 8, ..candidate(true) };
     let mut rng = SmallRng::seed_from_u64(3);
-    assert_eq!(choose(&[busy, crowded], &mut rng), Some(1));
+    assert_eq!(choose(&[busy, crowded], 0.0, &mut rng), Some(1));
 }
 
 #[test]
@@ -73,7 +73,7 @@
     let small = Candidate { slots: 1, waiting: 1, flows: 1, ..candidate(true) };
     let large = Candidate { slots: 4, waiting: 2, flows: 2, ..candidate(true) };
     let mut rng = SmallRng::seed_from_u64(3);
-    assert_eq!(choose(&[small, large], &mut rng), Some(1));
+    assert_eq!(choose(&[small, large], 0.0, &mut rng), Some(1));
 }
 
 #[test]
@@ -89,7 +89,7 @@
 
 #[test]
 fn nobody() {
-    assert_eq!(choose(&[], &mut SmallRng::seed_from_u64(3)), None);
+    assert_eq!(choose(&[], 0.0, &mut SmallRng::seed_from_u64(3)), None);
 }
 
 /// A target of another domain is better than none.
