--- a/lab/src/soak/caller.rs
+++ b/lab/src/soak/caller.rs
@@ -239,55 +239,27 @@
     }
 
     fn send_due(&mut self, now: Duration, events: &mut Vec<CallerEvent>, out: &mut Vec<Segment>) {
-        let ip = self.ip;
+        let idle = self.job.is_none();
         let Flow::Open { port, to, stream, token, since } = &mut self.flow else { return };
-        let (port, to, token, since) = (*port, *to, *token, *since);
-        let Ok(due) = stream.due(now) else {
+        let from = SocketAddrV4::new(self.ip, *port);
+        let Ok(due) = stream.due(now, from, *to, *token) else {
             self.flow = Flow::None;
             return self.fail_try(now, events);
         };
-        let acknowledged = stream.expected();
-        let segment = |(kind, sequence, data)| Segment {
-            from: SocketAddrV4::new(ip, port),
-            to,
-            kind,
-            token,
-            sequence,
-            acknowledged,
-            data,
-        };
-        out.extend(due.into_iter().map(segment));
-        let idle = self.job.is_none();
-        let spent = stream.closed && stream.is_flushed();
-        if spent {
+        out.extend(due);
+        if stream.closed && stream.is_flushed() && !idle {
             self.flow = Flow::None;
-            if !idle {
-                self.fail_try(now, events);
-            }
-        } else if idle && (stream.closed || self.habit != Habit::Stays || now > since + FLOW_AGE) {
+            return self.fail_try(now, events);
+        }
+        let leaves = stream.closed || self.habit != Habit::Stays || now > *since + FLOW_AGE;
+        if idle && leaves {
+            // The end is sent once: nobody waits for what follows.
             stream.close();
-            self.finish_closing(now, acknowledged, out);
+            out.extend(stream.due(now, from, *to, *token).unwrap_or_default());
+            self.flow = Flow::None;
         }
     }
 
-    /// Closes the caller's side with one packet: nobody waits for what follows.
-    fn finish_closing(&mut self, now: Duration, acknowledged: u32, out: &mut Vec<Segment>) {
-        let Flow::Open { port, to, stream, token, .. } = &mut self.flow else { return };
-        let (from, to, token) = (SocketAddrV4::new(self.ip, *port), *to, *token);
-        let due = stream.due(now).unwrap_or_default();
-        let segment = |(kind, sequence, data)| Segment {
-            from,
-            to,
-            kind,
-            token,
-            sequence,
-            acknowledged,
-            data,
-        };
-        out.extend(due.into_iter().map(segment));
-        self.flow = Flow::None;
-    }
-
     fn end_late(&mut self, now: Duration, events: &mut Vec<CallerEvent>, out: &mut Vec<Segment>) {
         if self.job.as_ref().is_none_or(|job| now < job.deadline) {
             return;
--- a/lab/src/soak/server.rs
+++ b/lab/src/soak/server.rs
@@ -11,7 +11,7 @@
 use rand::rngs::SmallRng;
 
 use super::exchange::{Message, NOT_RUN, RequestId, RequestKind, SERVED};
-use super::stream::Stream;
+use super::stream::{GivenUp, Stream};
 
 /// Requests that wait for a slot at most, for each slot.
 const QUEUE: usize = 2;
@@ -185,22 +185,10 @@
         let mut over = Vec::new();
         for (&ends, flow) in &mut self.flows {
             let Some(stream) = &mut flow.stream else { continue };
-            let Ok(due) = stream.due(now) else {
-                over.push(ends);
-                continue;
-            };
-            let (token, acknowledged) = (flow.token, stream.expected());
-            let (to, from) = ends;
-            let segment = |(kind, sequence, data)| Segment {
-                from,
-                to,
-                kind,
-                token,
-                sequence,
-                acknowledged,
-                data,
-            };
-            out.extend(due.into_iter().map(segment));
+            match stream.due(now, ends.1, ends.0, flow.token) {
+                Ok(due) => out.extend(due),
+                Err(GivenUp) => over.push(ends),
+            }
             if stream.closed && stream.is_flushed() {
                 over.push(ends);
             }
--- a/lab/src/soak/stream.rs
+++ b/lab/src/soak/stream.rs
@@ -1,8 +1,10 @@
 //! One end of a flow: bytes in order, with repeats of what was lost.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use limpetdeck::steering::Token;
 use limpetdeck_platform::emulator::{Segment, SegmentKind};
 
 /// Packets in flight at most.
@@ -18,8 +20,8 @@
 /// Time for which an acknowledgement may wait for a second packet.
 const ACK_DELAY: Duration = Duration::from_millis(20);
 
-/// A packet to be sent: its kind, the number of its first byte and its data.
-pub type Outgoing = (SegmentKind, u32, Vec<u8>);
+/// A packet without its ends: its kind, the number of its first byte and its data.
+type Outgoing = (SegmentKind, u32, Vec<u8>);
 
 #[derive(Debug)]
 struct Sent {
@@ -116,12 +118,33 @@
         }
     }
 
-    /// Returns the packets that are due.
+    /// Returns the packets that are due from one end to the other.
     ///
     /// # Errors
     ///
     /// Fails if a packet was repeated too often.
-    pub fn due(&mut self, now: Duration) -> Result<Vec<Outgoing>, GivenUp> {
+    pub fn due(
+        &mut self,
+        now: Duration,
+        from: SocketAddrV4,
+        to: SocketAddrV4,
+        token: Token,
+    ) -> Result<Vec<Segment>, GivenUp> {
+        let packets = self.packets(now)?;
+        let acknowledged = self.expected;
+        let segment = |(kind, sequence, data)| Segment {
+            from,
+            to,
+            kind,
+            token,
+            sequence,
+            acknowledged,
+            data,
+        };
+        Ok(packets.into_iter().map(segment).collect())
+    }
+
+    fn packets(&mut self, now: Duration) -> Result<Vec<Outgoing>, GivenUp> {
         let mut out = Vec::new();
         for sent in self.in_flight.iter_mut().filter(|sent| now >= sent.due()) {
             if sent.repeats >= MOST_REPEATS {
