--- a/src/pipeline/run.rs
+++ b/src/pipeline/run.rs
@@ -83,8 +83,9 @@
             return (Outcome::Discarded(reason), 0);
         };
         let root = self.tracer.root(class.flow, parent, route.hops);
-        drop(Span::enter_with_parent("decode", &root));
-        drop(Span::enter_with_parent("classify", &root));
+        // Both steps are over by now; the spans only show that the packet passed them.
+        let _ = Span::enter_with_parent("decode", &root);
+        let _ = Span::enter_with_parent("classify", &root);
         let outcome = match self.admit(now, &class, &segment, route, &root) {
             Ok(()) => self.place(now, &services, (&class, &segment), packet, route, &root),
             Err(refusal) => refuse(&class, &segment, refusal),
@@ -131,9 +132,10 @@
         route: Route,
         root: &Span,
     ) -> Outcome {
-        let place = Span::enter_with_parent("place", root);
-        let verdict = self.placement.decide(now, class, segment, route);
-        drop(place);
+        let verdict = {
+            let _span = Span::enter_with_parent("place", root);
+            self.placement.decide(now, class, segment, route)
+        };
         match verdict {
             Verdict::ToTarget(target) => {
                 let _span = Span::enter_with_parent("forward", root);
