--- a/src/steering/choice.rs
+++ b/src/steering/choice.rs
@@ -25,8 +25,9 @@
 const SPILL_FROM: f64 = 0.66;
 
 /// Requests waiting for each slot of the own domain, by estimate, from which on targets of
-/// other failure domains count too: all slots are taken, and one request in six waits for one.
-const CROWDED_FROM: f64 = 1.2;
+/// other failure domains count too: all slots are taken, and as many requests as half of them
+/// wait for one. From 1.2 on, the crowd after a restart sent flows away that a cut then held up.
+const CROWDED_FROM: f64 = 1.6;
 
 /// A target that may get a new flow, with what decides.
 #[derive(Debug, Clone, Copy, PartialEq)]
