--- a/lab/src/soak.rs
+++ b/lab/src/soak.rs
@@ -51,7 +51,7 @@
 use proxy::SharedMode;
 use store::{ObjectStore, fork};
 use weather::Flying;
-use world::{Parts, World, domain_names};
+use world::{DOMAINS, Parts, World};
 
 /// Text for `--help`.
 const HELP: &str = "\
@@ -229,7 +229,7 @@
     let ready: Vec<_> = (0..count).map(|i| addresses.ready(i)).collect();
     let world = Rc::new(RefCell::new(World::new(Parts {
         instances: (0..count).map(|i| instance(&addresses, options, dir, i)).collect(),
-        fleet: Fleet::new(Rc::clone(ex), places, &domain_names(), fork(rng)),
+        fleet: Fleet::new(Rc::clone(ex), places, &DOMAINS, fork(rng)),
         callers,
         store,
         links,
@@ -247,9 +247,9 @@
 }
 
 fn instance(addresses: &Addresses, options: &Options, dir: &Path, i: usize) -> Instance {
-    let domain = i % domain_names().len();
+    let domain = i % DOMAINS.len();
     let settings = NodeSettings {
-        failure_domain: domain_names()[domain].clone(),
+        failure_domain: DOMAINS[domain].to_owned(),
         packet_address: addresses.packets(i),
         peer_address: addresses.peer(i),
         ready_address: addresses.ready(i),
@@ -262,7 +262,7 @@
 
 fn callers(addresses: &Addresses, rng: &mut SmallRng) -> Vec<Caller> {
     let mut callers = Vec::new();
-    for domain in 0..domain_names().len() {
+    for domain in 0..DOMAINS.len() {
         for (habit, count) in CALLERS {
             for _ in 0..count {
                 let n = callers.len();
--- a/lab/src/soak/fleet.rs
+++ b/lab/src/soak/fleet.rs
@@ -61,7 +61,7 @@
     pub fn new(
         ex: Rc<LocalExecutor<'static>>,
         places: impl IntoIterator<Item = SocketAddrV4>,
-        domains: &[String],
+        domains: &[&str],
         rng: SmallRng,
     ) -> Self {
         let place = |address| Place { address, free_from: Duration::ZERO, listener: None };
@@ -87,13 +87,11 @@
 
     /// Starts a server at a free place.
     pub fn add(&mut self, now: Duration, service: &str, domain: &str) {
-        let free: Vec<_> = self.places.iter().filter(|place| now >= place.free_from).collect();
-        let taken = |address| {
-            self.servers.iter().any(|s| s.presence != Presence::Gone && s.entry.address == address)
-        };
-        let free: Vec<_> = free.into_iter().map(|p| p.address).filter(|a| !taken(*a)).collect();
+        let taken = |place: &Place| self.servers.iter().any(|s| s.is_at(place.address));
+        let free = self.places.iter().filter(|p| now >= p.free_from && !taken(p));
         // The place that was freed last is taken first: callers' late packets still come there.
-        let Some(&address) = free.last() else {
+        let Some(address) = free.max_by_key(|place| place.free_from).map(|place| place.address)
+        else {
             log::error!("no_place");
             return;
         };
@@ -114,7 +112,7 @@
 
     /// Returns the server at a place.
     pub fn at(&mut self, place: SocketAddrV4) -> Option<&mut Server> {
-        self.servers.iter_mut().find(|s| s.presence != Presence::Gone && s.entry.address == place)
+        self.servers.iter_mut().find(|server| server.is_at(place))
     }
 
     /// Returns the server that holds an open flow.
@@ -240,9 +238,7 @@
     /// Accepts connections at the places of servers that are there, as they do themselves.
     fn listen(&mut self) {
         for place in &mut self.places {
-            let there =
-                |s: &Server| s.presence != Presence::Gone && s.entry.address == place.address;
-            let there = self.servers.iter().any(there);
+            let there = self.servers.iter().any(|server| server.is_at(place.address));
             match (there, &place.listener) {
                 (true, None) => place.listener = Some(self.ex.spawn(accept(place.address))),
                 (false, Some(_)) => place.listener = None,
--- a/lab/src/soak/server.rs
+++ b/lab/src/soak/server.rs
@@ -103,6 +103,11 @@
         self.presence == Presence::Up
     }
 
+    /// Tells whether the server is there, at a place.
+    pub fn is_at(&self, place: SocketAddrV4) -> bool {
+        self.presence != Presence::Gone && self.entry.address == place
+    }
+
     /// Tells whether the server holds a flow that is open.
     pub fn holds(&self, ends: Ends) -> bool {
         self.flows.get(&ends).is_some_and(|flow| flow.stream.is_some())
--- a/lab/src/soak/world.rs
+++ b/lab/src/soak/world.rs
@@ -7,7 +7,7 @@
 
 use limpetdeck::hash::HashMap;
 use limpetdeck::steering::{ROUTES, RawRoute, RawRoutes, WeightedService};
-use limpetdeck_platform::emulator::{Segment, SegmentKind, addressee, routes_entry};
+use limpetdeck_platform::emulator::{Origin, Segment, SegmentKind, addressee, routes_entry};
 use smol::Async;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -23,6 +23,8 @@
 use super::tally::{Outcome, Tally};
 use super::weather::{Flying, Weather};
 
+/// The failure domains.
+pub const DOMAINS: [&str; 3] = ["domain-a", "domain-b", "domain-c"];
 /// Time after a fault in which a part is not held to bounds, as the users ask.
 pub const SETTLED: Duration = Duration::from_secs(4);
 /// Delay of the driver itself from which on what it saw meanwhile proves nothing.
@@ -268,20 +270,16 @@
 
     fn arrive_at_server(&mut self, place: SocketAddrV4, instance: usize, buf: &[u8]) {
         let Some((key, packet)) = addressee(buf) else { return };
-        let domain = self.instances[instance].domain;
-        let Some(i) =
-            self.fleet.servers.iter().position(|s| {
-                s.presence != super::server::Presence::Gone && s.entry.address == place
-            })
-        else {
+        let Some(i) = self.fleet.servers.iter().position(|server| server.is_at(place)) else {
             return;
         };
-        let name = &self.fleet.servers[i].entry.failure_domain;
-        if domain_names().iter().position(|d| d == name).is_some_and(|to| self.is_cut(domain, to)) {
+        let from = self.instances[instance].domain;
+        let to = &self.fleet.servers[i].entry.failure_domain;
+        if DOMAINS.iter().position(|d| d == to).is_some_and(|to| self.is_cut(from, to)) {
             return;
         }
         let Ok((segment, origin)) = Segment::read(packet, sum) else { return };
-        if origin != limpetdeck_platform::emulator::Origin::End {
+        if origin != Origin::End {
             let ends = (segment.from, segment.to);
             self.checks.broken(self.now, "packet_changed", format!("{segment:?}"), ends);
             return;
@@ -387,11 +385,6 @@
     }
 }
 
-/// Returns the names of the failure domains.
-pub fn domain_names() -> [String; 3] {
-    ["domain-a", "domain-b", "domain-c"].map(str::to_owned)
-}
-
 /// The sum over a packet that its writer vouches for; 0 stands for none.
 fn sum(buf: &[u8]) -> u32 {
     xxh3_64(buf) as u32 | 1
