Set the emulated platform apart from the soak, and test the store's client against it

Test: emulated_store plays the product's client of the store before the emulated one: lists, watches, a forgotten history, refused and lost calls, conflicting writes.

--- a/lab/src/soak/store.rs
+++ b/lab/src/emulator/store.rs
@@ -7,8 +7,8 @@
 use limpetdeck::http::{HandlerFuture, Request, Response};
 use limpetdeck::platform::{Object, Revision};
 use limpetdeck_platform::emulator::{StoreCall, conflict, events, page, read_call, stored, tell};
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 use serde_json::Value;
 
 use crate::platform::Store;
@@ -214,19 +214,6 @@
     tell(503)
 }
 
-/// Draws a way to treat calls badly.
-pub fn draw_mode(rng: &mut SmallRng) -> StoreMode {
-    let late = Duration::from_millis(rng.random_range(200..1_500));
-    match rng.random_range(0..6) {
-        0 => StoreMode::Silent,
-        1 => StoreMode::Refuses(503),
-        2 => StoreMode::Refuses(429),
-        3 => StoreMode::Late(late),
-        4 => StoreMode::LosesAnswers,
-        _ => StoreMode::WritesLate(late),
-    }
-}
-
 /// Makes the source of a part's random numbers.
 pub fn fork(rng: &mut SmallRng) -> SmallRng {
     SmallRng::from_rng(rng)
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod arguments;
 pub mod caller;
+pub mod emulator;
 pub mod fabric;
 pub mod fuzz;
 pub mod measure;
--- a/lab/src/soak.rs
+++ b/lab/src/soak.rs
@@ -4,21 +4,13 @@
 //! lives in this process: the store, servers, routers and callers, and the ways between them.
 
 mod addresses;
-mod caller;
 mod checks;
-mod exchange;
 mod faults;
-mod fleet;
 mod instances;
 mod plan;
 mod proxy;
 mod report;
-mod router;
-mod server;
-mod store;
-mod stream;
 mod tally;
-mod weather;
 mod world;
 
 use std::cell::{Cell, RefCell};
@@ -41,16 +33,17 @@
 use smol::{Async, LocalExecutor};
 
 use crate::arguments::{Args, Outcome, Usage, run_local};
+use crate::emulator::caller::{Caller, Habit};
+use crate::emulator::fleet::Fleet;
+use crate::emulator::router::ASK_EVERY;
+use crate::emulator::store::{ObjectStore, fork, handler};
+use crate::emulator::weather::Flying;
 use addresses::Addresses;
-use caller::{Caller, Habit};
 use checks::Violation;
 use faults::Faults;
-use fleet::Fleet;
 use instances::Instance;
 use plan::{CALM_AFTER, Planned, RECOVERY};
 use proxy::SharedMode;
-use store::{ObjectStore, fork};
-use weather::Flying;
 use world::{DOMAINS, Parts, World};
 
 /// Text for `--help`.
@@ -208,7 +201,7 @@
         (0..count).map(|_| Rc::new(Cell::new(Default::default()))).collect();
     for (i, link) in links.iter().enumerate() {
         let listener = TcpListener::bind(addresses.store(i)).await?;
-        let answers = Rc::new(store::handler(&store, i));
+        let answers = Rc::new(handler(&store, i));
         ex.spawn(http::serve(Rc::clone(ex), listener, answers)).detach();
         let (from, to, link) = (addresses.store_proxy(i), addresses.store(i), Rc::clone(link));
         ex.spawn(report_end(proxy::carry(Rc::clone(ex), from, to, link))).detach();
@@ -295,7 +288,7 @@
         let answer = http::call(address, Request::get(READY_PATH), READY_TIMEOUT).await;
         let ready = answer.is_ok_and(|answer| answer.status.is_success());
         world.borrow_mut().router.answered(instance, ready);
-        smol::Timer::after(router::ASK_EVERY).await;
+        smol::Timer::after(ASK_EVERY).await;
     }
 }
 
--- a/lab/src/soak/checks.rs
+++ b/lab/src/soak/checks.rs
@@ -7,9 +7,9 @@
 use limpetdeck::ids::Version;
 use limpetdeck::steering::RawRoutes;
 
-use super::caller::request_of;
-use super::exchange::{RequestId, RequestKind};
-use super::server::Ends;
+use crate::emulator::caller::request_of;
+use crate::emulator::exchange::{RequestId, RequestKind};
+use crate::emulator::server::Ends;
 
 /// Time within which a change of routes is in force, as the users ask.
 const CHANGE_BOUND: Duration = Duration::from_secs(3);
--- a/lab/src/soak/faults.rs
+++ b/lab/src/soak/faults.rs
@@ -8,10 +8,10 @@
 
 use super::plan::{Fault, Planned};
 use super::proxy::LinkMode;
-use super::server::Presence;
-use super::store::StoreMode;
-use super::weather::Weather;
 use super::world::{Cut, World};
+use crate::emulator::server::Presence;
+use crate::emulator::store::StoreMode;
+use crate::emulator::weather::Weather;
 
 /// Grace of a stop that a changed settings file gives, in seconds; the first one is among them.
 const GRACES: [u64; 3] = [4, 5, 6];
--- a/lab/src/soak/plan.rs
+++ b/lab/src/soak/plan.rs
@@ -6,7 +6,7 @@
 use rand::rngs::SmallRng;
 
 use super::proxy::{LinkMode, draw_link};
-use super::store::{StoreMode, draw_mode};
+use crate::emulator::store::StoreMode;
 
 /// Time in which nothing happens at first: all instances start and callers open their flows.
 pub const CALM_BEFORE: Duration = Duration::from_secs(5);
@@ -168,3 +168,16 @@
         _ => Fault::FreezeServer,
     }
 }
+
+/// Draws a way to treat calls badly.
+fn draw_mode(rng: &mut SmallRng) -> StoreMode {
+    let late = Duration::from_millis(rng.random_range(200..1_500));
+    match rng.random_range(0..6) {
+        0 => StoreMode::Silent,
+        1 => StoreMode::Refuses(503),
+        2 => StoreMode::Refuses(429),
+        3 => StoreMode::Late(late),
+        4 => StoreMode::LosesAnswers,
+        _ => StoreMode::WritesLate(late),
+    }
+}
--- a/lab/src/soak/world.rs
+++ b/lab/src/soak/world.rs
@@ -12,16 +12,16 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::addresses::Addresses;
-use super::caller::{Caller, CallerEvent};
 use super::checks::{Checks, FLOW_AGE, Opening};
-use super::fleet::Fleet;
 use super::instances::Instance;
 use super::proxy::SharedMode;
-use super::router::Router;
-use super::server::{Ends, ServerEvent};
-use super::store::SharedStore;
 use super::tally::{Outcome, Tally};
-use super::weather::{Flying, Weather};
+use crate::emulator::caller::{Caller, CallerEvent};
+use crate::emulator::fleet::Fleet;
+use crate::emulator::router::Router;
+use crate::emulator::server::{Ends, ServerEvent};
+use crate::emulator::store::SharedStore;
+use crate::emulator::weather::{Flying, Weather};
 
 /// The failure domains.
 pub const DOMAINS: [&str; 3] = ["domain-a", "domain-b", "domain-c"];
--- /dev/null
+++ b/lab/tests/emulated_store.rs
@@ -0,0 +1,123 @@
+//! The product's client of the platform's store before the emulated one.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use limpetdeck::http;
+use limpetdeck::platform::{Call, Platform, PlatformError, Reply};
+use limpetdeck::steering::{ROUTES, RawRoutes, TARGETS};
+use limpetdeck_lab::emulator::store::{ObjectStore, SharedStore, StoreMode, handler};
+use limpetdeck_platform::ObjectStore as Client;
+use limpetdeck_platform::emulator::routes_entry;
+use serde_json::json;
+use smol::LocalExecutor;
+use smol::net::TcpListener;
+
+type Outcome = Result<Reply, PlatformError>;
+
+/// Makes calls, each after what is done to the store first.
+fn calls(steps: Vec<(fn(&SharedStore), Call)>) -> Vec<Outcome> {
+    let ex = Rc::new(LocalExecutor::new());
+    let store: SharedStore = Rc::new(RefCell::new(ObjectStore::new(1)));
+    smol::block_on(ex.run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address");
+        let address = listener.local_addr().expect("an address");
+        let server = http::serve(Rc::clone(&ex), listener, Rc::new(handler(&store, 0)));
+        ex.spawn(server).detach();
+        let client = Client::new(address);
+        let mut outcomes = Vec::new();
+        for (first, call) in steps {
+            first(&store);
+            outcomes.push(client.call(call).await);
+        }
+        outcomes
+    }))
+}
+
+fn nothing(_: &SharedStore) {}
+
+fn routes(store: &SharedStore) {
+    let routes = RawRoutes { version: 7, routes: Vec::new(), idle_timeout_ms: 9 };
+    store.borrow_mut().put(&format!("{ROUTES}main"), routes_entry(&routes));
+}
+
+fn list(prefix: &str) -> Call {
+    Call::List { prefix: prefix.to_owned() }
+}
+
+fn watch(prefix: &str, after: u64) -> Call {
+    Call::Watch { prefix: prefix.to_owned(), after, wait: Duration::from_millis(200) }
+}
+
+#[test]
+fn list_and_watch() {
+    let outcomes = calls(vec![(routes, list(ROUTES)), (nothing, watch(ROUTES, 1))]);
+    let Ok(Reply::Changes(listed)) = &outcomes[0] else { panic!("{outcomes:?}") };
+    assert_eq!((listed.revision, listed.objects.len()), (1, 1));
+    assert_eq!(listed.objects[0].value["version"], 7);
+    let Ok(Reply::Changes(changed)) = &outcomes[1] else { panic!("{outcomes:?}") };
+    assert!(changed.objects.is_empty(), "{changed:?}");
+}
+
+#[test]
+fn removed_target() {
+    let outcomes = calls(vec![
+        (|store| store.borrow_mut().put("targets/s-1f", json!({})), list(TARGETS)),
+        (|store| store.borrow_mut().remove("targets/s-1f"), watch(TARGETS, 1)),
+    ]);
+    let Ok(Reply::Changes(changed)) = &outcomes[1] else { panic!("{outcomes:?}") };
+    assert_eq!((changed.revision, changed.objects.len()), (2, 1));
+    assert_eq!(changed.objects[0].name, "targets/1f");
+    assert!(changed.objects[0].value.is_null());
+}
+
+#[test]
+fn history_gone() {
+    let outcomes = calls(vec![
+        (routes, list(ROUTES)),
+        (
+            |store| {
+                store.borrow_mut().put("routes/main", json!({}));
+                store.borrow_mut().compact();
+            },
+            watch(ROUTES, 1),
+        ),
+    ]);
+    assert!(matches!(outcomes[1], Err(PlatformError::HistoryGone)), "{outcomes:?}");
+}
+
+/// A refused call did nothing; one whose answer is lost may have been done.
+#[test]
+fn refused_and_lost() {
+    let put = || Call::Put { name: "instances/1".to_owned(), if_version: None, value: json!(1) };
+    let get = || Call::Get { name: "instances/1".to_owned() };
+    let outcomes = calls(vec![
+        (|store| store.borrow_mut().set_mode(0, StoreMode::Refuses(503)), put()),
+        (|store| store.borrow_mut().set_mode(0, StoreMode::Well), get()),
+        (|store| store.borrow_mut().set_mode(0, StoreMode::LosesAnswers), put()),
+        (|store| store.borrow_mut().set_mode(0, StoreMode::Well), get()),
+    ]);
+    assert!(matches!(outcomes[0], Err(PlatformError::Refused(_))), "{outcomes:?}");
+    assert!(matches!(outcomes[1], Err(PlatformError::NotFound)), "{outcomes:?}");
+    assert!(matches!(outcomes[2], Err(PlatformError::NoAnswer(_))), "{outcomes:?}");
+    assert!(matches!(outcomes[3], Ok(Reply::Object(_))), "{outcomes:?}");
+}
+
+#[test]
+fn conflicting_write() {
+    let put =
+        |if_version| Call::Put { name: "instances/1".to_owned(), if_version, value: json!(2) };
+    let outcomes = calls(vec![
+        (nothing, put(Some(0))),
+        (nothing, put(Some(0))),
+        (nothing, put(Some(1))),
+        (nothing, put(Some(1))),
+    ]);
+    let conflicts = |outcome: &Outcome| matches!(outcome, Err(PlatformError::Conflict(_)));
+    assert!(matches!(outcomes[0], Ok(Reply::Written(1))), "{outcomes:?}");
+    assert!(conflicts(&outcomes[1]), "{outcomes:?}");
+    // The same content again is no change: the revision stays.
+    assert!(matches!(outcomes[2], Ok(Reply::Written(1))), "{outcomes:?}");
+    assert!(matches!(outcomes[3], Ok(Reply::Written(1))), "{outcomes:?}");
+}
