Catch signals before anything else

SIGHUP had come 60 ms before, while the process that was started after a kill was still at its settings and sockets: nothing caught the signal yet, and the system ended the process. On the platform that is an exit of its own at a change of settings. Ruled out: a crash (no line, no core; the next start went well), a signal of the soak's own kills. Change: Program::main catches signals before it reads arguments, and hands them to the daemon.

--- a/lab/src/soak/faults.rs
+++ b/lab/src/soak/faults.rs
@@ -142,7 +142,7 @@
             log::error!(problem = e.to_string().as_str(); "settings_unwritten");
         }
         if signalled {
-            instance.hang_up();
+            instance.hang_up(world.now);
         }
     }
 
--- a/lab/src/soak/world.rs
+++ b/lab/src/soak/world.rs
@@ -186,8 +186,8 @@
     fn tick_instances(&mut self) -> io::Result<()> {
         let looks = self.now >= self.next_look;
         for (i, instance) in self.instances.iter_mut().enumerate() {
-            if instance.tick(self.now)? {
-                let seen = format!("instance {i} ended by itself, see its log");
+            if let Some(status) = instance.tick(self.now)? {
+                let seen = format!("instance {i} ended by itself, {status}");
                 self.checks.push(self.now, "exit_of_its_own", seen, None);
             }
             // A process that is just being started still holds what this one does.
--- a/src/command.rs
+++ b/src/command.rs
@@ -7,6 +7,7 @@
 
 use crate::daemon::DaemonError;
 use crate::settings::Findings;
+use crate::signals::Signals;
 
 /// Exit code for wrong arguments or settings.
 const EXIT_INVALID: u8 = 2;
@@ -39,13 +40,22 @@
 }
 
 impl Program {
-    /// Answers `--help` and `--version`, or reads the arguments and runs with them.
+    /// Answers `--help` and `--version`, or reads the arguments and runs with them. Signals are
+    /// caught before anything else: one that tells of new settings must not end a process that
+    /// is only starting.
     pub fn main<A>(
         &self,
         args: Vec<OsString>,
         parse: impl FnOnce(&mut pico_args::Arguments) -> Result<A, ArgumentError>,
-        run: impl FnOnce(A) -> ExitCode,
+        run: impl FnOnce(A, Signals) -> ExitCode,
     ) -> ExitCode {
+        let signals = match Signals::catch() {
+            Ok(signals) => signals,
+            Err(e) => {
+                eprintln!("cannot catch signals: {e}");
+                return ExitCode::FAILURE;
+            }
+        };
         let mut args = pico_args::Arguments::from_vec(args);
         if args.contains(["-h", "--help"]) {
             print!("{}", self.help);
@@ -56,7 +66,7 @@
             return ExitCode::SUCCESS;
         }
         match parse(&mut args).and_then(|parsed| finish(args).map(|()| parsed)) {
-            Ok(parsed) => run(parsed),
+            Ok(parsed) => run(parsed, signals),
             Err(e) => {
                 eprintln!("{e}\n\n{}", self.help);
                 ExitCode::from(EXIT_INVALID)
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -128,6 +128,7 @@
 /// Fails if an address cannot be used or the process cannot be set up.
 pub fn run<C: Core + 'static>(
     cfg: DaemonConfig,
+    signals: Signals,
     make: impl FnOnce(Duration) -> C,
 ) -> Result<(), DaemonError> {
     start_daemon_logs(cfg.log_level);
@@ -135,7 +136,7 @@
     let page = MetricsPage::install().map_err(|e| DaemonError::Setup(e.to_string()))?;
     let ex = Rc::new(LocalExecutor::new());
     let core = Box::new(make(Duration::ZERO));
-    smol::block_on(ex.run(serve(Rc::clone(&ex), cfg, core, page)))?;
+    smol::block_on(ex.run(serve(Rc::clone(&ex), cfg, signals, core, page)))?;
     flush_spans();
     finish_logs();
     Ok(())
@@ -144,6 +145,7 @@
 async fn serve(
     ex: Rc<LocalExecutor<'static>>,
     cfg: DaemonConfig,
+    signals: Signals,
     core: Box<dyn Core>,
     page: MetricsPage,
 ) -> Result<(), DaemonError> {
@@ -174,7 +176,6 @@
     ex.spawn(read(Rc::clone(&daemon), packets, Event::Packet)).detach();
     ex.spawn(read(Rc::clone(&daemon), peers, Event::Peer)).detach();
     ex.spawn(ticks(Rc::clone(&daemon))).detach();
-    let signals = Signals::catch().map_err(|e| DaemonError::Setup(e.to_string()))?;
     ex.spawn(obey(Rc::clone(&daemon), signals)).detach();
     let handler = Rc::new(handler(Rc::clone(&daemon), page, cfg.health_path));
     ex.spawn(http::serve(Rc::clone(&ex), health, Rc::clone(&handler) as _)).detach();
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -8,6 +8,7 @@
 use std::process::ExitCode;
 
 use crate::command::{Program, exit_code, report_findings};
+use crate::signals::Signals;
 
 const PROGRAM: Program =
     Program { name: "limpetdeck-entry", version: env!("CARGO_PKG_VERSION"), help: HELP };
@@ -17,10 +18,11 @@
     PROGRAM.main(args, Arguments::parse, run)
 }
 
-fn run(arguments: Arguments) -> ExitCode {
+fn run(arguments: Arguments, signals: Signals) -> ExitCode {
     match crate::settings::load(&arguments.settings) {
         Ok(settings) => {
-            exit_code(crate::daemon::run(core::config(&settings), |now| core::make(now, settings)))
+            let cfg = core::config(&settings);
+            exit_code(crate::daemon::run(cfg, signals, |now| core::make(now, settings)))
         }
         Err(findings) => report_findings(&findings),
     }
