--- a/src/steering/gossip.rs
+++ b/src/steering/gossip.rs
@@ -175,9 +175,7 @@
         }
         self.push(now, forwarder, out);
         self.request_removed(now, forwarder, out);
-        if routes_failing {
-            self.route_transfer.fetch(now, forwarder, out);
-        }
+        self.route_transfer.fetch(now, routes_failing, forwarder, out);
     }
 
     /// Handles a message from a peer. Returns whether it changed targets or routes.
--- a/src/steering/gossip/route_transfer.rs
+++ b/src/steering/gossip/route_transfer.rs
@@ -1,7 +1,7 @@
 //! Transfer of routes between instances, in pieces.
 //!
-//! An instance that cannot read from the platform fetches newer routes from the peer that
-//! announced them, one piece after the other.
+//! An instance that cannot read newer routes from the platform, or has not done so for a time,
+//! fetches them from the peer that announced them, one piece after the other.
 
 use std::time::Duration;
 
@@ -13,6 +13,9 @@
 
 /// Time without a response after which a piece is requested again.
 const PIECE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for which newer routes are awaited from the platform before they are fetched from a peer.
+/// A watch whose connection is stalled ends only after seconds.
+const MAX_BEHIND: Duration = Duration::from_millis(700);
 /// Maximum size of a piece in bytes: with headers, the message fits a datagram of 1,200 bytes.
 const PIECE_BYTES: usize = 1_000;
 
@@ -34,6 +37,8 @@
 pub(super) struct RouteTransfer {
     /// The highest version that a peer has announced, and the peer.
     announced: Option<(Version, InstanceId)>,
+    /// Since when a peer has had newer routes.
+    behind_since: Option<Duration>,
     fetch: Option<Fetch>,
     /// The active routes, encoded, with their version.
     encoded: Option<(Version, Vec<u8>)>,
@@ -58,12 +63,24 @@
         self.announced.is_some_and(|(version, _)| version > forwarder.routes.version())
     }
 
-    /// Requests the next piece of newer routes if a request is due.
-    pub(super) fn fetch(&mut self, now: Duration, forwarder: &Forwarder, out: &mut Outbox<'_>) {
+    /// Requests the next piece of newer routes if a request is due. `platform_failing` is set
+    /// while reads of the routes from the platform fail.
+    pub(super) fn fetch(
+        &mut self,
+        now: Duration,
+        platform_failing: bool,
+        forwarder: &Forwarder,
+        out: &mut Outbox<'_>,
+    ) {
         let Some((version, source)) = self.announced.filter(|_| self.is_behind(forwarder)) else {
+            self.behind_since = None;
             self.fetch = None;
             return;
         };
+        let since = *self.behind_since.get_or_insert(now);
+        if !platform_failing && now < since + MAX_BEHIND {
+            return;
+        }
         let stale = |fetch: &Fetch| fetch.version != 0 && fetch.version < version;
         if self.fetch.as_ref().is_none_or(stale) {
             let requested_at = now.saturating_sub(PIECE_TIMEOUT);
--- a/tests/steering_spread.rs
+++ b/tests/steering_spread.rs
@@ -48,6 +48,21 @@
     println!("in_force_after={time:?}");
 }
 
+/// Instances whose watches hang on stalled connections get newer routes from their peers within
+/// the required three seconds.
+#[test]
+fn stalled_watches() {
+    let mut world = World::new(12);
+    world.run(Duration::from_secs(15));
+    let watchers: Vec<_> =
+        (0..12).filter(|&i| world.node(i).membership().is_watcher(world.now)).collect();
+    world.store.silent_instances = watchers.iter().copied().filter(|i| i % 2 == 0).collect();
+    world.run(ms(200));
+    world.store.put_routes(&routes(5, &[STATION, STATION]));
+    let time = world.run_until(ms(3_000), |node| node.forwarder().routes.version() == 5);
+    println!("in_force_after={time:?}");
+}
+
 /// The number of platform calls does not rise with the number of instances.
 #[test]
 fn call_count() {
--- a/tests/support/steering_world.rs
+++ b/tests/support/steering_world.rs
@@ -19,6 +19,8 @@
 const HEADER_BYTES: usize = 28;
 /// One-way delay of peer messages and platform replies.
 const DELAY: Duration = Duration::from_millis(4);
+/// Timeout of a call; a watch gets it on top of its own waiting time.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// The objects of the platform, and its faults.
 #[derive(Default)]
@@ -27,6 +29,8 @@
     pub objects: BTreeMap<String, Object>,
     /// Instances whose calls are refused.
     pub refused_instances: Vec<usize>,
+    /// Instances whose calls and open watches get no response until they time out.
+    pub silent_instances: Vec<usize>,
     pub down: bool,
     pub calls: u32,
 }
@@ -177,6 +181,11 @@
             let refused = PlatformError::Refused("503".to_owned());
             return self.deliver_later(i, Event::Platform(call, Err(refused)));
         }
+        if self.store.silent_instances.contains(&i) {
+            let waits = if let Call::Watch { timeout, .. } = &call { *timeout } else { ms(0) };
+            let deadline = self.now + waits;
+            return self.watches.push((i, call, deadline));
+        }
         let reply = match &call {
             Call::List { prefix } => {
                 let mut all = self.store.changes(prefix, 0);
@@ -202,6 +211,15 @@
 
     pub fn answer_watches(&mut self) {
         for (i, call, deadline) in std::mem::take(&mut self.watches) {
+            if self.store.silent_instances.contains(&i) {
+                if self.now < deadline + CALL_TIMEOUT {
+                    self.watches.push((i, call, deadline));
+                } else {
+                    let timed_out = PlatformError::NoAnswer("timed out".to_owned());
+                    self.deliver_later(i, Event::Platform(call, Err(timed_out)));
+                }
+                continue;
+            }
             let Call::Watch { prefix, after, .. } = &call else { continue };
             if self.store.down || self.store.refused_instances.contains(&i) {
                 let lost = PlatformError::NoAnswer("reset".to_owned());
