--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -132,7 +132,7 @@
             let services = RawList::from_toml(ListKind::Services, text).expect("a valid sample");
             let name = ListKind::Services.object_name().to_owned();
             let objects = vec![Object { name, version: 1, value: services.to_json() }];
-            Ok(Reply::Changes(Changes { revision: 1, objects }))
+            Ok(Reply::Changes(Changes { era: 0, revision: 1, objects }))
         }
     }
 }
--- a/lab/src/emulator/store.rs
+++ b/lab/src/emulator/store.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use limpetdeck::http::{HandlerFuture, Request, Response};
-use limpetdeck::platform::{Object, Revision};
+use limpetdeck::platform::{Era, Object, Revision};
 use limpetdeck_platform::emulator::{
     StoreCall, conflict_response, decode_call, events_response, object_response, page_response,
-    status_response,
+    status_response, with_era,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -47,6 +47,9 @@
     objects: Store,
     /// Revision of the last compaction; earlier changes are no longer available.
     compacted_revision: Revision,
+    /// Number of restores from a copy.
+    era: Era,
+    copy: Option<Store>,
     /// Mode for the calls of each instance. Writes by the operator and the servers bypass the
     /// modes.
     modes: Vec<StoreMode>,
@@ -59,7 +62,7 @@
     /// Creates an empty store for a number of instances.
     pub fn new(instances: usize) -> Self {
         let modes = vec![StoreMode::Well; instances];
-        Self { objects: Store::default(), compacted_revision: 0, modes }
+        Self { objects: Store::default(), compacted_revision: 0, era: 0, copy: None, modes }
     }
 
     /// Sets the mode for the calls of an instance.
@@ -77,6 +80,20 @@
         self.compacted_revision = self.objects.revision();
     }
 
+    /// Copies all objects, for a later restore.
+    pub fn take_copy(&mut self) {
+        self.copy = Some(self.objects.clone());
+    }
+
+    /// Replaces all objects by the copy, if there is one. Later writes get revisions that were
+    /// given out before, and no watch can continue from a revision that the copy does not have.
+    pub fn restore_copy(&mut self) {
+        if let Some(copy) = self.copy.take() {
+            self.objects = copy;
+            self.era += 1;
+        }
+    }
+
     /// Writes an object. An equal value does not change its revision.
     pub fn put(&mut self, name: &str, value: Value) {
         if self.objects.get(name).is_some_and(|current| current.value == value) {
@@ -132,6 +149,11 @@
     }
 
     fn execute(&mut self, call: StoreCall) -> Response {
+        let era = self.era;
+        with_era(self.execute_call(call), era)
+    }
+
+    fn execute_call(&mut self, call: StoreCall) -> Response {
         match call {
             StoreCall::List { prefix, after } => self.list(prefix, &after),
             StoreCall::Get { name } => self
@@ -192,15 +214,19 @@
         return store.borrow_mut().execute(call);
     };
     let mut remaining = timeout;
+    let era = store.borrow().era;
     loop {
         {
             let store = store.borrow();
-            if after < store.compacted_revision {
-                return status_response(410);
+            if store.era != era {
+                return with_era(status_response(503), store.era);
+            }
+            if after < store.compacted_revision || after > store.objects.revision() {
+                return with_era(status_response(410), era);
             }
             let changes = store.changes_since(prefix, after);
             if !changes.is_empty() || remaining.is_zero() {
-                return events_response(&changes, store.objects.revision());
+                return with_era(events_response(&changes, store.objects.revision()), era);
             }
         }
         smol::Timer::after(WATCH_POLL_INTERVAL).await;
--- a/lab/src/fuzz.rs
+++ b/lab/src/fuzz.rs
@@ -184,7 +184,7 @@
 /// Messages between instances: only an unmodified message can be opened.
 fn peer_messages(edits: Edits) -> bool {
     let incarnation: Incarnation = 1;
-    let body = Body::Steering(Message::PullTargets { since: 7 });
+    let body = Body::Steering(Message::PullTargets { since: 7.into() });
     let intact = Sealer::new(PEER_KEY, 1, incarnation).seal(&body);
     let buf = apply_edits(intact.clone(), &edits);
     let opened = Sealer::new(PEER_KEY, 2, incarnation).open(&buf);
--- a/lab/src/measure/platform.rs
+++ b/lab/src/measure/platform.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use limpetdeck::platform::{Call, Object, PlatformError, Reply, Revision};
+use limpetdeck::platform::{Call, Object, PlatformError, Reply};
 
 use crate::platform::{PutError, Store};
 
@@ -60,7 +60,7 @@
             return vec![(CALL_TIME, from, call, no_answer())];
         }
         if let Call::Watch { prefix, after, timeout: wait } = &call
-            && self.read_store().changed_since(prefix, *after).objects.is_empty()
+            && self.read_store().changed_since(prefix, after.revision).objects.is_empty()
         {
             let until = now + *wait;
             self.watches.push((from, call, until));
@@ -96,7 +96,7 @@
         let mut responses = Vec::new();
         for (from, call, until) in watches {
             let Call::Watch { prefix, after, .. } = &call else { continue };
-            let changes = self.read_store().changed_since(prefix, *after);
+            let changes = self.read_store().changed_since(prefix, after.revision);
             if changes.objects.is_empty() && now < until {
                 self.watches.push((from, call, until));
             } else {
@@ -133,7 +133,7 @@
             }
             Call::List { prefix } => Ok(Reply::Changes(self.read_store().list(prefix))),
             Call::Watch { prefix, after, .. } => {
-                Ok(Reply::Changes(self.read_store().changed_since(prefix, *after as Revision)))
+                Ok(Reply::Changes(self.read_store().changed_since(prefix, after.revision)))
             }
         }
     }
--- a/lab/src/platform/store.rs
+++ b/lab/src/platform/store.rs
@@ -91,6 +91,6 @@
             .values()
             .filter(|stored| stored.revision > after && stored.object.name.starts_with(prefix));
         let objects = changed.map(|stored| stored.object.clone()).collect();
-        Changes { revision: self.revision, objects }
+        Changes { era: 0, revision: self.revision, objects }
     }
 }
--- a/lab/src/soak/environment.rs
+++ b/lab/src/soak/environment.rs
@@ -151,9 +151,14 @@
 
     /// Writes changed routes to the store.
     pub fn write_routes(&mut self) {
+        self.write_routes_again();
+        self.checks.record_routes(self.now, &self.routes);
+    }
+
+    /// Writes the current routes to the store, which may have lost them in a restore.
+    pub fn write_routes_again(&mut self) {
         let value = routes_entry(&self.routes);
         self.store.borrow_mut().put(&format!("{ROUTES_PREFIX}main"), value);
-        self.checks.record_routes(self.now, &self.routes);
     }
 
     /// Returns whether the instance and its environment were free of faults for the settling time.
--- a/lab/src/soak/faults.rs
+++ b/lab/src/soak/faults.rs
@@ -16,11 +16,16 @@
 /// Grace periods, in seconds, that a changed settings file may set. The initial one is included.
 const GRACE_PERIODS_S: [u64; 3] = [4, 5, 6];
 
+/// Longest time after a restore of the store until the operator writes again.
+const MAX_REWRITE_DELAY: Duration = Duration::from_millis(1_500);
+
 /// A fault to be reverted later.
 #[derive(Debug, Clone)]
 enum Undo {
     Store(Vec<usize>),
     EntryExpiry,
+    Restore,
+    Rewrite,
     Link(Vec<usize>),
     Partition(usize),
     Impairment,
@@ -60,7 +65,7 @@
             );
             self.inject(env, scheduled);
         }
-        if !self.undos.iter().all(|(_, undo)| matches!(undo, Undo::Impairment))
+        if !self.undos.iter().all(|(_, undo)| matches!(undo, Undo::Impairment | Undo::Restore))
             || env.network.impairment != Impairment::default()
         {
             env.last_fault = now;
@@ -106,6 +111,12 @@
                 self.undos.push((until, Undo::Store(instances)));
                 self.undos.push((until, Undo::EntryExpiry));
             }
+            Fault::Restore => {
+                env.store.borrow_mut().take_copy();
+                let rewrite = until + MAX_REWRITE_DELAY.mul_f64(self.rng.random());
+                self.undos.push((until, Undo::Restore));
+                self.undos.push((rewrite, Undo::Rewrite));
+            }
             Fault::Link { mode, share } => {
                 let instances = self.random_instances(env, share);
                 instances.iter().for_each(|&i| env.links[i].set(mode));
@@ -183,6 +194,8 @@
     match undo {
         Undo::Store(instances) => set_store(env, instances, StoreMode::Well),
         Undo::EntryExpiry => env.entries_expire = false,
+        Undo::Restore => env.store.borrow_mut().restore_copy(),
+        Undo::Rewrite => env.write_routes_again(),
         Undo::Link(instances) => instances.iter().for_each(|&i| env.links[i].set(LinkMode::Whole)),
         Undo::Partition(domain) => {
             if let Some(i) = env.partitions.iter().position(|partition| partition.domain == *domain)
--- a/lab/src/soak/plan.rs
+++ b/lab/src/soak/plan.rs
@@ -53,6 +53,8 @@
     Compact,
     /// The store is silent while the servers' entries expire.
     Lapse,
+    /// The store comes back from a copy that is as old as the fault is long.
+    Restore,
     /// The connections from instances to the store fail.
     Link {
         /// How the connections fail.
@@ -100,6 +102,7 @@
             Self::Store { .. } => "store",
             Self::Compact => "compact",
             Self::Lapse => "lapse",
+            Self::Restore => "restore",
             Self::Link { .. } => "link",
             Self::Cut { .. } => "cut",
             Self::Weather { .. } => "weather",
@@ -150,7 +153,7 @@
 fn random_fault(rng: &mut SmallRng) -> Fault {
     let share = [0.1, 0.4, 1.0][rng.random_range(0..3)];
     // A third is maintenance, which has to work during faults.
-    match rng.random_range(0..18) {
+    match rng.random_range(0..19) {
         0..6 => random_maintenance(rng),
         6 | 7 => Fault::Kill { share },
         8 => Fault::Freeze,
@@ -166,6 +169,7 @@
         },
         15 => Fault::Crash,
         16 => Fault::Restart,
+        17 => Fault::Restore,
         _ => Fault::FreezeServer,
     }
 }
--- a/lab/tests/emulated_store.rs
+++ b/lab/tests/emulated_store.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use limpetdeck::http;
-use limpetdeck::platform::{Call, Platform, PlatformError, Reply};
+use limpetdeck::platform::{Call, Platform, PlatformError, Position, Reply};
 use limpetdeck::steering::{ROUTES_PREFIX, RawRoutes, TARGETS_PREFIX};
 use limpetdeck_lab::emulator::store::{ObjectStore, SharedStore, StoreMode, handler};
 use limpetdeck_platform::ObjectStore as Client;
@@ -49,6 +49,7 @@
 }
 
 fn watch(prefix: &str, after: u64) -> Call {
+    let after = Position::new(0, after);
     Call::Watch { prefix: prefix.to_owned(), after, timeout: Duration::from_millis(200) }
 }
 
@@ -90,6 +91,29 @@
     assert!(matches!(outcomes[1], Err(PlatformError::HistoryGone)), "{outcomes:?}");
 }
 
+/// After a restore the revisions of the copy go on in a new era, and no watch continues from a
+/// revision that was lost.
+#[test]
+fn restore() {
+    let outcomes = run_steps(vec![
+        (put_routes, list(ROUTES_PREFIX)),
+        (
+            |store| {
+                let mut store = store.borrow_mut();
+                store.take_copy();
+                store.put("routes/main", json!({}));
+                store.restore_copy();
+            },
+            watch(ROUTES_PREFIX, 2),
+        ),
+        (unchanged, list(ROUTES_PREFIX)),
+    ]);
+    assert!(matches!(outcomes[1], Err(PlatformError::HistoryGone)), "{outcomes:?}");
+    let Ok(Reply::Changes(listed)) = &outcomes[2] else { panic!("{outcomes:?}") };
+    assert_eq!(listed.position(), Position::new(1, 1));
+    assert_eq!(listed.objects[0].value["version"], 7);
+}
+
 /// A refused call has no effect. One whose response is lost may have taken effect.
 #[test]
 fn refused_and_lost() {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -394,6 +394,6 @@
 fn handle_rpc(rpc: Rc<Rpc>, body: Vec<u8>) -> HandlerFuture {
     Box::pin(async move {
         let body = rpc.handle_request(&body).await.into_bytes();
-        Response { status: StatusCode::OK, content_type: "application/json", body }
+        Response::new(StatusCode::OK, "application/json", body)
     })
 }
--- a/src/http.rs
+++ b/src/http.rs
@@ -3,7 +3,7 @@
 mod client;
 mod server;
 
-pub use hyper::{Method, StatusCode};
+pub use hyper::{HeaderMap, Method, StatusCode};
 
 pub use client::{CallError, call};
 pub use server::{Handler, HandlerFuture, serve};
@@ -53,22 +53,33 @@
     pub status: StatusCode,
     /// Media type of the body; empty in responses that the client reads.
     pub content_type: &'static str,
+    /// Further headers.
+    pub headers: HeaderMap,
     /// Body, empty if there is none.
     pub body: Vec<u8>,
 }
 
 impl Response {
+    /// Creates a response without further headers.
+    pub fn new(status: StatusCode, content_type: &'static str, body: Vec<u8>) -> Self {
+        Self { status, content_type, headers: HeaderMap::new(), body }
+    }
+
     /// Creates a plain text response.
     pub fn text(status: StatusCode, body: impl Into<String>) -> Self {
-        let content_type = "text/plain; charset=utf-8";
-        Self { status, content_type, body: body.into().into_bytes() }
+        Self::new(status, "text/plain; charset=utf-8", body.into().into_bytes())
     }
 
     /// Creates a JSON response; status 500 with the error if the body cannot be serialized.
     pub fn json(status: StatusCode, body: &impl serde::Serialize) -> Self {
         match serde_json::to_vec(body) {
-            Ok(body) => Self { status, content_type: "application/json", body },
+            Ok(body) => Self::new(status, "application/json", body),
             Err(e) => Self::text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
         }
     }
+
+    /// Returns the value of a header, if there is one that is valid text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
 }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -60,9 +60,10 @@
     let response = async {
         let response = sender.send_request(req).await.map_err(exchange_error)?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_BODY_LEN).collect().await;
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, MAX_BODY_LEN).collect().await;
         let body = body.map_err(exchange_error)?.to_bytes().to_vec();
-        Ok(Response { status, content_type: "", body })
+        Ok(Response { status, content_type: "", headers: parts.headers, body })
     };
     response.or(connection_error).await
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -69,6 +69,7 @@
     };
     let mut out = hyper::Response::new(Full::new(Bytes::from(response.body)));
     *out.status_mut() = response.status;
+    *out.headers_mut() = response.headers;
     let content_type = hyper::header::HeaderValue::from_static(response.content_type);
     out.headers_mut().insert(CONTENT_TYPE, content_type);
     Ok(out)
--- a/src/instance/platform_calls.rs
+++ b/src/instance/platform_calls.rs
@@ -10,7 +10,7 @@
 use rand::rngs::SmallRng;
 
 use crate::backoff::Backoff;
-use crate::platform::{Call, PlatformError, Reply, Revision};
+use crate::platform::{Call, Changes, PlatformError, Position, Reply};
 
 /// Prefix of the object names under which instances register.
 pub(super) const INSTANCES_PREFIX: &str = "instances/";
@@ -37,7 +37,7 @@
 #[derive(Debug)]
 pub(super) struct PlatformCalls {
     name: String,
-    revision: Option<Revision>,
+    position: Option<Position>,
     /// The registration as it was last written.
     last_written: Option<serde_json::Value>,
     read_in_flight: bool,
@@ -52,7 +52,7 @@
     pub(super) fn new(id: u32, rng: SmallRng) -> Self {
         Self {
             name: format!("{INSTANCES_PREFIX}{id}"),
-            revision: None,
+            position: None,
             last_written: None,
             read_in_flight: false,
             write_in_flight: false,
@@ -120,7 +120,7 @@
         } else {
             backoff.record_failure(now, &mut self.rng);
         }
-        self.update_revision(call, result);
+        self.update_position(call, result);
     }
 
     /// Returns whether to write the registration. A changed one is written at once, unless the
@@ -140,24 +140,29 @@
         self.is_watcher = is_watcher;
     }
 
-    fn update_revision(&mut self, call: &Call, result: &Result<Reply, PlatformError>) {
+    fn update_position(&mut self, call: &Call, result: &Result<Reply, PlatformError>) {
         let is_watch = matches!(call, Call::Watch { .. });
         match result {
-            Ok(Reply::Changes(changes)) if is_watch && Some(changes.revision) < self.revision => {
-                // The platform has restarted or returns old data, so the revisions are not
-                // comparable: list again.
-                self.revision = None;
+            Ok(Reply::Changes(changes)) if is_watch && !self.continues(changes) => {
+                // The platform has restarted or returns old data: list again.
+                self.position = None;
             }
-            Ok(Reply::Changes(changes)) => self.revision = Some(changes.revision),
-            Err(_) if is_watch => self.revision = None,
+            Ok(Reply::Changes(changes)) => self.position = Some(changes.position()),
+            Err(_) if is_watch => self.position = None,
             _ => {}
         }
     }
 
+    /// Returns whether changes continue from the last known position.
+    fn continues(&self, changes: &Changes) -> bool {
+        self.position
+            .is_none_or(|known| known.era == changes.era && known.revision <= changes.revision)
+    }
+
     fn read_call(&self) -> Call {
         let prefix = String::new();
         let wait = if self.is_watcher { WATCH_TIMEOUT } else { Duration::ZERO };
-        match self.revision {
+        match self.position {
             Some(after) => Call::Watch { prefix, after, timeout: wait },
             None => Call::List { prefix },
         }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -2,8 +2,10 @@
 
 mod api;
 mod client;
+mod position;
 mod value;
 
-pub use api::{Call, Changes, Object, Platform, PlatformError, PlatformFuture, Reply, Revision};
+pub use api::{Call, Changes, Object, Platform, PlatformError, PlatformFuture, Reply};
 pub use client::HttpPlatform;
+pub use position::{Era, Position, Revision};
 pub use value::object_value;
--- a/src/platform/api.rs
+++ b/src/platform/api.rs
@@ -7,11 +7,9 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
+use super::{Era, Position, Revision};
 use crate::ids::Version;
 
-/// Number that increases with each change of any object.
-pub type Revision = u64;
-
 /// An object as the platform holds it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Object {
@@ -26,12 +24,22 @@
 /// Listed or changed objects.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Changes {
+    /// Era of the platform when it answered.
+    #[serde(default)]
+    pub era: Era,
     /// Revision after the last change.
     pub revision: Revision,
     /// The objects at that revision.
     pub objects: Vec<Object>,
 }
 
+impl Changes {
+    /// Returns the position after the last change.
+    pub fn position(&self) -> Position {
+        Position::new(self.era, self.revision)
+    }
+}
+
 /// A call to the platform.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Call {
@@ -64,8 +72,8 @@
     Watch {
         /// Prefix of the names.
         prefix: String,
-        /// Revision after which changes are returned.
-        after: Revision,
+        /// Position after which changes are returned.
+        after: Position,
         /// Time after which the platform replies even if nothing has changed.
         timeout: Duration,
     },
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -57,6 +57,7 @@
         }
         Call::Watch { prefix, after, timeout } => {
             let wait_ms = timeout.as_millis();
+            let after = after.revision;
             let path = format!("/v1/watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
             let req = http::Request { method: Method::GET, path, body: Vec::new() };
             (req, *timeout + CALL_TIMEOUT)
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -28,7 +28,7 @@
 pub use forwarder::{DropReason, Forwarder, HealthChange, ResetReason, Verdict};
 pub use gossip::Gossip;
 pub use health::Health;
-pub use list_watch::{INSTANCES_PREFIX, ListWatches, ROUTES_PREFIX, TARGETS_PREFIX};
+pub use list_watch::{INSTANCES_PREFIX, Interest, ListWatches, ROUTES_PREFIX, TARGETS_PREFIX};
 pub use message::Message;
 pub use node::{Node, NodeConfig};
 pub use packet::{FlowPacket, PacketError, PacketFormat, PacketKind};
--- a/src/steering/directory.rs
+++ b/src/steering/directory.rs
@@ -1,8 +1,15 @@
 //! All known targets, with removed ones that may still have flows.
 //!
-//! Each record carries the platform's revision of its last change, and the highest revision
-//! wins. Records from the platform and from other instances can therefore be merged in any order.
+//! Each record carries the platform's position of its last change, and within an era the highest
+//! one wins. Records from the platform and from other instances can therefore be merged in any
+//! order.
+//!
+//! A new era begins when the platform comes back from an older copy of its data. The copy may hold
+//! outdated entries of targets, so records of different eras are compared by what a target said
+//! last: a later incarnation wins, and a target that drains never becomes ready again in the same
+//! incarnation. Entries that the new era does not confirm expire.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -11,28 +18,31 @@
 use super::token::TargetIncarnation;
 use super::{Target, TargetKey, TargetState};
 use crate::hash::HashMap;
-use crate::platform::Revision;
+use crate::platform::{Era, Position};
 
 /// Time for which removed targets are kept: the maximum lifetime of a flow.
 const REMOVED_RETENTION: Duration = Duration::from_secs(60);
 /// Time after a platform outage for which removed targets stay in use: entries that expired
 /// during the outage are registered again within two seconds.
 const REMOVAL_GRACE: Duration = Duration::from_millis(2_300);
+/// Time after the start of an era within which targets write their entries again, and instances
+/// learn of them. Entries that are still of an earlier era then count as removed.
+const ERA_SETTLING_TIME: Duration = Duration::from_secs(6);
 
 /// The platform's latest record of a target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetRecord {
     /// Identifier of the target.
     pub key: TargetKey,
-    /// Revision of the change.
-    pub revision: Revision,
+    /// Position of the change.
+    pub position: Position,
     /// The target, or `None` if it was removed.
     pub target: Option<Target>,
 }
 
 #[derive(Debug)]
 struct Entry {
-    revision: Revision,
+    position: Position,
     target: Target,
     /// When the record was received.
     updated_at: Duration,
@@ -47,19 +57,50 @@
     entries: BTreeMap<TargetKey, Entry>,
     /// Earlier incarnations of targets, with the time at which they were replaced.
     replaced: HashMap<TargetIncarnation, (Target, Duration)>,
-    /// Revision up to which all changes are known. Up to here, records of targets without an
+    /// Position up to which all changes are known. Up to here, records of targets without an
     /// entry are outdated.
-    complete_up_to: Revision,
+    complete_up_to: Position,
+    /// The latest known era.
+    era: Era,
+    /// When the era became known.
+    era_since: Duration,
+    /// Earliest known position of the era. Entries up to here may be those of the copy.
+    copied_up_to: Position,
     removal_grace_until: Duration,
     by_service: HashMap<String, Vec<TargetKey>>,
 }
 
 impl TargetDirectory {
-    /// Returns the revision up to which all changes are known; 0 if none are.
-    pub fn complete_up_to(&self) -> Revision {
+    /// Returns the position up to which all changes are known; the default if none are.
+    pub fn complete_up_to(&self) -> Position {
         self.complete_up_to
     }
 
+    /// Returns the latest known era.
+    pub fn era(&self) -> Era {
+        self.era
+    }
+
+    /// Records a position that the platform has reached. If it is of a new era, removed targets
+    /// stay in use for a time, as their entries may be written again.
+    pub fn enter_era(&mut self, now: Duration, position: Position) {
+        if position.era <= self.era {
+            return;
+        }
+        self.era = position.era;
+        self.era_since = now;
+        self.copied_up_to = position;
+        if self.complete_up_to.is_known() {
+            self.start_removal_grace(now);
+        }
+    }
+
+    /// Returns the number of targets whose records are of an earlier era.
+    pub fn unconfirmed(&self) -> usize {
+        let era = self.complete_up_to.era;
+        self.entries.values().filter(|entry| !entry.removed && entry.position.era < era).count()
+    }
+
     /// Returns the number of targets that have not been removed.
     pub fn len(&self) -> usize {
         self.entries.values().filter(|entry| !entry.removed).count()
@@ -90,57 +131,66 @@
 
     /// Merges a record. Returns whether it changed the directory.
     pub fn merge(&mut self, now: Duration, record: TargetRecord) -> bool {
-        // A target without an entry was already removed at revision `complete_up_to`.
-        let last_revision = self.entries.get(&record.key).map_or(0, |entry| entry.revision);
-        let last_revision = if last_revision == 0 { self.complete_up_to } else { last_revision };
-        if record.revision <= last_revision || self.is_unchanged(&record) {
+        if !self.is_newer(&record) {
+            return false;
+        }
+        if self.is_unchanged(&record) {
+            self.confirm(&record);
             return false;
         }
         match record.target {
-            Some(target) => self.insert(now, record.revision, target),
-            None => self.remove(now, record.revision, record.key),
+            Some(target) => self.insert(now, record.position, target),
+            None => self.remove(now, record.position, record.key),
         }
         true
     }
 
-    /// Merges the platform's complete list at a revision and removes the targets that are not in
+    /// Merges the platform's complete list at a position and removes the targets that are not in
     /// it. Returns the number of changes.
     pub fn replace_all(
         &mut self,
         now: Duration,
-        revision: Revision,
+        position: Position,
         records: Vec<TargetRecord>,
     ) -> usize {
+        self.enter_era(now, position);
         let listed: Vec<_> = records.iter().map(|record| record.key).collect();
         let is_missing = |(key, entry): (&TargetKey, &Entry)| {
-            (!entry.removed && entry.revision < revision && !listed.contains(key)).then_some(*key)
+            (!entry.removed && entry.position < position && !listed.contains(key)).then_some(*key)
         };
         let missing: Vec<_> = self.entries.iter().filter_map(is_missing).collect();
         let mut changes = missing.len();
         for key in missing {
-            self.remove(now, revision, key);
+            self.remove(now, position, key);
         }
         changes += records.into_iter().filter(|record| self.merge(now, record.clone())).count();
-        self.advance_complete_up_to(revision);
+        self.advance_complete_up_to(position);
         changes
     }
 
-    /// Records that all changes up to a revision are known.
-    pub fn advance_complete_up_to(&mut self, revision: Revision) {
-        self.complete_up_to = self.complete_up_to.max(revision);
+    /// Records that all changes up to a position are known.
+    pub fn advance_complete_up_to(&mut self, position: Position) {
+        self.complete_up_to = self.complete_up_to.max(position);
     }
 
-    /// Returns the records that changed after a revision, in ascending order of revision.
-    pub fn since(&self, revision: Revision) -> Vec<TargetRecord> {
-        let newer = self.entries.iter().filter(|(_, entry)| entry.revision > revision);
-        let mut records: Vec<_> = newer
+    /// Returns the records that changed after a position, in ascending order, and after them those
+    /// of earlier eras: the receiver may know only an older entry from the copy.
+    pub fn since(&self, position: Position) -> Vec<TargetRecord> {
+        let era = self.complete_up_to.era;
+        let newer = |entry: &Entry| {
+            entry.position > position || (entry.position.era < era && !entry.removed)
+        };
+        let mut records: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| newer(entry))
             .map(|(&key, entry)| TargetRecord {
                 key,
-                revision: entry.revision,
+                position: entry.position,
                 target: (!entry.removed).then(|| entry.target.clone()),
             })
             .collect();
-        records.sort_by_key(|record| record.revision);
+        records.sort_by_key(|record| (record.position.era < era, record.position));
         records
     }
 
@@ -202,10 +252,10 @@
         self.entries.values().any(has_address)
     }
 
-    /// Returns the age of a target's record, and its revision.
-    pub fn age(&self, now: Duration, key: TargetKey) -> Option<(Duration, Revision)> {
+    /// Returns the age of a target's record, and its position.
+    pub fn age(&self, now: Duration, key: TargetKey) -> Option<(Duration, Position)> {
         let entry = self.entries.get(&key)?;
-        Some((now.saturating_sub(entry.updated_at), entry.revision))
+        Some((now.saturating_sub(entry.updated_at), entry.position))
     }
 
     /// Returns the removed targets that may still have flows, in the order of their keys.
@@ -220,14 +270,16 @@
             return;
         }
         let key = target.key;
-        self.insert(now, 0, target);
+        self.insert(now, Position::default(), target);
         if let Some(entry) = self.entries.get_mut(&key) {
             entry.removed = true;
         }
     }
 
-    /// Deletes the entries of targets that can have no flows any more.
+    /// Deletes the entries of targets that can have no flows any more, and removes targets that
+    /// the current era has not confirmed in time.
     pub fn expire(&mut self, now: Duration) {
+        self.remove_unconfirmed(now);
         self.replaced.retain(|_, (_, at)| now < *at + REMOVED_RETENTION);
         let expired = |entry: &Entry| entry.removed && now >= entry.updated_at + REMOVED_RETENTION;
         let expired: Vec<_> =
@@ -250,7 +302,56 @@
         }
     }
 
-    fn insert(&mut self, now: Duration, revision: Revision, target: Target) {
+    /// Returns whether a record is newer than what is known of its target.
+    fn is_newer(&self, record: &TargetRecord) -> bool {
+        let Some(entry) = self.entries.get(&record.key) else {
+            // A target without an entry was already removed at `complete_up_to`.
+            return record.position > self.complete_up_to;
+        };
+        // So was a target that is known to be removed.
+        let known =
+            if entry.removed { entry.position.max(self.complete_up_to) } else { entry.position };
+        let later = record.position > known;
+        match &record.target {
+            Some(target) if record.position.era != known.era => {
+                let said = |target: &Target| (target.incarnation, target.state);
+                let restated = later && record.position > self.copied_up_to;
+                if restated && target.incarnation == entry.target.incarnation {
+                    return true;
+                }
+                match said(target).cmp(&said(&entry.target)) {
+                    Ordering::Less => false,
+                    Ordering::Equal => later,
+                    // The new era knows whether a removed target has come back.
+                    Ordering::Greater => later || !entry.removed,
+                }
+            }
+            _ => later,
+        }
+    }
+
+    /// Moves an unchanged entry to the era of a record that confirms it.
+    fn confirm(&mut self, record: &TargetRecord) {
+        if let Some(entry) = self.entries.get_mut(&record.key)
+            && record.position.era > entry.position.era
+        {
+            entry.position = record.position;
+        }
+    }
+
+    fn remove_unconfirmed(&mut self, now: Duration) {
+        let Position { era, .. } = self.complete_up_to;
+        if now < self.era_since + ERA_SETTLING_TIME {
+            return;
+        }
+        let unconfirmed = self.entries.iter().filter(|(_, e)| !e.removed && e.position.era < era);
+        let unconfirmed: Vec<_> = unconfirmed.map(|(key, _)| *key).collect();
+        for key in unconfirmed {
+            self.remove(now, Position::new(era, 0), key);
+        }
+    }
+
+    fn insert(&mut self, now: Duration, position: Position, target: Target) {
         let key = target.key;
         if let Some(previous) = self.entries.remove(&key) {
             self.remove_from_service(&previous.target);
@@ -261,14 +362,14 @@
         }
         self.by_service.entry(target.service.clone()).or_default().push(key);
         let grace_until = Duration::ZERO;
-        let entry = Entry { revision, target, updated_at: now, removed: false, grace_until };
+        let entry = Entry { position, target, updated_at: now, removed: false, grace_until };
         self.entries.insert(key, entry);
     }
 
-    fn remove(&mut self, now: Duration, revision: Revision, key: TargetKey) {
+    fn remove(&mut self, now: Duration, position: Position, key: TargetKey) {
         // There is nothing to keep for a target without an entry.
         let Some(entry) = self.entries.get_mut(&key) else { return };
-        entry.revision = revision;
+        entry.position = position;
         if !entry.removed {
             entry.removed = true;
             entry.updated_at = now;
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -122,7 +122,7 @@
 
     /// Returns whether routes and targets have been received.
     pub fn ready(&self) -> bool {
-        self.routes.version() > 0 && self.targets.complete_up_to() > 0
+        self.routes.version() > 0 && self.targets.complete_up_to().is_known()
     }
 
     /// Sets the number of instances in the local failure domain, this one included.
--- a/src/steering/gossip.rs
+++ b/src/steering/gossip.rs
@@ -25,7 +25,7 @@
 use crate::ids::InstanceId;
 use crate::link::Outbox;
 use crate::peer::Body;
-use crate::platform::Revision;
+use crate::platform::Position;
 
 /// Number of local peers to which a change is pushed.
 const PUSH_FANOUT: usize = 2;
@@ -53,8 +53,8 @@
     peers: Peers,
     next_digest: Duration,
     next_push: Duration,
-    /// Revision after which changes are still to be pushed.
-    unpushed: Option<Revision>,
+    /// Position after which changes are still to be pushed.
+    unpushed: Option<Position>,
     route_transfer: RouteTransfer,
     removed_targets: RemovedTargets,
     /// Announcements of targets that may have stopped.
@@ -90,13 +90,13 @@
         self.route_transfer.is_behind(forwarder)
     }
 
-    /// Records that targets have changed after a revision, or that there are newer routes, and
+    /// Records that targets have changed after a position, or that there are newer routes, and
     /// pushes the changes if a push is due.
     pub fn note_changes(
         &mut self,
         now: Duration,
         forwarder: &Forwarder,
-        since: Revision,
+        since: Position,
         out: &mut Outbox<'_>,
     ) {
         self.unpushed = Some(self.unpushed.map_or(since, |before| before.min(since)));
@@ -189,7 +189,7 @@
     ) -> bool {
         match message {
             Message::Digest { known, wants_reply } => {
-                self.on_digest(from, known, wants_reply, forwarder, out);
+                self.on_digest(now, from, known, wants_reply, forwarder, out);
                 false
             }
             Message::PullTargets { since } => {
@@ -232,12 +232,14 @@
 
     fn on_digest(
         &mut self,
+        now: Duration,
         from: InstanceId,
         theirs: Digest,
         wants_reply: bool,
-        forwarder: &Forwarder,
+        forwarder: &mut Forwarder,
         out: &mut Outbox<'_>,
     ) {
+        forwarder.targets.enter_era(now, theirs.targets);
         let ours = digest(forwarder);
         self.route_transfer.note_version(from, theirs.routes, forwarder);
         if theirs.targets > ours.targets {
--- a/src/steering/gossip/changes.rs
+++ b/src/steering/gossip/changes.rs
@@ -1,4 +1,4 @@
-//! Target changes between two revisions, as exchanged between instances.
+//! Target changes between two positions, as exchanged between instances.
 
 use std::time::Duration;
 
@@ -7,7 +7,7 @@
 use super::send;
 use crate::ids::InstanceId;
 use crate::link::Outbox;
-use crate::platform::Revision;
+use crate::platform::Position;
 use crate::steering::message::{Changes, Message};
 use crate::steering::{Forwarder, TargetRecord};
 
@@ -15,29 +15,33 @@
 /// datagram of 1,200 bytes.
 const MAX_RECORD_BYTES: usize = 1_000;
 
-/// Returns the changes after a revision, as many as fit into one message.
-pub(super) fn changes_since(now: Duration, forwarder: &Forwarder, since: Revision) -> Changes {
+/// Returns the changes after a position, as many as fit into one message.
+pub(super) fn changes_since(now: Duration, forwarder: &Forwarder, since: Position) -> Changes {
     let newest = forwarder.targets.complete_up_to();
     let mut records = forwarder.targets.since(since);
     let fits = count_fitting(&records);
-    let up_to = if fits < records.len() { records[fits - 1].revision } else { newest };
+    let up_to = match records.get(fits) {
+        // The records of earlier eras come last and are sent only if they fit.
+        Some(next) if next.position.era == newest.era => records[fits - 1].position,
+        _ => newest,
+    };
     records.truncate(fits);
     let removal_grace_ms = forwarder.targets.removal_grace_left(now).as_millis() as u32;
     Changes { since, up_to, newest, removal_grace_ms, records }
 }
 
-/// Returns how many of the first records fit into one message. Records of the same revision are
+/// Returns how many of the first records fit into one message. Records of the same position are
 /// not split.
 fn count_fitting(records: &[TargetRecord]) -> usize {
     let mut bytes = 0;
     let mut fits = 0;
     for (i, record) in records.iter().enumerate() {
         bytes += postcard::experimental::serialized_size(record).unwrap_or(MAX_RECORD_BYTES);
-        let ends_revision = records.get(i + 1).is_none_or(|next| next.revision != record.revision);
+        let ends_position = records.get(i + 1).is_none_or(|next| next.position != record.position);
         if fits > 0 && bytes > MAX_RECORD_BYTES {
             break;
         }
-        if ends_revision {
+        if ends_position {
             fits = i + 1;
         }
     }
@@ -45,7 +49,7 @@
 }
 
 /// Merges changes from a peer and requests the next ones if there are more. Returns whether
-/// anything changed.
+/// anything changed or a new era began, which other peers may not know either.
 pub(super) fn apply_changes(
     now: Duration,
     from: InstanceId,
@@ -54,6 +58,7 @@
     out: &mut Outbox<'_>,
 ) -> bool {
     let known = forwarder.targets.complete_up_to();
+    forwarder.targets.enter_era(now, changes.newest);
     forwarder
         .targets
         .extend_removal_grace(now, Duration::from_millis(u64::from(changes.removal_grace_ms)));
@@ -64,13 +69,14 @@
     if changes.since <= known {
         forwarder.targets.advance_complete_up_to(changes.up_to);
     }
+    let era_before = known.era;
     let known = forwarder.targets.complete_up_to();
     if changes.newest > known {
         send(from, Message::PullTargets { since: known }, out);
     }
     if changed > 0 {
         counter!("limpetdeck_target_changes_total", "source" => "peer").increment(changed as u64);
-        log::info!(source = "peer", from = from, changes = changed, revision = known; "targets_changed");
+        log::info!(source = "peer", from = from, changes = changed, revision = known.revision, era = known.era; "targets_changed");
     }
-    changed > 0
+    changed > 0 || known.era > era_before
 }
--- a/src/steering/list_watch.rs
+++ b/src/steering/list_watch.rs
@@ -9,7 +9,7 @@
 use rand::rngs::SmallRng;
 
 use crate::backoff::Backoff;
-use crate::platform::{Call, PlatformError, Reply, Revision};
+use crate::platform::{Call, Era, PlatformError, Position, Reply};
 
 /// Prefix of the object names of targets.
 pub const TARGETS_PREFIX: &str = "targets/";
@@ -32,13 +32,16 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 /// Consecutive failures after which the platform counts as unreachable.
 const OUTAGE_FAILURES: u32 = 2;
+/// Longest delay before the objects are listed in a new era, so that the watchers do not all list
+/// them at once.
+const MAX_ERA_DELAY: Duration = Duration::from_millis(300);
 
 /// List and watch calls for the objects under one prefix.
 #[derive(Debug)]
 struct ListWatch {
     prefix: &'static str,
-    /// Revision up to which the objects are known; none before the first list.
-    revision: Option<Revision>,
+    /// Position up to which the objects are known; none before the first list.
+    position: Option<Position>,
     /// Whether a call is in flight.
     in_flight: bool,
     backoff: Backoff,
@@ -47,14 +50,15 @@
 impl ListWatch {
     fn new(prefix: &'static str) -> Self {
         let backoff = Backoff::new(MAX_FIRST_RETRY_DELAY, MAX_RETRY_DELAY, 0.5..=1.0);
-        Self { prefix, revision: None, in_flight: false, backoff }
+        Self { prefix, position: None, in_flight: false, backoff }
     }
 
     /// Returns the call that is due. After the first list, there is none unless the instance
-    /// `watches` the prefix or wants to `list` it.
+    /// `watches` the prefix or wants to `list` it. A watch does not continue into a new era.
     fn due(
         &mut self,
         now: Duration,
+        era: Era,
         watches: bool,
         list: bool,
         rng: &mut SmallRng,
@@ -63,13 +67,13 @@
             return None;
         }
         let prefix = self.prefix.to_owned();
-        let call = match self.revision {
-            Some(after) if watches => {
+        let call = match self.position {
+            Some(after) if watches && after.era == era => {
                 // Instances whose watches end at different times detect a change sooner.
                 let timeout = MAX_WATCH_WAIT.mul_f64(rng.random_range(0.6..=1.0));
                 Call::Watch { prefix, after, timeout }
             }
-            Some(_) if !list => return None,
+            Some(_) if !watches && !list => return None,
             _ => Call::List { prefix },
         };
         self.in_flight = true;
@@ -85,14 +89,14 @@
         self.in_flight = false;
         match result {
             Ok(Reply::Changes(changes)) => {
-                self.revision = Some(changes.revision);
+                self.position = Some(changes.position());
                 self.backoff.record_success(now + WATCH_BATCH_DELAY);
             }
             Ok(_) => {}
             Err(e) => {
                 if !matches!(e, PlatformError::NoAnswer(_) | PlatformError::Refused(_)) {
-                    // The platform cannot continue from this revision: list everything again.
-                    self.revision = None;
+                    // The platform cannot continue from this position: list everything again.
+                    self.position = None;
                 }
                 self.backoff.record_failure(now, rng);
             }
@@ -117,6 +121,8 @@
     routes: ListWatch,
     targets: ListWatch,
     instances: ListWatch,
+    /// The latest era of the platform that is known.
+    era: Era,
     in_outage: bool,
     outage_ended: bool,
     rng: SmallRng,
@@ -129,6 +135,7 @@
             routes: ListWatch::new(ROUTES_PREFIX),
             targets: ListWatch::new(TARGETS_PREFIX),
             instances: ListWatch::new(INSTANCES_PREFIX),
+            era: 0,
             in_outage: false,
             outage_ended: false,
             rng,
@@ -137,25 +144,52 @@
 
     /// Returns the calls that are due.
     pub fn due(&mut self, now: Duration, interest: Interest) -> Vec<Call> {
-        let routes = self.routes.due(now, interest.watches, interest.routes, &mut self.rng);
-        let targets = self.targets.due(now, interest.watches, false, &mut self.rng);
-        let instances = if interest.instances {
-            self.instances.due(now, false, true, &mut self.rng)
-        } else {
-            None
-        };
+        let (era, rng) = (self.era, &mut self.rng);
+        let routes = self.routes.due(now, era, interest.watches, interest.routes, rng);
+        let targets = self.targets.due(now, era, interest.watches, false, rng);
+        let instances =
+            if interest.instances { self.instances.due(now, era, false, true, rng) } else { None };
         routes.into_iter().chain(targets).chain(instances).collect()
     }
 
-    /// Handles the result of a list or watch call.
-    pub fn on_result(&mut self, now: Duration, call: &Call, result: &Result<Reply, PlatformError>) {
-        let (Call::List { prefix } | Call::Watch { prefix, .. }) = call else { return };
+    /// Enters a new era of the platform: watchers list all objects again, and no longer wait for
+    /// calls of the earlier era.
+    pub fn enter_era(&mut self, now: Duration, era: Era) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        for list_watch in [&mut self.routes, &mut self.targets, &mut self.instances] {
+            // A first list that is still in flight may be of either era.
+            if list_watch.position.is_some() {
+                list_watch.in_flight = false;
+                let delay = MAX_ERA_DELAY.mul_f64(self.rng.random());
+                list_watch.backoff.set_due(now + delay);
+            }
+        }
+    }
+
+    /// Handles the result of a list or watch call. Returns whether its objects are to be used: not
+    /// those of an earlier era, nor those of a watch that began in one and has missed changes.
+    pub fn on_result(
+        &mut self,
+        now: Duration,
+        call: &Call,
+        result: &Result<Reply, PlatformError>,
+    ) -> bool {
+        let (Call::List { prefix } | Call::Watch { prefix, .. }) = call else { return true };
         let is_list = matches!(call, Call::List { .. });
+        if let Ok(Reply::Changes(changes)) = result {
+            self.enter_era(now, changes.era);
+        }
+        if is_outdated(self.era, call, result) {
+            return false;
+        }
         let list_watch = match prefix.as_str() {
             ROUTES_PREFIX => &mut self.routes,
             TARGETS_PREFIX => &mut self.targets,
             INSTANCES_PREFIX => &mut self.instances,
-            _ => return,
+            _ => return true,
         };
         list_watch.on_result(now, result, &mut self.rng);
         if is_list && result.is_ok() && prefix != TARGETS_PREFIX {
@@ -163,12 +197,13 @@
             list_watch.backoff.set_due(now + pause);
         }
         self.update_outage(result.is_ok());
+        true
     }
 
     /// Lists routes and targets again, for example after a pause of the process.
     pub fn relist(&mut self, now: Duration) {
         for list_watch in [&mut self.routes, &mut self.targets] {
-            list_watch.revision = None;
+            list_watch.position = None;
             list_watch.backoff.set_due(now);
         }
     }
@@ -201,3 +236,10 @@
         }
     }
 }
+
+/// Returns whether the result of a call says nothing about the current era.
+fn is_outdated(era: Era, call: &Call, result: &Result<Reply, PlatformError>) -> bool {
+    let began_earlier = matches!(call, Call::Watch { after, .. } if after.era < era);
+    let answered_earlier = matches!(result, Ok(Reply::Changes(changes)) if changes.era < era);
+    began_earlier || answered_earlier
+}
--- a/src/steering/message.rs
+++ b/src/steering/message.rs
@@ -4,15 +4,15 @@
 
 use super::{Target, TargetIncarnation, TargetRecord};
 use crate::ids::Version;
-use crate::platform::Revision;
+use crate::platform::Position;
 
 /// The versions of the routes and targets that an instance has.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
     /// Version of the routes; 0 if it has none.
     pub routes: Version,
-    /// Revision up to which it has all target changes; 0 if it has none.
-    pub targets: Revision,
+    /// Position up to which it has all target changes; the default if it has none.
+    pub targets: Position,
 }
 
 /// A message about targets and routes.
@@ -25,10 +25,10 @@
         /// Whether the receiver is to reply with its digest even if it has nothing newer.
         wants_reply: bool,
     },
-    /// Requests the target changes after a revision.
+    /// Requests the target changes after a position.
     PullTargets {
-        /// Revision up to which the sender has all changes.
-        since: Revision,
+        /// Position up to which the sender has all changes.
+        since: Position,
     },
     /// Target changes.
     Targets(Changes),
@@ -61,18 +61,18 @@
     Overdue(Vec<TargetIncarnation>),
 }
 
-/// All target changes between two revisions.
+/// All target changes between two positions.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Changes {
-    /// Revision after which the changes start.
-    pub since: Revision,
-    /// Revision up to which the changes are complete.
-    pub up_to: Revision,
-    /// Revision up to which the sender has all changes.
-    pub newest: Revision,
+    /// Position after which the changes start.
+    pub since: Position,
+    /// Position up to which the changes are complete.
+    pub up_to: Position,
+    /// Position up to which the sender has all changes.
+    pub newest: Position,
     /// Time for which targets that the platform removes now stay in use, in milliseconds.
     pub removal_grace_ms: u32,
-    /// Changed records, those with the lowest revisions first.
+    /// Changed records, those with the lowest positions of the era first.
     pub records: Vec<TargetRecord>,
 }
 
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -27,6 +27,7 @@
 use crate::membership::Membership;
 use crate::pause::PauseDetector;
 use crate::peer::{Body, MemberInfo};
+use crate::platform::Era;
 
 /// Shortest time for which an instance that shuts down keeps forwarding: packets arrive until
 /// failing health checks have taken it out of rotation.
@@ -87,6 +88,8 @@
     next_expiry: Duration,
     next_overdue_check: Duration,
     platform_answered: Option<Duration>,
+    /// The latest era of the platform that is known.
+    era: Era,
     registration: Registration,
     /// Numbers of local and remote peers, as last logged.
     logged_peers: (usize, usize),
@@ -119,6 +122,7 @@
             next_expiry: now,
             next_overdue_check: now,
             platform_answered: None,
+            era: 0,
             registration: Registration::new(now, fork()),
             logged_peers: (0, 0),
             grace: cfg.grace,
@@ -223,8 +227,13 @@
                 self.update_peers();
             }
             Body::Steering(message) => {
-                if self.gossip.on_message(now, from, message, &mut self.forwarder, &mut outbox) {
+                let changed =
+                    self.gossip.on_message(now, from, message, &mut self.forwarder, &mut outbox);
+                if changed {
                     self.gossip.note_changes(now, &self.forwarder, since, &mut outbox);
+                }
+                self.enter_era(now, self.forwarder.targets.era(), "peer");
+                if changed {
                     self.release_pending(now, out);
                 }
             }
--- a/src/steering/node/logging.rs
+++ b/src/steering/node/logging.rs
@@ -19,7 +19,7 @@
         counter!("limpetdeck_flows_placed_total").increment(1);
         let Some(unlogged) = self.log.try_acquire(now) else { return };
         let load = self.forwarder.flows.load((target.key, target.incarnation));
-        let (age, revision) = self.forwarder.targets.age(now, target.key).unwrap_or_default();
+        let (age, position) = self.forwarder.targets.age(now, target.key).unwrap_or_default();
         log::info!(
             caller = packet.flow.caller.to_string().as_str(),
             service = packet.flow.service.to_string().as_str(),
@@ -30,7 +30,7 @@
             repeats = repeats,
             flows = load.flows,
             waiting = load.waiting,
-            target_revision = revision,
+            target_revision = position.revision,
             target_age_ms = age.as_millis() as u64,
             routes_version = self.forwarder.routes.version(),
             unlogged = unlogged;
@@ -46,7 +46,7 @@
             reason = reason,
             token = format!("{:08x}", packet.token).as_str(),
             routes_version = self.forwarder.routes.version(),
-            targets_revision = self.forwarder.targets.complete_up_to(),
+            targets_revision = self.forwarder.targets.complete_up_to().revision,
             unlogged = unlogged;
             "flow_reset"
         );
@@ -64,7 +64,7 @@
             service = service.as_str(),
             token = format!("{token:08x}").as_str(),
             routes_version = self.forwarder.routes.version(),
-            targets_revision = self.forwarder.targets.complete_up_to(),
+            targets_revision = self.forwarder.targets.complete_up_to().revision,
             unlogged = unlogged;
             "packet_dropped"
         );
--- a/src/steering/node/platform_reply.rs
+++ b/src/steering/node/platform_reply.rs
@@ -8,7 +8,7 @@
 use super::Node;
 use crate::instance::Action;
 use crate::peer::MemberInfo;
-use crate::platform::{Call, Object, PlatformError, Reply, Revision};
+use crate::platform::{Call, Era, Object, PlatformError, Position, Reply};
 use crate::steering::list_watch::{ROUTES_PREFIX, TARGETS_PREFIX};
 use crate::steering::{RawRoutes, RawTarget, Target, TargetRecord};
 
@@ -20,7 +20,10 @@
         result: &Result<Reply, PlatformError>,
         out: &mut Vec<Action>,
     ) {
-        self.list_watches.on_result(now, call, result);
+        let usable = self.list_watches.on_result(now, call, result);
+        if let Ok(Reply::Changes(changes)) = result {
+            self.enter_era(now, changes.era, "platform");
+        }
         let (me, live) = (self.membership.me().id, self.membership.live());
         let calls = self.registration.on_result(call, result, me, &live);
         out.extend(calls.into_iter().map(Action::Platform));
@@ -29,6 +32,9 @@
         }
         match (call, result) {
             (_, Err(e)) => self.record_call_failure(call, e),
+            _ if !usable => {
+                log::info!(call = describe(call).as_str(); "outdated_reply");
+            }
             (Call::List { prefix } | Call::Watch { prefix, .. }, Ok(Reply::Changes(changes))) => {
                 self.platform_answered = Some(now);
                 let since = self.forwarder.targets.complete_up_to();
@@ -36,7 +42,7 @@
                     ROUTES_PREFIX => self.apply_routes(&changes.objects),
                     TARGETS_PREFIX => {
                         let is_list = matches!(call, Call::List { .. });
-                        self.apply_targets(now, is_list, changes.revision, &changes.objects)
+                        self.apply_targets(now, is_list, changes.position(), &changes.objects)
                     }
                     _ => self.apply_instances(now, &changes.objects),
                 };
@@ -79,31 +85,52 @@
         adopted
     }
 
+    /// Enters a new era of the platform: lists objects again, and registers again.
+    pub(super) fn enter_era(&mut self, now: Duration, era: Era, source: &str) {
+        self.list_watches.enter_era(now, era);
+        if era <= self.era {
+            return;
+        }
+        let was_running = self.forwarder.ready();
+        self.era = era;
+        if was_running {
+            counter!("limpetdeck_platform_restores_total").increment(1);
+            log::warn!(era = era, source = source, targets = self.forwarder.targets.len(); "platform_restored");
+            self.registration.register_again(now);
+        }
+    }
+
     /// Merges target records, which are `all` targets of the platform or those that changed.
-    /// Returns whether anything changed.
+    /// Returns whether anything changed or a new era began, which peers may not know either.
     pub(super) fn apply_targets(
         &mut self,
         now: Duration,
         all: bool,
-        revision: Revision,
+        position: Position,
         objects: &[Object],
     ) -> bool {
-        let records: Vec<_> = objects.iter().filter_map(parse_target_record).collect();
+        let parse = |object| parse_target_record(position.era, object);
+        let records: Vec<_> = objects.iter().filter_map(parse).collect();
         let targets = &mut self.forwarder.targets;
+        let known = targets.complete_up_to();
         let changed = if all {
-            targets.replace_all(now, revision, records)
+            targets.replace_all(now, position, records)
         } else {
             let changed = records.into_iter().filter(|r| targets.merge(now, r.clone())).count();
-            targets.advance_complete_up_to(revision);
+            targets.advance_complete_up_to(position);
             changed
         };
+        let entered_era = known.is_known() && position.era > known.era;
+        if entered_era {
+            log::info!(era = position.era, changes = changed, unconfirmed = targets.unconfirmed(), targets = targets.len(); "era_listed");
+        }
         if changed > 0 {
             let source = if all { "list" } else { "watch" };
             counter!("limpetdeck_target_changes_total", "source" => source)
                 .increment(changed as u64);
-            log::info!(source = source, changes = changed, revision = revision, targets = targets.len(); "targets_changed");
+            log::info!(source = source, changes = changed, revision = position.revision, era = position.era, targets = targets.len(); "targets_changed");
         }
-        changed > 0
+        changed > 0 || entered_era
     }
 
     /// Passes registered instances on to the membership. Returns false: nothing that peers need
@@ -121,20 +148,20 @@
 
 /// Parses the object of a target. If it is invalid, the record has no target, as if the target
 /// had been removed.
-fn parse_target_record(object: &Object) -> Option<TargetRecord> {
+fn parse_target_record(era: Era, object: &Object) -> Option<TargetRecord> {
     let hex = object.name.strip_prefix(TARGETS_PREFIX)?;
     let key = u64::from_str_radix(hex, 16).ok()?;
-    let revision = object.version;
+    let position = Position::new(era, object.version);
     if object.value.is_null() {
-        return Some(TargetRecord { key, revision, target: None });
+        return Some(TargetRecord { key, position, target: None });
     }
     let raw = RawTarget::deserialize(&object.value);
     let target = raw.map_err(|e| e.to_string()).and_then(Target::try_from);
     match target {
-        Ok(target) => Some(TargetRecord { key, revision, target: Some(target) }),
+        Ok(target) => Some(TargetRecord { key, position, target: Some(target) }),
         Err(problem) => {
             record_refused_object(&object.name, &problem);
-            Some(TargetRecord { key, revision, target: None })
+            Some(TargetRecord { key, position, target: None })
         }
     }
 }
--- a/src/steering/registration.rs
+++ b/src/steering/registration.rs
@@ -22,6 +22,8 @@
 /// Mean time between two checks: an instance that died stays registered for two of them, and
 /// 15 watchers make one call in 20 seconds.
 const CHECK_INTERVAL: Duration = Duration::from_secs(300);
+/// Longest delay before an instance registers again in a new era of the platform.
+const MAX_ERA_DELAY: Duration = Duration::from_secs(2);
 
 /// State of the registration of this instance and of its checks of the others.
 #[derive(Debug)]
@@ -50,6 +52,14 @@
         }
     }
 
+    /// Registers the instance again after the platform came back from a copy, which may lack the
+    /// registration.
+    pub fn register_again(&mut self, now: Duration) {
+        self.registered = false;
+        let delay = MAX_ERA_DELAY.mul_f64(self.rng.random());
+        self.register_at = self.register_at.max(now + delay);
+    }
+
     /// Returns the calls that are due for an instance that watches the platform.
     pub fn due(&mut self, now: Duration, me: &MemberInfo) -> Vec<Call> {
         let mut calls = Vec::new();
--- a/src/steering/target.rs
+++ b/src/steering/target.rs
@@ -14,8 +14,10 @@
 /// Identifier of a target, carried in its packets; 0 stands for any target.
 pub type TargetKey = u64;
 
-/// Whether a target accepts new flows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, Display)]
+/// Whether a target accepts new flows. A target that drains ends afterwards, so draining is later.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Display,
+)]
 #[serde(rename_all = "snake_case")]
 pub enum TargetState {
     /// Accepts new flows.
--- a/tests/membership_platform.rs
+++ b/tests/membership_platform.rs
@@ -6,7 +6,7 @@
 use limpetdeck::membership::{MemberUpdate, Message};
 use limpetdeck::peer::{Body, Sealer};
 use limpetdeck::placement::Policy;
-use limpetdeck::platform::{Call, Changes, PlatformError, Reply};
+use limpetdeck::platform::{Call, Changes, PlatformError, Position, Reply};
 use members::info;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -103,7 +103,7 @@
         let result = match &call {
             _ if !self.platform_up => Err(PlatformError::NoAnswer("down".to_owned())),
             Call::Put { .. } => Ok(Reply::Written(1)),
-            _ => Ok(Reply::Changes(Changes { revision: self.revision, objects: Vec::new() })),
+            _ => Ok(Reply::Changes(Changes { revision: self.revision, ..Changes::default() })),
         };
         self.handle(Event::Platform(call, result));
     }
@@ -149,7 +149,8 @@
         harness.count(|call| matches!(call, Call::List { .. })) >= 1,
         "lists all objects again"
     );
-    let after = |call: &Call| matches!(call, Call::Watch { after: 3, .. });
+    let after =
+        |call: &Call| matches!(call, Call::Watch { after: Position { revision: 3, .. }, .. });
     assert!(harness.count(after) >= 1, "continues from the new revision");
 }
 
--- a/tests/steering_directory.rs
+++ b/tests/steering_directory.rs
@@ -52,7 +52,7 @@
     let mut targets = TargetDirectory::default();
     targets.replace_all(
         ms(0),
-        5,
+        at(5),
         vec![record(3, target(1, STATION)), record(4, target(2, STATION))],
     );
     let draining = Target { state: TargetState::Draining, ..target(1, STATION) };
@@ -92,11 +92,11 @@
     let mut targets = TargetDirectory::default();
     targets.replace_all(
         ms(0),
-        5,
+        at(5),
         vec![record(3, target(1, STATION)), record(4, target(2, STATION))],
     );
     targets.start_removal_grace(ms(10_000));
-    targets.replace_all(ms(10_010), 9, vec![]);
+    targets.replace_all(ms(10_010), at(9), vec![]);
     assert_eq!(eligible(&targets, ms(10_020)), [1, 2]);
     targets.merge(ms(11_000), record(10, target(1, STATION)));
     assert_eq!(eligible(&targets, ms(12_400)), [1]);
@@ -106,7 +106,7 @@
 #[test]
 fn removed_without_outage() {
     let mut targets = TargetDirectory::default();
-    targets.replace_all(ms(0), 5, vec![record(3, target(1, STATION))]);
+    targets.replace_all(ms(0), at(5), vec![record(3, target(1, STATION))]);
     targets.merge(ms(10), removal(6, 1));
     assert!(eligible(&targets, ms(10)).is_empty());
 }
@@ -116,18 +116,19 @@
     let mut targets = TargetDirectory::default();
     targets.replace_all(
         ms(0),
-        5,
+        at(5),
         vec![record(3, target(1, STATION)), record(5, target(2, STATION))],
     );
     targets.merge(ms(1), removal(8, 1));
-    let changes: Vec<_> = targets.since(3).into_iter().map(|r| (r.key, r.revision)).collect();
+    let changes: Vec<_> =
+        targets.since(at(3)).into_iter().map(|r| (r.key, r.position.revision)).collect();
     assert_eq!(changes, [(2, 5), (1, 8)]);
 }
 
 #[test]
 fn outdated_record() {
     let mut targets = TargetDirectory::default();
-    targets.replace_all(ms(0), 20, vec![]);
+    targets.replace_all(ms(0), at(20), vec![]);
     // It is not in the list at revision 20, so it had been removed by then.
     assert!(!targets.merge(ms(1), record(12, target(1, STATION))));
 }
@@ -136,7 +137,7 @@
 #[test]
 fn removed_from_peer() {
     let mut targets = TargetDirectory::default();
-    targets.replace_all(ms(0), 20, vec![record(3, target(2, STATION))]);
+    targets.replace_all(ms(0), at(20), vec![record(3, target(2, STATION))]);
     targets.start_removal_grace(ms(0));
     targets.insert_removed(ms(1), target(1, STATION));
     targets.insert_removed(ms(1), target(2, STATION));
--- a/tests/support/steering.rs
+++ b/tests/support/steering.rs
@@ -5,7 +5,7 @@
 
 use limpetdeck::flow::FlowKey;
 use limpetdeck::ids::Version;
-use limpetdeck::platform::{Object, Revision};
+use limpetdeck::platform::{Object, Position, Revision};
 use limpetdeck::steering::{
     FlowPacket, Forwarder, NO_TOKEN, PacketError, PacketFormat, PacketKind, RawRoute, RawRoutes,
     RawTarget, Target, TargetKey, TargetRecord, TargetState, Token, Verdict, WeightedService,
@@ -47,12 +47,17 @@
     Target { failure_domain: REMOTE.to_owned(), ..target(key, service) }
 }
 
+/// Returns a position in the first era.
+pub fn at(revision: Revision) -> Position {
+    Position::new(0, revision)
+}
+
 pub fn record(revision: Revision, target: Target) -> TargetRecord {
-    TargetRecord { key: target.key, revision, target: Some(target) }
+    TargetRecord { key: target.key, position: at(revision), target: Some(target) }
 }
 
 pub fn removal(revision: Revision, key: TargetKey) -> TargetRecord {
-    TargetRecord { key, revision, target: None }
+    TargetRecord { key, position: at(revision), target: None }
 }
 
 /// Returns routes from the addresses 1, 2, ... to one service each.
@@ -71,7 +76,7 @@
     let mut forwarder = Forwarder::new(LOCAL.to_owned(), KEY, SmallRng::seed_from_u64(1));
     forwarder.routes.adopt(routes(1, services)).expect("valid routes");
     let records = targets.iter().cloned().map(|target| record(5, target)).collect();
-    forwarder.targets.replace_all(Duration::ZERO, 10, records);
+    forwarder.targets.replace_all(Duration::ZERO, at(10), records);
     forwarder
 }
 
--- a/tests/support/steering_world.rs
+++ b/tests/support/steering_world.rs
@@ -6,7 +6,7 @@
 
 use limpetdeck::instance::{Action, Core, Event};
 use limpetdeck::peer::{MemberInfo, MemberState};
-use limpetdeck::platform::{Call, Changes, Object, PlatformError, Reply, Revision};
+use limpetdeck::platform::{Call, Changes, Era, Object, PlatformError, Position, Reply, Revision};
 use limpetdeck::steering::{Node, NodeConfig, RawRoutes, Target};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -25,8 +25,11 @@
 /// The objects of the platform, and its faults.
 #[derive(Default)]
 pub struct Store {
+    pub era: Era,
     pub revision: Revision,
     pub objects: BTreeMap<String, Object>,
+    /// Revision and objects of a copy.
+    pub copy: (Revision, BTreeMap<String, Object>),
     /// Instances whose calls are refused.
     pub refused_instances: Vec<usize>,
     /// Instances whose calls and open watches get no response until they time out.
@@ -61,7 +64,17 @@
     pub fn changes(&self, prefix: &str, after: Revision) -> Changes {
         let named = self.objects.values().filter(|object| object.name.starts_with(prefix));
         let objects = named.filter(|object| object.version > after).cloned().collect();
-        Changes { revision: self.revision, objects }
+        Changes { era: self.era, revision: self.revision, objects }
+    }
+
+    pub fn take_copy(&mut self) {
+        self.copy = (self.revision, self.objects.clone());
+    }
+
+    /// Comes back from the copy: later changes are lost, and their revisions are given out again.
+    pub fn restore_copy(&mut self) {
+        (self.revision, self.objects) = self.copy.clone();
+        self.era += 1;
     }
 }
 
@@ -226,7 +239,13 @@
                 self.deliver_later(i, Event::Platform(call, Err(lost)));
                 continue;
             }
-            let changes = self.store.changes(prefix, *after);
+            let Position { revision, .. } = *after;
+            if revision > self.store.revision {
+                let gone = PlatformError::HistoryGone;
+                self.deliver_later(i, Event::Platform(call, Err(gone)));
+                continue;
+            }
+            let changes = self.store.changes(prefix, revision);
             if changes.objects.is_empty() && self.now < deadline {
                 self.watches.push((i, call, deadline));
             } else {
