--- a/lab/src/fuzz.rs
+++ b/lab/src/fuzz.rs
@@ -194,7 +194,8 @@
 
 fn store_objects(edits: Edits) -> bool {
     let entry = apply_text_edits(&target_entry(&target(), 1).to_string(), &edits);
-    let routes = RawRoutes { version: 3, routes: Vec::new(), idle_timeout_ms: 9 };
+    let routes =
+        RawRoutes { version: 3, routes: Vec::new(), idle_timeout_ms: 9, ..RawRoutes::default() };
     let routes = apply_text_edits(&routes_entry(&routes).to_string(), &edits);
     if let Ok(raw) = RawValue::from_string(entry) {
         // The decoder refuses names and addresses that it cannot parse; the conversion checks
--- a/lab/src/soak/environment.rs
+++ b/lab/src/soak/environment.rs
@@ -36,6 +36,8 @@
 const RESOURCE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Idle timeout of flows.
 const IDLE_TIMEOUT_MS: u64 = 15_000;
+/// Latency target of all routes.
+const LATENCY_TARGET_MS: u64 = 150;
 
 /// A datagram in transit, by its destination.
 #[derive(Debug, Clone)]
@@ -432,6 +434,7 @@
         address,
         services: vec![WeightedService { service: service.to_owned(), weight: 1 }],
     };
-    let routes = service_addresses().into_iter().zip(services).map(route).collect();
-    RawRoutes { version: 1, routes, idle_timeout_ms: IDLE_TIMEOUT_MS }
+    let routes: Vec<_> = service_addresses().into_iter().zip(services).map(route).collect();
+    let latency_targets_ms = vec![LATENCY_TARGET_MS; routes.len()];
+    RawRoutes { version: 1, routes, idle_timeout_ms: IDLE_TIMEOUT_MS, latency_targets_ms }
 }
--- a/lab/tests/emulated_store.rs
+++ b/lab/tests/emulated_store.rs
@@ -40,7 +40,7 @@
 fn unchanged(_: &SharedStore) {}
 
 fn put_routes(store: &SharedStore) {
-    let routes = RawRoutes { version: 7, routes: Vec::new(), idle_timeout_ms: 9 };
+    let routes = RawRoutes { version: 7, idle_timeout_ms: 9, ..RawRoutes::default() };
     store.borrow_mut().put(&format!("{ROUTES_PREFIX}main"), routes_entry(&routes));
 }
 
--- a/src/steering/flows.rs
+++ b/src/steering/flows.rs
@@ -59,6 +59,8 @@
     pub flows: u32,
     /// Number of flows whose last request has had no response yet.
     pub waiting: u32,
+    /// Number of flows among those whose response is overdue.
+    pub overdue: u32,
 }
 
 /// Table of the flows through this instance.
@@ -152,12 +154,18 @@
         let is_late = |since: Duration| now >= since + OVERDUE_TIMEOUT;
         let open = self.flows.values_mut().filter(|flow| flow.open && !flow.closed);
         let overdue = open.filter(|flow| !flow.overdue && flow.waiting_since.is_some_and(is_late));
-        overdue
+        let targets: Vec<_> = overdue
             .map(|flow| {
                 flow.overdue = true;
                 flow.target
             })
-            .collect()
+            .collect();
+        for target in &targets {
+            if let Some(load) = self.loads.get_mut(target) {
+                load.overdue += 1;
+            }
+        }
+        targets
     }
 
     /// Removes the flows that have had no packet for the idle timeout.
@@ -277,6 +285,7 @@
         let load = self.loads.entry(flow.target).or_default();
         load.flows += 1;
         load.waiting += u32::from(flow.waiting_since.is_some());
+        load.overdue += u32::from(flow.overdue);
         self.flows.insert(id, flow);
     }
 
@@ -287,6 +296,7 @@
         let Some(load) = self.loads.get_mut(&flow.target) else { return };
         load.flows = load.flows.saturating_sub(1);
         load.waiting = load.waiting.saturating_sub(u32::from(flow.waiting_since.is_some()));
+        load.overdue = load.overdue.saturating_sub(u32::from(flow.overdue));
         if load.flows == 0 {
             self.loads.remove(&flow.target);
         }
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -1,6 +1,6 @@
 //! Decides for each packet whether it is forwarded to a target, answered with a reset, or dropped.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +13,8 @@
 use super::token::TargetIncarnation;
 use super::{
     Candidate, DomainLoad, FlowPacket, FlowSignal, FlowTable, Health, Load, NO_TOKEN, PacketKind,
-    Route, RouteTable, Target, TargetDirectory, TargetKey, Token, Tokens, select_target,
+    Route, RouteLoad, RouteTable, Target, TargetDirectory, TargetKey, Token, Tokens, select_target,
+    yields,
 };
 use crate::flow::FlowKey;
 use crate::ids::FailureDomain;
@@ -96,6 +97,8 @@
     domain_load: DomainLoad,
     /// Number of instances in the local failure domain, this one included.
     local_instances: usize,
+    /// Number of instances in all failure domains, this one included.
+    instances: usize,
     tokens: Tokens,
     health_changes: Vec<HealthChange>,
     rng: SmallRng,
@@ -114,6 +117,7 @@
             overdue: OverdueResponses::default(),
             domain_load: DomainLoad::default(),
             local_instances: 1,
+            instances: 1,
             tokens: Tokens::new(key),
             health_changes: Vec::new(),
             rng,
@@ -130,6 +134,27 @@
         self.local_instances = instances;
     }
 
+    /// Sets the number of instances in all failure domains, this one included.
+    pub fn set_instances(&mut self, instances: usize) {
+        self.instances = instances;
+    }
+
+    /// Returns whether the caller of an opening packet yields to others for now; `age` is the time
+    /// since its first copy.
+    pub fn yields(&self, now: Duration, service: SocketAddrV4, age: Duration) -> bool {
+        let Some(route) = self.routes.get(service) else { return false };
+        let Some(latency_target) = route.latency_target else { return false };
+        let mut load = RouteLoad { instances: self.instances, ..RouteLoad::default() };
+        for service in route.services.iter() {
+            for (target, _) in self.targets.eligible(now, &service.service) {
+                let flows = self.flows.load((target.key, target.incarnation));
+                load.in_flight += flows.waiting.saturating_sub(flows.overdue);
+                load.slots += target.slots;
+            }
+        }
+        yields(age, latency_target, load)
+    }
+
     /// Samples the load of the local failure domain; to be called about ten times per second.
     pub fn sample_load(&mut self, now: Duration) {
         let (targets, local_domain) = (&self.targets, &self.local_domain);
@@ -207,7 +232,7 @@
             if !self.tokens.cache(flow.service, token, target) {
                 continue;
             }
-            let Load { flows, waiting } = self.flows.load(incarnation);
+            let Load { flows, waiting, .. } = self.flows.load(incarnation);
             let waiting = waiting + self.overdue.count(incarnation);
             let local = target.failure_domain == self.local_domain;
             let candidate = Candidate { local, slots: target.slots, flows, waiting, warm_up_left };
--- a/src/steering/gossip/route_transfer.rs
+++ b/src/steering/gossip/route_transfer.rs
@@ -169,7 +169,7 @@
 }
 
 fn adopt(bytes: &[u8], from: InstanceId, forwarder: &mut Forwarder) -> bool {
-    let raw: RawRoutes = match postcard::from_bytes(bytes) {
+    let raw = match RawRoutes::decode(bytes) {
         Ok(raw) => raw,
         Err(e) => {
             // The peer may run another release.
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -13,6 +13,7 @@
 use rand::rngs::SmallRng;
 
 use super::gossip::{Gossip, Peers};
+use super::late_openings::{HeldOpening, LateOpenings};
 use super::list_watch::{Interest, ListWatches};
 use super::log_rate_limit::LogRateLimit;
 use super::registration::Registration;
@@ -82,6 +83,7 @@
     log: LogRateLimit,
     /// Packets queued until routes and targets are known, each with its arrival time.
     pending: VecDeque<(Duration, Vec<u8>)>,
+    late_openings: LateOpenings,
     started: Duration,
     pauses: PauseDetector,
     last_packet: Duration,
@@ -116,6 +118,7 @@
             membership: Membership::new(now, cfg.me, cfg.seeds, fork()),
             log: LogRateLimit::new(now),
             pending: VecDeque::new(),
+            late_openings: LateOpenings::default(),
             started: now,
             pauses: PauseDetector::new(now),
             last_packet: now,
@@ -147,7 +150,14 @@
         self.forwarder.suspect_target(now, target);
     }
 
-    fn handle_packet(&mut self, now: Duration, buf: Vec<u8>, out: &mut Vec<Action>) {
+    /// Handles a packet that arrived at a time.
+    fn handle_packet(
+        &mut self,
+        now: Duration,
+        arrived: Duration,
+        buf: Vec<u8>,
+        out: &mut Vec<Action>,
+    ) {
         self.last_packet = now;
         let packet = match self.format.read(&buf) {
             Ok(packet) => packet,
@@ -166,19 +176,71 @@
             data = packet.data_len;
             "packet"
         );
-        match self.forwarder.decide(now, &packet) {
+        if let PacketKind::Opening { repeats } = packet.kind {
+            let first_sent = arrived.saturating_sub(self.format.opening_age(repeats));
+            if self.yields(now, &packet, first_sent) {
+                return self.hold_opening(now, &packet, first_sent, buf, out);
+            }
+        }
+        self.forward(now, &packet, buf, out);
+    }
+
+    /// Returns whether the caller of an opening packet yields to others for now.
+    fn yields(&self, now: Duration, packet: &FlowPacket, first_sent: Duration) -> bool {
+        // A flow that already has a target is not held back.
+        self.forwarder.ready()
+            && self.forwarder.flows.half_open(packet.flow.id()).is_none()
+            && self.forwarder.yields(now, packet.flow.service, now.saturating_sub(first_sent))
+    }
+
+    fn hold_opening(
+        &mut self,
+        now: Duration,
+        packet: &FlowPacket,
+        first_sent: Duration,
+        buf: Vec<u8>,
+        out: &mut Vec<Action>,
+    ) {
+        counter!("limpetdeck_openings_held_total").increment(1);
+        let opening = HeldOpening { flow: packet.flow.id(), first_sent, buf };
+        if let Some(oldest) = self.late_openings.hold(opening) {
+            self.forward_held(now, oldest, out);
+        }
+    }
+
+    /// Forwards the held opening packets for which there is room now, or that cannot wait longer.
+    fn release_held(&mut self, now: Duration, out: &mut Vec<Action>) {
+        while !self.late_openings.is_empty() {
+            let yields = |age: Duration, buf: &[u8]| {
+                self.format
+                    .read(buf)
+                    .is_ok_and(|packet| self.forwarder.yields(now, packet.flow.service, age))
+            };
+            let Some(opening) = self.late_openings.take_next(now, yields) else { return };
+            self.forward_held(now, opening, out);
+        }
+    }
+
+    fn forward_held(&mut self, now: Duration, opening: HeldOpening, out: &mut Vec<Action>) {
+        if let Ok(packet) = self.format.read(&opening.buf) {
+            self.forward(now, &packet, opening.buf, out);
+        }
+    }
+
+    fn forward(&mut self, now: Duration, packet: &FlowPacket, buf: Vec<u8>, out: &mut Vec<Action>) {
+        match self.forwarder.decide(now, packet) {
             Verdict::Forward(target, token) => {
                 counter!("limpetdeck_packets_forwarded_total").increment(1);
                 let datagram = self.format.forward(&buf, token, target);
                 out.push(Action::Datagram(SocketAddr::V4(target.address), datagram));
                 if let (Some(token), PacketKind::Opening { repeats }) = (token, packet.kind) {
                     let target = target.clone();
-                    self.record_placement(now, &packet, &target, token, repeats);
+                    self.record_placement(now, packet, &target, token, repeats);
                 }
             }
-            Verdict::Reset(reason) => self.send_reset(now, &packet, reason, out),
+            Verdict::Reset(reason) => self.send_reset(now, packet, reason, out),
             Verdict::Drop(DropReason::NotReady) => self.queue_packet(now, buf),
-            Verdict::Drop(reason) => self.record_drop(now, Some(&packet), &reason.to_string()),
+            Verdict::Drop(reason) => self.record_drop(now, Some(packet), &reason.to_string()),
         }
     }
 
@@ -212,8 +274,8 @@
             .increment(dropped as u64);
         let mut latest: Vec<_> = latest.into_values().collect();
         latest.sort();
-        for (_, buf) in latest {
-            self.handle_packet(now, buf, out);
+        for (arrived, buf) in latest {
+            self.handle_packet(now, arrived, buf, out);
         }
     }
 
@@ -274,6 +336,7 @@
             self.announce_overdue(now, out);
         }
         self.log_health_changes();
+        self.release_held(now, out);
         self.finish_shutdown(now, out);
     }
 
@@ -359,6 +422,7 @@
         }
         gauge!("limpetdeck_instances_live").set((local.len() + remote.len() + 1) as f64);
         self.forwarder.set_local_instances(counts.0 + 1);
+        self.forwarder.set_instances(counts.0 + counts.1 + 1);
         self.gossip.set_peers(Peers { local: ids(local), remote: ids(remote) });
         let addresses: HashMap<_, _> = self.membership.peer_addresses();
         self.link.set_addresses(addresses);
@@ -397,7 +461,10 @@
 impl Core for Node {
     fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
         match event {
-            Event::Packet(buf) => self.handle_packet(now, buf, out),
+            Event::Packet(buf) => {
+                self.handle_packet(now, now, buf, out);
+                self.release_held(now, out);
+            }
             Event::Peer(buf) => self.handle_peer_message(now, &buf, out),
             Event::Platform(call, result) => self.handle_platform_reply(now, &call, &result, out),
             // This core never probes targets: their flows show whether they respond.
--- a/src/steering/packet.rs
+++ b/src/steering/packet.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Debug;
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use derive_more::{Display, Error};
 
@@ -70,6 +71,10 @@
     /// the packet; `None` leaves it unchanged.
     fn forward(&self, buf: &[u8], token: Option<Token>, target: &Target) -> Vec<u8>;
 
+    /// Returns the time from a flow's first opening packet to the copy with this number of earlier
+    /// ones.
+    fn opening_age(&self, repeats: u32) -> Duration;
+
     /// Returns the packet that resets a flow at its caller, with its destination address.
     fn reset(&self, packet: &FlowPacket) -> (SocketAddrV4, Vec<u8>);
 }
--- a/src/steering/routes.rs
+++ b/src/steering/routes.rs
@@ -40,6 +40,36 @@
     pub routes: Vec<RawRoute>,
     /// Time without packets after which a flow is removed, in milliseconds.
     pub idle_timeout_ms: u64,
+    /// Time within which callers expect a response, in milliseconds, for each route in order; 0
+    /// or no entry if there is none. The last field, as earlier releases do not send it.
+    #[serde(default)]
+    pub latency_targets_ms: Vec<u64>,
+}
+
+/// The routes as releases without latency targets encode them.
+#[derive(Debug, Deserialize)]
+struct EarlierRoutes {
+    version: Version,
+    routes: Vec<RawRoute>,
+    idle_timeout_ms: u64,
+}
+
+impl From<EarlierRoutes> for RawRoutes {
+    fn from(EarlierRoutes { version, routes, idle_timeout_ms }: EarlierRoutes) -> Self {
+        Self { version, routes, idle_timeout_ms, latency_targets_ms: Vec::new() }
+    }
+}
+
+impl RawRoutes {
+    /// Decodes routes that a peer has sent, which may run an earlier release.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are not routes.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        postcard::from_bytes(bytes)
+            .or_else(|e| postcard::from_bytes(bytes).map(EarlierRoutes::into).map_err(|_| e))
+    }
 }
 
 /// A validated route.
@@ -49,6 +79,8 @@
     pub name: String,
     /// Services that share the new flows; all weights are above 0.
     pub services: Arc<[WeightedService]>,
+    /// Time within which callers expect a response, if the operators have set one.
+    pub latency_target: Option<Duration>,
 }
 
 /// The active routes, replaced only by a higher version.
@@ -113,7 +145,9 @@
         if services.is_empty() {
             findings.add(format!("routes[{i}].services"), "no service has a weight above 0");
         }
-        let validated = Route { name: route.name.clone(), services };
+        let latency_target = raw.latency_targets_ms.get(i).copied().filter(|&ms| ms > 0);
+        let latency_target = latency_target.map(Duration::from_millis);
+        let validated = Route { name: route.name.clone(), services, latency_target };
         if routes.insert(route.address, validated).is_some() {
             let problem = format!("{} is already used by another route", route.address);
             findings.add(format!("routes[{i}].address"), problem);
--- a/tests/steering_routes.rs
+++ b/tests/steering_routes.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use limpetdeck::steering::{
-    DropReason, Forwarder, RawRoutes, ResetReason, RouteTable, Verdict, WeightedService,
+    DropReason, Forwarder, RawRoute, RawRoutes, ResetReason, RouteTable, Verdict, WeightedService,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -79,3 +79,19 @@
     let fares = (1..=10_000).filter(|&c| place(&mut forwarder, NOW, &opening(c, 1)).0 == 2).count();
     assert!((850..1_150).contains(&fares), "{fares} of 10000 flows, expected about 1000");
 }
+
+/// Releases with and without latency targets understand each other's routes.
+#[test]
+fn other_release() {
+    let newer = routes(4, &[STATION, FARES]);
+    let bytes = postcard::to_stdvec(&newer).expect("plain data");
+    assert_eq!(RawRoutes::decode(&bytes), Ok(newer.clone()));
+    let earlier = (newer.version, newer.routes.clone(), newer.idle_timeout_ms);
+    let bytes_of_earlier = postcard::to_stdvec(&earlier).expect("plain data");
+    let decoded = RawRoutes::decode(&bytes_of_earlier).expect("routes");
+    assert_eq!(decoded, RawRoutes { latency_targets_ms: Vec::new(), ..newer.clone() });
+    // An earlier release reads its own fields and ignores the rest.
+    let read: (u64, Vec<RawRoute>, u64) = postcard::from_bytes(&bytes).expect("routes");
+    assert_eq!(read, earlier);
+    assert!(RawRoutes::decode(&bytes_of_earlier[..4]).is_err());
+}
--- a/tests/support/steering.rs
+++ b/tests/support/steering.rs
@@ -68,7 +68,8 @@
         services: vec![WeightedService { service: (*service).to_owned(), weight: 1 }],
     };
     let routes = services.iter().enumerate().map(route).collect();
-    RawRoutes { version, routes, idle_timeout_ms: 15_000 }
+    let latency_targets_ms = vec![150; services.len()];
+    RawRoutes { version, routes, idle_timeout_ms: 15_000, latency_targets_ms }
 }
 
 /// Returns the steering state of an instance with these targets, listed at revision 10.
@@ -189,6 +190,10 @@
         [format!("{:x}", target.key).as_bytes(), b">", buf, token.as_bytes()].concat()
     }
 
+    fn opening_age(&self, repeats: u32) -> Duration {
+        [ms(0), ms(200), ms(600)].get(repeats as usize).copied().unwrap_or(ms(600))
+    }
+
     fn reset(&self, packet: &FlowPacket) -> (SocketAddrV4, Vec<u8>) {
         (packet.flow.caller, b"reset".to_vec())
     }
