--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! Emulators of the systems around limpetdeck, and tools that measure it.
 
+pub mod account;
 pub mod arguments;
 pub mod caller;
 pub mod emulator;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -4,7 +4,7 @@
 
 use limpetdeck_lab::arguments::{Args, CommandError};
 use limpetdeck_lab::{
-    caller, fabric, fuzz, measure, place, platform, report, result, slopes, soak, target,
+    account, caller, fabric, fuzz, measure, place, platform, report, result, slopes, soak, target,
 };
 
 /// Text for `--help`.
@@ -25,6 +25,7 @@
              as intact
   place      compares target selection policies under load, in virtual time
   soak       runs real instances under injected faults and checks the promises
+  account    says from the bench's reports where the credit of a day was lost
   report     measures policies under faults in each deployment, and writes a page
 
   COMMAND --help    arguments of a command
@@ -44,6 +45,7 @@
         Some("fuzz") => fuzz::main(args),
         Some("place") => place::main(args),
         Some("soak") => soak::main(args),
+        Some("account") => account::main(args),
         Some("report") => report::main(args),
         _ if args.flag("--version") => {
             println!("limpetdeck-lab {}", env!("CARGO_PKG_VERSION"));
