Repeat a first list that was answered before a restore

Cause, found by reading the diff: an answer of an earlier era was dropped before its call was marked as ended. A list that was in flight before any position was known, as at a start, then counted as in flight for good, and its prefix was never listed again.

Test that failed first: steering_restore outdated_list_repeated.

--- a/src/steering/list_watch.rs
+++ b/src/steering/list_watch.rs
@@ -182,15 +182,18 @@
         if let Ok(Reply::Changes(changes)) = result {
             self.enter_era(now, changes.era);
         }
-        if is_outdated(self.era, call, result) {
-            return false;
-        }
         let list_watch = match prefix.as_str() {
             ROUTES_PREFIX => &mut self.routes,
             TARGETS_PREFIX => &mut self.targets,
             INSTANCES_PREFIX => &mut self.instances,
             _ => return true,
         };
+        if is_outdated(self.era, call, result) {
+            if is_list {
+                list_watch.in_flight = false;
+            }
+            return false;
+        }
         list_watch.on_result(now, result, &mut self.rng);
         if is_list && result.is_ok() && prefix != TARGETS_PREFIX {
             let pause = MAX_LIST_PAUSE.mul_f64(self.rng.random_range(0.5..=1.0));
--- a/tests/steering_restore.rs
+++ b/tests/steering_restore.rs
@@ -163,6 +163,20 @@
     assert!(watches.on_result(ms(1_540), &list, &changes(1)));
 }
 
+/// A first list that was answered before a restore is repeated.
+#[test]
+fn outdated_list_repeated() {
+    let mut watches = ListWatches::new(SmallRng::seed_from_u64(3));
+    let interest = limpetdeck::steering::Interest::default();
+    let changes = |era| Ok(Reply::Changes(Changes { era, revision: 100, objects: Vec::new() }));
+    let lists = watches.due(ms(0), interest);
+    watches.enter_era(ms(5), 1);
+    for list in &lists {
+        assert!(!watches.on_result(ms(10), list, &changes(0)));
+    }
+    assert_eq!(watches.due(ms(20), interest), lists);
+}
+
 /// Returns a world in which a target has drained and another one has started since the copy.
 fn restored_world(instances: usize) -> World {
     let mut world = World::new(instances);
