Pass newer routes on as changes, use lists while they arrive, share the pace of watches

On the large deployment 1,352 of 1,380 adoptions of routes were reads of the store: each instance lists the routes at its start and again at each new version. And each instance wrote a line for each change of membership, N squared in all.

Slower processors: the list alone takes 1.2 s at 270 kB/s. Lists from peers: 3 kB/s of control would take 20 s for 1,600 routes.

Change. - steering/route_change.rs: what has changed between two versions, with a fingerprint of the result. steering/gossip/route_changes.rs spreads it: to the next instance in the order of IDs and two at random. From five failure domains on two watchers each (three before), as domains tell each other. - One line on live peers in five seconds at most; failures are logged by those that found them.

--- a/lab/src/measure/instance_model.rs
+++ b/lab/src/measure/instance_model.rs
@@ -174,6 +174,7 @@
             Event::Platform(_, Ok(Reply::Object(object))) => self.adopt(object),
             Event::Peer(_)
             | Event::Platform(..)
+            | Event::PlatformPart(..)
             | Event::ProbeFinished(..)
             | Event::ConnectionChecked(..)
             | Event::SettingsChanged(_) => {}
@@ -327,6 +328,7 @@
             Event::Stop => out.push(Action::Exit),
             Event::Peer(_)
             | Event::Platform(..)
+            | Event::PlatformPart(..)
             | Event::ProbeFinished(..)
             | Event::ConnectionChecked(..)
             | Event::SettingsChanged(_)
--- a/src/backoff.rs
+++ b/src/backoff.rs
@@ -47,6 +47,11 @@
         self.due = now + delay.min(self.max).mul_f64(rng.random_range(self.jitter.clone()));
     }
 
+    /// Lengthens the delay until the next call, for callers that share their calls with others.
+    pub fn stretch(&mut self, now: Duration, factor: u32) {
+        self.due = now + self.due.saturating_sub(now) * factor;
+    }
+
     /// Records a success; the next call is due at `due`.
     pub fn record_success(&mut self, due: Duration) {
         self.failures = 0;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -260,7 +260,8 @@
         let is_deregistration = matches!(call, Call::Delete { .. });
         let task = self.ex.spawn(async move {
             let begin = daemon.started.elapsed();
-            let result = daemon.platform.call(call.clone()).await;
+            let on_part = |part| daemon.handle(Event::PlatformPart(call.clone(), part));
+            let result = daemon.platform.call_streaming(call.clone(), Box::new(on_part)).await;
             if !matches!(call, Call::Watch { .. }) {
                 let elapsed = daemon.started.elapsed().saturating_sub(begin);
                 histogram!("limpetdeck_platform_call_seconds").record(elapsed);
--- a/src/hash.rs
+++ b/src/hash.rs
@@ -9,6 +9,11 @@
 /// A hash set for data that never leaves the process.
 pub type HashSet<K> = std::collections::HashSet<K, foldhash::fast::RandomState>;
 
+/// Hashes bytes; the result is the same on every instance and in every release.
+pub fn stable_bytes(bytes: &[u8]) -> u64 {
+    xxh3_64(bytes)
+}
+
 /// Hashes two numbers; the result is the same on every instance and in every release.
 pub fn stable_pair(a: u64, b: u64) -> u64 {
     let mut bytes = [0; 16];
--- a/src/http.rs
+++ b/src/http.rs
@@ -5,7 +5,7 @@
 
 pub use hyper::{HeaderMap, Method, StatusCode};
 
-pub use client::{CallError, call};
+pub use client::{CallError, Timeouts, call, call_streaming};
 pub use server::{Handler, HandlerFuture, serve};
 
 /// Largest accepted body of a request or response, in bytes.
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,7 +1,8 @@
 //! HTTP client that opens one connection for each call.
 
+use std::future::Future;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use derive_more::{Display, Error};
 use futures_lite::FutureExt;
@@ -28,24 +29,77 @@
     TimedOut,
 }
 
+/// Time limits of a call.
+#[derive(Debug, Clone, Copy)]
+pub struct Timeouts {
+    /// Limit for the connection and the head of the response.
+    pub response: Duration,
+    /// Limit between two parts of the body: a slow link is no failure while data arrives.
+    pub progress: Duration,
+    /// Limit for the whole call.
+    pub total: Duration,
+}
+
+impl From<Duration> for Timeouts {
+    fn from(total: Duration) -> Self {
+        Self { response: total, progress: total, total }
+    }
+}
+
 /// Sends a request and reads the whole response.
 ///
 /// # Errors
 ///
 /// Fails if there is no valid response in time. Only [`CallError::Connect`] guarantees that the
 /// server has not received the request.
-pub async fn call(to: SocketAddr, req: Request, timeout: Duration) -> Result<Response, CallError> {
+pub async fn call(
+    to: SocketAddr,
+    req: Request,
+    timeouts: impl Into<Timeouts>,
+) -> Result<Response, CallError> {
+    call_streaming(to, req, timeouts, |_| {}).await
+}
+
+/// Sends a request and reads the whole response; `on_progress` gets what has arrived so far,
+/// whenever more has.
+///
+/// # Errors
+///
+/// Fails like [`call`], also after a part of the body has arrived.
+pub async fn call_streaming(
+    to: SocketAddr,
+    req: Request,
+    timeouts: impl Into<Timeouts>,
+    on_progress: impl FnMut(&Response),
+) -> Result<Response, CallError> {
+    let timeouts = timeouts.into();
+    within(timeouts.total, exchange(to, req, timeouts, on_progress)).await
+}
+
+/// Fails if a future takes longer than a limit.
+async fn within<T>(
+    limit: Duration,
+    future: impl Future<Output = Result<T, CallError>>,
+) -> Result<T, CallError> {
     let expired = async {
-        smol::Timer::after(timeout).await;
+        smol::Timer::after(limit).await;
         Err(CallError::TimedOut)
     };
-    exchange(to, req).or(expired).await
+    future.or(expired).await
 }
 
-async fn exchange(to: SocketAddr, req: Request) -> Result<Response, CallError> {
-    let stream = TcpStream::connect(to).await.map_err(|e| CallError::Connect(e.to_string()))?;
-    let (mut sender, connection) =
-        http1::handshake(FuturesIo::new(stream)).await.map_err(exchange_error)?;
+async fn exchange(
+    to: SocketAddr,
+    req: Request,
+    timeouts: Timeouts,
+    mut on_progress: impl FnMut(&Response),
+) -> Result<Response, CallError> {
+    let connect = async {
+        let stream = TcpStream::connect(to).await.map_err(|e| CallError::Connect(e.to_string()))?;
+        http1::handshake(FuturesIo::new(stream)).await.map_err(exchange_error)
+    };
+    let begin = Instant::now();
+    let (mut sender, connection) = within(timeouts.response, connect).await?;
     let req = hyper::Request::builder()
         .method(req.method)
         .uri(req.path)
@@ -58,12 +112,25 @@
         std::future::pending().await
     };
     let response = async {
-        let response = sender.send_request(req).await.map_err(exchange_error)?;
-        let status = response.status();
-        let (parts, body) = response.into_parts();
-        let body = Limited::new(body, MAX_BODY_LEN).collect().await;
-        let body = body.map_err(exchange_error)?.to_bytes().to_vec();
-        Ok(Response { status, content_type: "", headers: parts.headers, body })
+        let head = async { sender.send_request(req).await.map_err(exchange_error) };
+        let left = timeouts.response.saturating_sub(begin.elapsed());
+        let (parts, body) = within(left, head).await?.into_parts();
+        let mut response = Response {
+            status: parts.status,
+            content_type: "",
+            headers: parts.headers,
+            body: Vec::new(),
+        };
+        let mut body = Limited::new(body, MAX_BODY_LEN);
+        loop {
+            let frame = async { body.frame().await.transpose().map_err(exchange_error) };
+            let Some(frame) = within(timeouts.progress, frame).await? else { break };
+            if let Some(data) = frame.data_ref() {
+                response.body.extend_from_slice(data);
+                on_progress(&response);
+            }
+        }
+        Ok(response)
     };
     response.or(connection_error).await
 }
--- a/src/instance/event.rs
+++ b/src/instance/event.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::ids::{FlowId, TargetId};
-use crate::platform::{Call, PlatformError, Reply};
+use crate::platform::{Call, Changes, PlatformError, Reply};
 use crate::services::ReportAddress;
 use crate::targets::ProbeResult;
 
@@ -17,6 +17,8 @@
     Peer(Vec<u8>),
     /// The platform has answered a call, or the call has failed.
     Platform(Call, Result<Reply, PlatformError>),
+    /// Part of the platform's reply to a call has arrived; the rest is on its way.
+    PlatformPart(Call, Changes),
     /// A connection check has ended; true if the address accepts connections.
     ConnectionChecked(SocketAddr, bool),
     /// A probe of a target has ended.
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -111,8 +111,8 @@
                 self.targets.on_probe_result(now, target, result, &mut self.link.outbox(now, out));
                 self.propagate_changes(now);
             }
-            // Only steering requests connection checks.
-            Event::ConnectionChecked(..) => {}
+            // Only steering requests connection checks and uses partial replies.
+            Event::ConnectionChecked(..) | Event::PlatformPart(..) => {}
             Event::Tick => self.tick(now, out),
             Event::Stop => self.stop(now),
             Event::SettingsChanged(settings) => self.membership.set_seeds(settings.seeds),
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -55,8 +55,13 @@
 const CHURN_THRESHOLD: usize = 16;
 /// Maximum number of push tokens that can accumulate.
 const MAX_PUSH_TOKENS: u32 = 10;
-/// Number of instances per failure domain that watch the platform.
-const WATCHERS_PER_DOMAIN: usize = 3;
+/// Number of watchers of the platform that a failure domain has even if there are many domains: if
+/// one dies, the other takes over.
+const MIN_WATCHERS_PER_DOMAIN: usize = 2;
+/// Number of watchers that a failure domain has at most.
+const MAX_WATCHERS_PER_DOMAIN: usize = 3;
+/// Number of watchers that all failure domains together have at least, if there are enough of them.
+const MIN_WATCHERS: usize = 9;
 /// Hash salt that makes watcher ranks independent of other rankings.
 const WATCH_SALT: u64 = 2 << 32;
 
@@ -246,6 +251,11 @@
         self.live_members().map(|info| info.id).collect()
     }
 
+    /// Returns the number of live instances, including this one.
+    pub fn live_count(&self) -> usize {
+        self.live_members().count()
+    }
+
     /// Returns what each live instance announces about itself, including this one.
     pub fn live_infos(&self) -> impl Iterator<Item = &MemberInfo> {
         self.live_members()
@@ -283,7 +293,27 @@
         let domain = &self.me.failure_domain;
         let domain_peers = self.table.live().filter(|m| m.info.failure_domain == *domain);
         self.is_isolated(now)
-            || domain_peers.filter(|m| rank(m.info.id) > mine).count() < WATCHERS_PER_DOMAIN
+            || domain_peers.filter(|m| rank(m.info.id) > mine).count() < self.watchers_per_domain()
+    }
+
+    /// Returns the number of watchers in the failure domain of this instance.
+    pub fn local_watchers(&self) -> usize {
+        let domain = &self.me.failure_domain;
+        let local = self.live_members().filter(|info| info.failure_domain == *domain);
+        local.take(self.watchers_per_domain()).count()
+    }
+
+    /// Returns the number of watchers that each failure domain has: the more domains there are, the
+    /// fewer, as domains tell each other what they learn.
+    fn watchers_per_domain(&self) -> usize {
+        let mut domains: Vec<&str> = Vec::new();
+        for info in self.live_members() {
+            if !domains.contains(&info.failure_domain.as_str()) {
+                domains.push(&info.failure_domain);
+            }
+        }
+        let share = MIN_WATCHERS.div_ceil(domains.len());
+        share.clamp(MIN_WATCHERS_PER_DOMAIN, MAX_WATCHERS_PER_DOMAIN)
     }
 
     fn live_members(&self) -> impl Iterator<Item = &MemberInfo> {
--- a/src/membership/identity.rs
+++ b/src/membership/identity.rs
@@ -13,7 +13,7 @@
         self.changed |= self.me.state != state;
         self.me.state = state;
         self.announcement = self.announcement.saturating_add(1);
-        self.queue.push(self.own_update(), self.live().len());
+        self.queue.push(self.own_update(), self.live_count());
     }
 
     pub(super) fn handle_own_update(&mut self, update: &MemberUpdate) {
--- a/src/membership/spreading.rs
+++ b/src/membership/spreading.rs
@@ -40,7 +40,7 @@
                 self.notify_predecessor(info, out);
             }
             if let Some(update) = self.apply_update(now, update) {
-                self.queue.push(update, self.live().len());
+                self.queue.push(update, self.live_count());
             } else if self.queue.len() > CHURN_THRESHOLD {
                 self.queue.on_duplicate(update);
             }
@@ -81,21 +81,27 @@
             }
         }
         self.record_change(now, &applied);
+        log::debug!(instance = id, update = format!("{applied:?}").as_str(); "instance_update");
         Some(applied)
     }
 
+    /// Records and sends an update that this instance has concluded itself. Only the instances that
+    /// have pinged another one in vain log its failure; the rest is told by them.
     pub(super) fn disseminate(&mut self, now: Duration, update: MemberUpdate) {
+        match &update {
+            MemberUpdate::Suspect(id, _) => log::info!(instance = *id; "instance_suspected"),
+            MemberUpdate::Dead(id, _) if self.own_suspects.contains(id) => {
+                log::warn!(instance = *id; "instance_dead");
+            }
+            MemberUpdate::Dead(id, _) => log::debug!(instance = *id; "instance_dead"),
+            MemberUpdate::Alive { .. } => {}
+        }
         self.record_change(now, &update);
-        self.queue.push(update, self.live().len());
+        self.queue.push(update, self.live_count());
     }
 
-    pub(super) fn record_change(&mut self, now: Duration, update: &MemberUpdate) {
+    fn record_change(&mut self, now: Duration, update: &MemberUpdate) {
         self.last_change = now;
-        match update {
-            MemberUpdate::Suspect(id, _) => log::info!(instance = *id; "instance_suspected"),
-            MemberUpdate::Dead(id, _) => log::warn!(instance = *id; "instance_dead"),
-            MemberUpdate::Alive { info, .. } => log::debug!(instance = info.id; "instance_alive"),
-        }
         self.changed |= !matches!(update, MemberUpdate::Suspect(..));
     }
 
--- a/src/platform/api.rs
+++ b/src/platform/api.rs
@@ -113,6 +113,9 @@
 /// Future of a call to the platform.
 pub type PlatformFuture<'a> = Pin<Box<dyn Future<Output = Result<Reply, PlatformError>> + 'a>>;
 
+/// Receives the part of a reply that has arrived so far.
+pub type PartialReply<'a> = Box<dyn FnMut(Changes) + 'a>;
+
 /// Client of the platform's object API.
 pub trait Platform {
     /// Makes a call.
@@ -121,4 +124,15 @@
     ///
     /// Fails if the platform rejects the call or gives no usable response.
     fn call(&self, call: Call) -> PlatformFuture<'_>;
+
+    /// Makes a call, and passes on whatever is usable of the reply while the rest is on its way.
+    /// Each part replaces the ones before it. Clients need not pass on any.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Platform::call`], also after a part has been passed on.
+    fn call_streaming<'a>(&'a self, call: Call, on_part: PartialReply<'a>) -> PlatformFuture<'a> {
+        drop(on_part);
+        self.call(call)
+    }
 }
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -18,6 +18,7 @@
 mod overdue;
 mod packet;
 mod registration;
+mod route_change;
 mod routes;
 mod selection;
 mod target;
@@ -34,6 +35,7 @@
 pub use message::Message;
 pub use node::{Node, NodeConfig};
 pub use packet::{FlowPacket, PacketError, PacketFormat, PacketKind};
+pub use route_change::{ChangeError, ChangedRoute, RouteChange};
 pub use routes::{RawRoute, RawRoutes, Route, RouteTable, WeightedService};
 pub use selection::{Candidate, select_target};
 pub use target::{RawTarget, Target, TargetKey, TargetState};
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -129,6 +129,12 @@
         self.routes.version() > 0 && self.targets.complete_up_to().is_known()
     }
 
+    /// Returns whether the targets and the route of an address have been received: routes may arrive
+    /// over seconds, and those that are there are used.
+    fn is_ready_for(&self, service: SocketAddrV4) -> bool {
+        self.targets.complete_up_to().is_known() && self.routes.is_known(service)
+    }
+
     /// Sets the number of instances in the local failure domain, this one included.
     pub fn set_local_instances(&mut self, instances: usize) {
         self.local_instances = instances;
@@ -168,7 +174,7 @@
 
     /// Decides about a packet and records it.
     pub fn decide(&mut self, now: Duration, packet: &FlowPacket) -> Verdict<'_> {
-        if !self.ready() {
+        if !self.is_ready_for(packet.flow.service) {
             return Verdict::Drop(DropReason::NotReady);
         }
         match packet.kind {
--- a/src/steering/gossip.rs
+++ b/src/steering/gossip.rs
@@ -7,6 +7,7 @@
 mod changes;
 mod dedup;
 mod removed;
+mod route_changes;
 mod route_transfer;
 
 use std::time::Duration;
@@ -18,11 +19,12 @@
 use self::changes::{apply_changes, changes_since};
 use self::dedup::Dedup;
 use self::removed::RemovedTargets;
+use self::route_changes::{RouteChanges, describe_change};
 use self::route_transfer::RouteTransfer;
 use super::message::{Digest, Message};
 use super::{Forwarder, TargetIncarnation};
 use crate::budget::Class;
-use crate::ids::InstanceId;
+use crate::ids::{InstanceId, Version};
 use crate::link::Outbox;
 use crate::peer::Body;
 use crate::platform::Position;
@@ -45,6 +47,18 @@
     pub local: Vec<InstanceId>,
     /// Peers in other failure domains.
     pub remote: Vec<InstanceId>,
+    /// The local peer that follows this instance in the order of their IDs, the lowest after the
+    /// highest one.
+    next: Option<InstanceId>,
+}
+
+impl Peers {
+    /// Creates the peers of the instance `me`.
+    pub fn new(me: InstanceId, local: Vec<InstanceId>, remote: Vec<InstanceId>) -> Self {
+        let following = local.iter().copied().filter(|&id| id > me).min();
+        let next = following.or_else(|| local.iter().copied().min());
+        Self { local, remote, next }
+    }
 }
 
 /// Gossip state of an instance.
@@ -55,6 +69,7 @@
     next_push: Duration,
     /// Position after which changes are still to be pushed.
     unpushed: Option<Position>,
+    route_changes: RouteChanges,
     route_transfer: RouteTransfer,
     removed_targets: RemovedTargets,
     /// Announcements of targets that may have stopped.
@@ -72,6 +87,7 @@
             next_digest: Duration::ZERO,
             next_push: Duration::ZERO,
             unpushed: None,
+            route_changes: RouteChanges::default(),
             route_transfer: RouteTransfer::default(),
             removed_targets: RemovedTargets::new(),
             suspects: Dedup::default(),
@@ -85,13 +101,35 @@
         self.peers = peers;
     }
 
-    /// Returns whether a peer has announced newer routes.
-    pub fn routes_behind(&self, forwarder: &Forwarder) -> bool {
-        self.route_transfer.is_behind(forwarder)
+    /// Returns the live peers.
+    pub fn peers(&self) -> &Peers {
+        &self.peers
+    }
+
+    /// Returns whether newer routes are to be read from the platform: a peer has announced them, and
+    /// peers do not send them.
+    pub fn reads_routes(&self, now: Duration, forwarder: &Forwarder) -> bool {
+        self.route_changes.reads_platform(now, forwarder)
+    }
+
+    /// Records that routes have been adopted in place of those of version `before`, and pushes what
+    /// has changed if a push is due.
+    pub fn note_routes(
+        &mut self,
+        now: Duration,
+        forwarder: &Forwarder,
+        before: Version,
+        out: &mut Outbox<'_>,
+    ) {
+        self.route_changes.note_adopted(now, before, forwarder);
+        self.push_routes(now, forwarder, out);
+    }
+
+    fn push_routes(&mut self, now: Duration, forwarder: &Forwarder, out: &mut Outbox<'_>) {
+        self.route_changes.push(now, forwarder, &self.peers, &mut self.rng, out);
     }
 
-    /// Records that targets have changed after a position, or that there are newer routes, and
-    /// pushes the changes if a push is due.
+    /// Records that targets have changed after a position, and pushes the changes if a push is due.
     pub fn note_changes(
         &mut self,
         now: Duration,
@@ -147,6 +185,7 @@
         let Some(since) = self.unpushed.take() else { return };
         self.next_push = now + MIN_PUSH_INTERVAL;
         let changes = changes_since(now, forwarder, since);
+        // A new era may begin without changed records.
         let digest = Message::Digest { known: digest(forwarder), wants_reply: false };
         let message = if changes.records.is_empty() { digest } else { Message::Targets(changes) };
         let receivers = self.peers.local.choose_multiple(&mut self.rng, PUSH_FANOUT);
@@ -174,6 +213,7 @@
             }
         }
         self.push(now, forwarder, out);
+        self.push_routes(now, forwarder, out);
         self.request_removed(now, forwarder, out);
         self.route_transfer.fetch(now, routes_failing, forwarder, out);
     }
@@ -227,6 +267,22 @@
             Message::Routes(piece) => {
                 self.route_transfer.on_piece(now, from, piece, forwarder, out)
             }
+            Message::PullRouteChange { since } => {
+                if since < forwarder.routes.version() {
+                    send(from, describe_change(since, forwarder), out);
+                }
+                false
+            }
+            Message::RouteChange(change) => {
+                self.route_transfer.note_version(from, change.version, forwarder);
+                self.route_changes.on_change(now, from, &change, forwarder, out)
+            }
+            Message::NewRoutes { version } => {
+                self.route_transfer.note_version(from, version, forwarder);
+                let (peers, rng) = (&self.peers, &mut self.rng);
+                self.route_changes.on_announced(now, version, forwarder, peers, rng, out);
+                false
+            }
         }
     }
 
@@ -242,6 +298,7 @@
         forwarder.targets.enter_era(now, theirs.targets);
         let ours = digest(forwarder);
         self.route_transfer.note_version(from, theirs.routes, forwarder);
+        self.route_changes.note_version(now, from, theirs.routes, forwarder, out);
         if theirs.targets > ours.targets {
             send(from, Message::PullTargets { since: ours.targets }, out);
         }
@@ -284,7 +341,10 @@
         Message::Digest { .. }
         | Message::PullTargets { .. }
         | Message::Targets(_)
-        | Message::Suspect(_) => Class::Liveness,
+        | Message::Suspect(_)
+        | Message::PullRouteChange { .. }
+        | Message::RouteChange(_)
+        | Message::NewRoutes { .. } => Class::Liveness,
         // A lost announcement costs only a few flows.
         Message::Overdue(_) => Class::Lists,
         Message::PullRemoved { .. }
--- a/src/steering/list_watch.rs
+++ b/src/steering/list_watch.rs
@@ -1,7 +1,12 @@
 //! Scheduling of list and watch calls to the platform for routes, targets and instances.
 //!
 //! The platform counts the calls of all instances, so only a few of each failure domain watch
-//! it; the others list objects when they start and when peers announce newer routes.
+//! it; the others list objects when they start and when peers announce newer routes that they do
+//! not send.
+//!
+//! Load pattern: targets change several times a second for minutes while a service is replaced,
+//! and each change wakes all watchers. The watchers of a failure domain therefore take turns: each
+//! pauses in proportion to their number, and tells the others what it has learned.
 
 use std::time::Duration;
 
@@ -21,14 +26,16 @@
 /// Longest time that a watch waits for a change. Short, so that a stalled connection is detected
 /// before a change has to be in force.
 const MAX_WATCH_WAIT: Duration = Duration::from_millis(4_000);
-/// Time between the reply to a watch and the next watch, so that changes arrive in batches.
+/// Time between the reply to a watch and the next watch, for each watcher of the failure domain, so
+/// that changes arrive in batches.
 const WATCH_BATCH_DELAY: Duration = Duration::from_millis(350);
 /// Longest pause after a list of routes or instances. It limits how often announcements by peers
 /// cause another list.
 const MAX_LIST_PAUSE: Duration = Duration::from_millis(400);
 /// Longest delay before the first retry.
 const MAX_FIRST_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Longest delay before any retry: the end of an outage is detected within this time.
+/// Longest delay before any retry, for each watcher of the failure domain: one of them detects the
+/// end of an outage within this time.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 /// Consecutive failures after which the platform counts as unreachable.
 const OUTAGE_FAILURES: u32 = 2;
@@ -84,13 +91,17 @@
         &mut self,
         now: Duration,
         result: &Result<Reply, PlatformError>,
+        watchers: u32,
         rng: &mut SmallRng,
     ) {
         self.in_flight = false;
         match result {
             Ok(Reply::Changes(changes)) => {
                 self.position = Some(changes.position());
-                self.backoff.record_success(now + WATCH_BATCH_DELAY);
+                // A watch that has ended without changes goes on at once.
+                let changed = !changes.objects.is_empty();
+                let pause = if changed { WATCH_BATCH_DELAY * watchers } else { Duration::ZERO };
+                self.backoff.record_success(now + pause);
             }
             Ok(_) => {}
             Err(e) => {
@@ -98,7 +109,11 @@
                     // The platform cannot continue from this position: list everything again.
                     self.position = None;
                 }
+                let known = self.position.is_some();
                 self.backoff.record_failure(now, rng);
+                if known {
+                    self.backoff.stretch(now, watchers);
+                }
             }
         }
     }
@@ -109,6 +124,8 @@
 pub struct Interest {
     /// Whether it watches on behalf of its failure domain.
     pub watches: bool,
+    /// Number of instances that do so, this one included.
+    pub watchers: u32,
     /// Whether a peer has announced newer routes.
     pub routes: bool,
     /// Whether it knows no other instance.
@@ -123,6 +140,8 @@
     instances: ListWatch,
     /// The latest era of the platform that is known.
     era: Era,
+    /// Number of instances that share the watches, this one included.
+    watchers: u32,
     in_outage: bool,
     outage_ended: bool,
     rng: SmallRng,
@@ -136,6 +155,7 @@
             targets: ListWatch::new(TARGETS_PREFIX),
             instances: ListWatch::new(INSTANCES_PREFIX),
             era: 0,
+            watchers: 1,
             in_outage: false,
             outage_ended: false,
             rng,
@@ -144,6 +164,7 @@
 
     /// Returns the calls that are due.
     pub fn due(&mut self, now: Duration, interest: Interest) -> Vec<Call> {
+        self.watchers = if interest.watches { interest.watchers.max(1) } else { 1 };
         let (era, rng) = (self.era, &mut self.rng);
         let routes = self.routes.due(now, era, interest.watches, interest.routes, rng);
         let targets = self.targets.due(now, era, interest.watches, false, rng);
@@ -194,7 +215,7 @@
             }
             return false;
         }
-        list_watch.on_result(now, result, &mut self.rng);
+        list_watch.on_result(now, result, self.watchers, &mut self.rng);
         if is_list && result.is_ok() && prefix != TARGETS_PREFIX {
             let pause = MAX_LIST_PAUSE.mul_f64(self.rng.random_range(0.5..=1.0));
             list_watch.backoff.set_due(now + pause);
--- a/src/steering/message.rs
+++ b/src/steering/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Target, TargetIncarnation, TargetRecord};
+use super::{RouteChange, Target, TargetIncarnation, TargetRecord};
 use crate::ids::Version;
 use crate::platform::Position;
 
@@ -59,6 +59,18 @@
     Routes(Piece),
     /// Targets with overdue responses, which should get fewer new flows for a time.
     Overdue(Vec<TargetIncarnation>),
+    /// Requests what has changed in the routes after a version.
+    PullRouteChange {
+        /// Version that the sender has.
+        since: Version,
+    },
+    /// What has changed in the routes. Earlier releases do not know this message and those below.
+    RouteChange(RouteChange),
+    /// The sender knows of newer routes, but cannot send what has changed in one message.
+    NewRoutes {
+        /// Version of the routes.
+        version: Version,
+    },
 }
 
 /// All target changes between two positions.
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -2,9 +2,11 @@
 //! returns actions.
 
 mod logging;
+mod members_log;
 mod platform_reply;
+mod startup_queue;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,6 +14,8 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use self::members_log::MembersLog;
+use self::startup_queue::StartupQueue;
 use super::gossip::{Gossip, Peers};
 use super::late_openings::{HeldOpening, LateOpenings};
 use super::list_watch::{Interest, ListWatches};
@@ -46,10 +50,6 @@
 const WATCH_DELAY: Duration = Duration::from_millis(2_500);
 /// Time after the start before an instance that knows no peer looks up the registered ones.
 const DISCOVERY_DELAY: Duration = Duration::from_millis(1_200);
-/// Maximum number of packets queued until routes and targets are known.
-const MAX_PENDING_PACKETS: usize = 256;
-/// Longest time that a packet is queued; by then its sender has retransmitted it.
-const MAX_PENDING_TIME: Duration = Duration::from_millis(600);
 
 /// Configuration of a [`Node`].
 #[derive(Debug)]
@@ -81,8 +81,7 @@
     link: Link,
     trace_one_in: u64,
     log: LogRateLimit,
-    /// Packets queued until routes and targets are known, each with its arrival time.
-    pending: VecDeque<(Duration, Vec<u8>)>,
+    startup_queue: StartupQueue,
     late_openings: LateOpenings,
     started: Duration,
     pauses: PauseDetector,
@@ -93,8 +92,7 @@
     /// The latest era of the platform that is known.
     era: Era,
     registration: Registration,
-    /// Numbers of local and remote peers, as last logged.
-    logged_peers: (usize, usize),
+    members_log: MembersLog,
     grace: Duration,
     leaving_since: Option<Duration>,
     exited: bool,
@@ -117,7 +115,7 @@
             trace_one_in: u64::from(cfg.trace_one_in),
             membership: Membership::new(now, cfg.me, cfg.seeds, fork()),
             log: LogRateLimit::new(now),
-            pending: VecDeque::new(),
+            startup_queue: StartupQueue::default(),
             late_openings: LateOpenings::default(),
             started: now,
             pauses: PauseDetector::new(now),
@@ -127,7 +125,7 @@
             platform_answered: None,
             era: 0,
             registration: Registration::new(now, fork()),
-            logged_peers: (0, 0),
+            members_log: MembersLog::default(),
             grace: cfg.grace,
             leaving_since: None,
             exited: false,
@@ -182,7 +180,7 @@
                 return self.hold_opening(now, &packet, first_sent, buf, out);
             }
         }
-        self.forward(now, &packet, buf, out);
+        self.forward(now, arrived, &packet, buf, out);
     }
 
     /// Returns whether the caller of an opening packet yields to others for now.
@@ -223,11 +221,18 @@
 
     fn forward_held(&mut self, now: Duration, opening: HeldOpening, out: &mut Vec<Action>) {
         if let Ok(packet) = self.format.read(&opening.buf) {
-            self.forward(now, &packet, opening.buf, out);
+            self.forward(now, now, &packet, opening.buf, out);
         }
     }
 
-    fn forward(&mut self, now: Duration, packet: &FlowPacket, buf: Vec<u8>, out: &mut Vec<Action>) {
+    fn forward(
+        &mut self,
+        now: Duration,
+        arrived: Duration,
+        packet: &FlowPacket,
+        buf: Vec<u8>,
+        out: &mut Vec<Action>,
+    ) {
         match self.forwarder.decide(now, packet) {
             Verdict::Forward(target, token) => {
                 counter!("limpetdeck_packets_forwarded_total").increment(1);
@@ -239,42 +244,19 @@
                 }
             }
             Verdict::Reset(reason) => self.send_reset(now, packet, reason, out),
-            Verdict::Drop(DropReason::NotReady) => self.queue_packet(now, buf),
+            Verdict::Drop(DropReason::NotReady) => self.startup_queue.push(arrived, buf),
             Verdict::Drop(reason) => self.record_drop(now, Some(packet), &reason.to_string()),
         }
     }
 
-    /// Queues a packet until routes and targets are known.
-    fn queue_packet(&mut self, now: Duration, buf: Vec<u8>) {
-        if self.pending.len() >= MAX_PENDING_PACKETS {
-            self.pending.pop_front();
-            counter!("limpetdeck_packets_dropped_total", "reason" => "not_ready").increment(1);
-        }
-        self.pending.push_back((now, buf));
-    }
-
-    /// Forwards or drops the queued packets once routes and targets are known.
-    fn release_pending(&mut self, now: Duration, out: &mut Vec<Action>) {
-        if self.pending.is_empty() || !self.forwarder.ready() {
+    /// Forwards the queued packets whose routes and targets are known by now.
+    fn release_queued(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if self.startup_queue.is_empty() || !self.forwarder.targets.complete_up_to().is_known() {
             return;
         }
-        let pending = std::mem::take(&mut self.pending);
-        log::info!(packets = pending.len(); "waiting_released");
-        let queued = pending.len();
-        // Only the last copy of a retransmitted packet is handled: it carries the number of
-        // retransmissions.
-        let mut latest = HashMap::default();
-        for (at, buf) in pending.into_iter().filter(|(since, _)| now < *since + MAX_PENDING_TIME) {
-            if let Ok(packet) = self.format.read(&buf) {
-                latest.insert((packet.flow.id(), packet.sequence, packet.data_len), (at, buf));
-            }
-        }
-        let dropped = queued - latest.len();
-        counter!("limpetdeck_packets_dropped_total", "reason" => "not_ready")
-            .increment(dropped as u64);
-        let mut latest: Vec<_> = latest.into_values().collect();
-        latest.sort();
-        for (arrived, buf) in latest {
+        let packets = self.startup_queue.take(now, self.format.as_ref());
+        log::info!(packets = packets.len(); "waiting_released");
+        for (arrived, buf) in packets {
             self.handle_packet(now, arrived, buf, out);
         }
     }
@@ -282,6 +264,7 @@
     fn handle_peer_message(&mut self, now: Duration, buf: &[u8], out: &mut Vec<Action>) {
         let Some((from, body)) = self.link.open(buf) else { return };
         let since = self.forwarder.targets.complete_up_to();
+        let routes_before = self.forwarder.routes.version();
         let mut outbox = self.link.outbox(now, out);
         match body {
             Body::Membership(message) => {
@@ -291,12 +274,14 @@
             Body::Steering(message) => {
                 let changed =
                     self.gossip.on_message(now, from, message, &mut self.forwarder, &mut outbox);
-                if changed {
+                if self.forwarder.routes.version() > routes_before {
+                    self.gossip.note_routes(now, &self.forwarder, routes_before, &mut outbox);
+                } else if changed {
                     self.gossip.note_changes(now, &self.forwarder, since, &mut outbox);
                 }
                 self.enter_era(now, self.forwarder.targets.era(), "peer");
                 if changed {
-                    self.release_pending(now, out);
+                    self.release_queued(now, out);
                 }
             }
             // Sent only by instances that forward by flow records instead of tokens.
@@ -318,6 +303,7 @@
         let routes_failing = self.list_watches.routes_failing();
         self.gossip.tick(now, &self.forwarder, routes_failing, &mut outbox);
         self.update_peers();
+        self.members_log.write(now, self.gossip.peers());
         if self.membership.is_superseded() {
             self.begin_shutdown(now);
         }
@@ -392,11 +378,12 @@
             return;
         }
         let age = now.saturating_sub(self.started);
-        let alone = self.membership.live().len() < 2;
+        let alone = self.membership.live_count() < 2;
         let watches = age >= WATCH_DELAY && self.membership.is_watcher(now);
         let interest = Interest {
             watches,
-            routes: self.gossip.routes_behind(&self.forwarder),
+            watchers: self.membership.local_watchers() as u32,
+            routes: self.gossip.reads_routes(now, &self.forwarder),
             instances: alone && age >= DISCOVERY_DELAY,
         };
         out.extend(self.list_watches.due(now, interest).into_iter().map(Action::Platform));
@@ -416,14 +403,10 @@
             others.partition(|info| info.failure_domain == me.failure_domain);
         let ids = |infos: Vec<&MemberInfo>| infos.into_iter().map(|info| info.id).collect();
         let counts = (local.len(), remote.len());
-        if counts != self.logged_peers {
-            self.logged_peers = counts;
-            log::info!(home = local.len(), away = remote.len(); "members");
-        }
         gauge!("limpetdeck_instances_live").set((local.len() + remote.len() + 1) as f64);
         self.forwarder.set_local_instances(counts.0 + 1);
         self.forwarder.set_instances(counts.0 + counts.1 + 1);
-        self.gossip.set_peers(Peers { local: ids(local), remote: ids(remote) });
+        self.gossip.set_peers(Peers::new(me.id, ids(local), ids(remote)));
         let addresses: HashMap<_, _> = self.membership.peer_addresses();
         self.link.set_addresses(addresses);
         self.link.set_incarnation(self.membership.me().incarnation);
@@ -467,6 +450,7 @@
             }
             Event::Peer(buf) => self.handle_peer_message(now, &buf, out),
             Event::Platform(call, result) => self.handle_platform_reply(now, &call, &result, out),
+            Event::PlatformPart(call, part) => self.handle_platform_part(now, &call, &part, out),
             // This core never probes targets: their flows show whether they respond.
             Event::ProbeFinished(..) => {}
             Event::ConnectionChecked(address, accepted) => {
@@ -500,7 +484,7 @@
             versions: ListVersions { services, ..ListVersions::default() },
             refused_versions: ListVersions::default(),
             platform_answered_ms_ago: self.platform_answered.map(since),
-            live_instances: self.membership.live().len(),
+            live_instances: self.membership.live_count(),
             open_flows: self.forwarder.flows.len(),
             refusals: self.refusals.clone(),
         }
--- a/src/steering/node/platform_reply.rs
+++ b/src/steering/node/platform_reply.rs
@@ -8,7 +8,7 @@
 use super::Node;
 use crate::instance::Action;
 use crate::peer::MemberInfo;
-use crate::platform::{Call, Era, Object, PlatformError, Position, Reply};
+use crate::platform::{Call, Changes, Era, Object, PlatformError, Position, Reply};
 use crate::steering::list_watch::{ROUTES_PREFIX, TARGETS_PREFIX};
 use crate::steering::{RawRoutes, RawTarget, Target, TargetRecord};
 
@@ -37,20 +37,15 @@
             }
             (Call::List { prefix } | Call::Watch { prefix, .. }, Ok(Reply::Changes(changes))) => {
                 self.platform_answered = Some(now);
-                let since = self.forwarder.targets.complete_up_to();
-                let changed = match prefix.as_str() {
-                    ROUTES_PREFIX => self.apply_routes(&changes.objects),
+                match prefix.as_str() {
+                    ROUTES_PREFIX => self.apply_routes(now, &changes.objects, out),
                     TARGETS_PREFIX => {
                         let is_list = matches!(call, Call::List { .. });
-                        self.apply_targets(now, is_list, changes.position(), &changes.objects)
+                        self.apply_targets(now, is_list, changes, out);
                     }
                     _ => self.apply_instances(now, &changes.objects),
-                };
-                if changed {
-                    let mut outbox = self.link.outbox(now, out);
-                    self.gossip.note_changes(now, &self.forwarder, since, &mut outbox);
                 }
-                self.release_pending(now, out);
+                self.release_queued(now, out);
             }
             (_, Ok(_)) => self.platform_answered = Some(now),
         }
@@ -61,9 +56,45 @@
         log::warn!(call = describe(call).as_str(), error = e.to_string().as_str(); "platform_call_failed");
     }
 
-    /// Adopts newer routes. Returns whether there were any.
-    pub(super) fn apply_routes(&mut self, objects: &[Object]) -> bool {
-        let mut adopted = false;
+    /// Uses the routes that have arrived while the rest of a list is on its way.
+    pub(super) fn handle_platform_part(
+        &mut self,
+        now: Duration,
+        call: &Call,
+        part: &Changes,
+        out: &mut Vec<Action>,
+    ) {
+        let is_outdated = part.era < self.era;
+        if is_outdated || !matches!(call, Call::List { prefix } if prefix == ROUTES_PREFIX) {
+            return;
+        }
+        for object in &part.objects {
+            let raw = match RawRoutes::deserialize(&object.value) {
+                Ok(raw) => raw,
+                Err(e) => {
+                    record_refused_object(&object.name, &e.to_string());
+                    continue;
+                }
+            };
+            match self.forwarder.routes.adopt_partial(&raw) {
+                Ok(true) => {
+                    log::info!(version = raw.version, routes = raw.routes.len(); "routes_arriving");
+                    self.release_queued(now, out);
+                }
+                Ok(false) => {}
+                Err(findings) => record_refused_object(&object.name, &findings.to_string()),
+            }
+        }
+    }
+
+    /// Adopts newer routes, and tells peers.
+    pub(super) fn apply_routes(
+        &mut self,
+        now: Duration,
+        objects: &[Object],
+        out: &mut Vec<Action>,
+    ) {
+        let before = self.forwarder.routes.version();
         for object in objects.iter().filter(|object| !object.value.is_null()) {
             let raw = match RawRoutes::deserialize(&object.value) {
                 Ok(raw) => raw,
@@ -74,15 +105,15 @@
             };
             let version = raw.version;
             match self.forwarder.routes.adopt(raw) {
-                Ok(true) => {
-                    log::info!(version = version, source = "platform"; "routes_adopted");
-                    adopted = true;
-                }
+                Ok(true) => log::info!(version = version, source = "platform"; "routes_adopted"),
                 Ok(false) => {}
                 Err(findings) => record_refused_object(&object.name, &findings.to_string()),
             }
         }
-        adopted
+        if self.forwarder.routes.version() > before {
+            let mut outbox = self.link.outbox(now, out);
+            self.gossip.note_routes(now, &self.forwarder, before, &mut outbox);
+        }
     }
 
     /// Enters a new era of the platform: lists objects again, and registers again.
@@ -100,17 +131,18 @@
         }
     }
 
-    /// Merges target records, which are `all` targets of the platform or those that changed.
-    /// Returns whether anything changed or a new era began, which peers may not know either.
+    /// Merges target records, which are `all` targets of the platform or those that changed. Tells
+    /// peers if anything changed or a new era began, which they may not know either.
     pub(super) fn apply_targets(
         &mut self,
         now: Duration,
         all: bool,
-        position: Position,
-        objects: &[Object],
-    ) -> bool {
+        changes: &Changes,
+        out: &mut Vec<Action>,
+    ) {
+        let position = changes.position();
         let parse = |object| parse_target_record(position.era, object);
-        let records: Vec<_> = objects.iter().filter_map(parse).collect();
+        let records: Vec<_> = changes.objects.iter().filter_map(parse).collect();
         let targets = &mut self.forwarder.targets;
         let known = targets.complete_up_to();
         let changed = if all {
@@ -130,19 +162,20 @@
                 .increment(changed as u64);
             log::info!(source = source, changes = changed, revision = position.revision, era = position.era, targets = targets.len(); "targets_changed");
         }
-        changed > 0 || entered_era
+        if changed > 0 || entered_era {
+            let mut outbox = self.link.outbox(now, out);
+            self.gossip.note_changes(now, &self.forwarder, known, &mut outbox);
+        }
     }
 
-    /// Passes registered instances on to the membership. Returns false: nothing that peers need
-    /// to hear about has changed.
-    pub(super) fn apply_instances(&mut self, now: Duration, objects: &[Object]) -> bool {
+    /// Passes registered instances on to the membership.
+    pub(super) fn apply_instances(&mut self, now: Duration, objects: &[Object]) {
         for object in objects.iter().filter(|object| !object.value.is_null()) {
             match MemberInfo::deserialize(&object.value) {
                 Ok(info) => self.membership.on_listed(now, info),
                 Err(e) => record_refused_object(&object.name, &e.to_string()),
             }
         }
-        false
     }
 }
 
--- a/tests/membership_faults.rs
+++ b/tests/membership_faults.rs
@@ -263,3 +263,16 @@
         assert_eq!(here.filter(|n| n.members.is_watcher(net.now)).count(), 3);
     }
 }
+
+/// With many failure domains, each needs fewer watchers: changes reach it from the others too.
+#[test]
+fn watchers_of_many_domains() {
+    for (domains, per_domain) in [(1, 3), (2, 3), (4, 3), (5, 2), (8, 2)] {
+        let net = Net::settled_in_domains(1, 24, domains);
+        for domain in 0..domains {
+            let here = net.nodes.iter().filter(|n| n.members.me().id % domains == domain);
+            let watchers = here.filter(|n| n.members.is_watcher(net.now)).count();
+            assert_eq!(watchers, per_domain, "domain {domain} of {domains}");
+        }
+    }
+}
--- a/tests/support/members.rs
+++ b/tests/support/members.rs
@@ -45,6 +45,8 @@
     pub loss: f64,
     /// Partition of each instance; messages between different partitions are lost.
     pub partitions: BTreeMap<SocketAddr, u8>,
+    /// Number of failure domains.
+    pub domains: u32,
 }
 
 pub fn address(port: u16) -> SocketAddr {
@@ -75,13 +77,19 @@
             rng,
             loss: 0.0,
             partitions: BTreeMap::new(),
+            domains: 3,
         }
     }
 
     /// Starts instances 0 to n - 1 with the first as their seed, and runs until they agree and
     /// 20 s longer.
     pub fn settled(seed: u64, n: u16) -> Self {
-        let mut net = Self::new(seed);
+        Self::settled_in_domains(seed, n, 3)
+    }
+
+    /// Does the same with another number of failure domains.
+    pub fn settled_in_domains(seed: u64, n: u16, domains: u32) -> Self {
+        let mut net = Self { domains, ..Self::new(seed) };
         for i in 0..n {
             net.start(u32::from(i), 1_000_000_000_000, i, &[0]);
         }
@@ -92,7 +100,8 @@
     }
 
     pub fn start(&mut self, id: InstanceId, incarnation: u64, port: u16, seeds: &[u16]) {
-        let me = info(id, incarnation, port);
+        let failure_domain = format!("gt-centro-{}", id % self.domains);
+        let me = MemberInfo { failure_domain, ..info(id, incarnation, port) };
         let seeds = seeds.iter().map(|&port| address(port)).collect();
         let link = Link::new(KEY, id, incarnation, BUDGET_BYTES_PER_S, self.now);
         let address = me.peer_address;
--- a/tests/support/steering_world.rs
+++ b/tests/support/steering_world.rs
@@ -34,6 +34,8 @@
     pub refused_instances: Vec<usize>,
     /// Instances whose calls and open watches get no response until they time out.
     pub silent_instances: Vec<usize>,
+    /// Prefixes whose lists get no response at all.
+    pub silent_prefixes: Vec<String>,
     pub down: bool,
     pub calls: u32,
 }
@@ -99,7 +101,15 @@
 }
 
 pub fn peer_address(i: usize) -> SocketAddr {
-    SocketAddr::from(([10, 1, 0, i as u8 + 1], 7_720))
+    let [.., high, low] = (i as u32 + 1).to_be_bytes();
+    SocketAddr::from(([10, 1, high, low], 7_720))
+}
+
+/// Returns the instance with a peer address.
+fn instance_at(address: SocketAddr) -> Option<usize> {
+    let SocketAddr::V4(address) = address else { return None };
+    let [.., high, low] = address.ip().octets();
+    usize::from(u16::from_be_bytes([high, low])).checked_sub(1)
 }
 
 impl World {
@@ -170,7 +180,7 @@
             match action {
                 Action::Peer(to, buf) => {
                     self.control_bytes += buf.len() + HEADER_BYTES;
-                    if let Some(to) = (0..self.nodes.len()).find(|&i| peer_address(i) == to) {
+                    if let Some(to) = instance_at(to).filter(|&to| to < self.nodes.len()) {
                         self.deliver_later(to, Event::Peer(buf));
                     }
                 }
@@ -200,6 +210,7 @@
             return self.watches.push((i, call, deadline));
         }
         let reply = match &call {
+            Call::List { prefix } if self.store.silent_prefixes.contains(prefix) => return,
             Call::List { prefix } => {
                 let mut all = self.store.changes(prefix, 0);
                 all.objects.retain(|object| !object.value.is_null());
