--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,5 +1,6 @@
 //! Event loop of one instance: sockets, timers and signals, on one thread.
 
+mod connection_check;
 mod datagram_sender;
 
 use std::cell::{Cell, RefCell};
@@ -9,13 +10,13 @@
 use std::time::{Duration, Instant as Clock, SystemTime, UNIX_EPOCH};
 
 use derive_more::{Debug, Display, Error};
-use futures_lite::FutureExt;
 use hyper::{Method, StatusCode};
 use metrics::histogram;
 use smol::channel::{Sender, bounded};
 use smol::net::{TcpListener, TcpStream};
 use smol::{Async, LocalExecutor, Task};
 
+pub use self::connection_check::accepts_connections;
 use self::datagram_sender::DatagramSender;
 use crate::http::{self, HandlerFuture, Request, Response};
 use crate::ids::{FlowId, Incarnation, TargetId};
@@ -36,9 +37,6 @@
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 /// Time limit for a probe of a target.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time limit for a connection check. A running target accepts within a millisecond, however
-/// busy it is.
-const CONNECTION_CHECK_TIMEOUT: Duration = Duration::from_millis(350);
 /// Size of the receive buffer, in bytes: no datagram is larger.
 const MAX_DATAGRAM_LEN: usize = 65_536;
 /// Number of datagrams that are read consecutively before other tasks run.
@@ -302,12 +300,8 @@
     fn check_connection(self: &Rc<Self>, address: SocketAddr) {
         let daemon = Rc::clone(self);
         let task = async move {
-            let connected = async { TcpStream::connect(address).await.is_ok() };
-            let expired = async {
-                smol::Timer::after(CONNECTION_CHECK_TIMEOUT).await;
-                false
-            };
-            let accepts = connected.or(expired).await;
+            let connect = || async move { TcpStream::connect(address).await.map(drop) };
+            let accepts = accepts_connections(connect).await;
             daemon.handle(Event::ConnectionChecked(address, accepts));
         };
         self.ex.spawn(task).detach();
--- /dev/null
+++ b/src/daemon/connection_check.rs
@@ -0,0 +1,49 @@
+//! Check whether an address accepts connections.
+
+use std::future::Future;
+use std::io;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+
+/// Time limit for a check. A running target accepts within a millisecond, however busy it is.
+const TIMEOUT: Duration = Duration::from_millis(350);
+/// Time after which a second connection is attempted: a packet of the first one may be lost.
+const SECOND_ATTEMPT_DELAY: Duration = Duration::from_millis(120);
+
+/// Returns whether one of two attempts to `connect` succeeds in time. The second one begins when the
+/// first has failed, or has taken unusually long.
+pub async fn accepts_connections<F>(connect: impl Fn() -> F) -> bool
+where
+    F: Future<Output = io::Result<()>>,
+{
+    let expired = async {
+        smol::Timer::after(TIMEOUT).await;
+        false
+    };
+    attempt_twice(connect).or(expired).await
+}
+
+async fn attempt_twice<F>(connect: impl Fn() -> F) -> bool
+where
+    F: Future<Output = io::Result<()>>,
+{
+    let mut first = Box::pin(connect());
+    let delay = async {
+        smol::Timer::after(SECOND_ATTEMPT_DELAY).await;
+        None
+    };
+    match async { Some(first.as_mut().await.is_ok()) }.or(delay).await {
+        Some(true) => true,
+        Some(false) => connect().await.is_ok(),
+        None => succeeds(first).or(succeeds(connect())).await,
+    }
+}
+
+/// Waits for an attempt to succeed; one that fails is left to the other.
+async fn succeeds(attempt: impl Future<Output = io::Result<()>>) -> bool {
+    match attempt.await {
+        Ok(()) => true,
+        Err(_) => std::future::pending().await,
+    }
+}
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -322,6 +322,15 @@
         }
     }
 
+    /// Handles a report by another instance that a target is dead. It gets no new flows for a time,
+    /// and its connection is checked if it has open flows here.
+    pub fn doubt_target(&mut self, now: Duration, incarnation: TargetIncarnation) {
+        self.health.doubt(now, incarnation);
+        if self.flows.load(incarnation).flows > 0 {
+            self.suspect_target(now, incarnation);
+        }
+    }
+
     /// Records an overdue response of a target that another instance reports.
     pub fn record_overdue(&mut self, now: Duration, incarnation: TargetIncarnation) {
         self.overdue.record(now, incarnation);
--- a/src/steering/gossip.rs
+++ b/src/steering/gossip.rs
@@ -1,6 +1,7 @@
 //! Gossip of targets and routes among instances.
 //!
-//! Changes are pushed to a few peers of the failure domain, and each of them pushes them on.
+//! Changes are pushed to a few peers of the failure domain, and each of them pushes them on: to the
+//! next instance in the order of their IDs, and to some at random.
 //! Periodic digests detect lost pushes, and bring instances or failure domains up to date that
 //! cannot reach the platform.
 
@@ -29,12 +30,12 @@
 use crate::peer::Body;
 use crate::platform::Position;
 
-/// Number of local peers to which a change is pushed.
-const PUSH_FANOUT: usize = 2;
+/// Number of local peers, besides the next one, to which a change of targets is pushed.
+const PUSH_FANOUT: usize = 1;
 /// Minimum time between two pushes, so that many changes are sent in one message.
 const MIN_PUSH_INTERVAL: Duration = Duration::from_millis(200);
-/// Number of local peers to which a suspected or overdue target is announced.
-const ANNOUNCE_FANOUT: usize = 3;
+/// Number of local peers, besides the next one, to which a suspected or overdue target is announced.
+const ANNOUNCE_FANOUT: usize = 2;
 /// Mean time between two digests.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(800);
 /// Mean time between two digests of an instance that has no routes or targets yet.
@@ -59,6 +60,16 @@
         let next = following.or_else(|| local.iter().copied().min());
         Self { local, remote, next }
     }
+
+    /// Sends a message that each receiver passes on to the next local peer, and to others at random.
+    /// The random ones make the spread fast, the next ones make sure that none is left out.
+    fn spread(&self, message: &Message, random: usize, rng: &mut SmallRng, out: &mut Outbox<'_>) {
+        let random = self.local.choose_multiple(rng, random).copied();
+        let random: Vec<_> = random.filter(|&to| Some(to) != self.next).collect();
+        for to in self.next.into_iter().chain(random) {
+            send(to, message.clone(), out);
+        }
+    }
 }
 
 /// Gossip state of an instance.
@@ -173,9 +184,7 @@
         if targets.is_empty() {
             return;
         }
-        for &to in self.peers.local.choose_multiple(&mut self.rng, ANNOUNCE_FANOUT) {
-            send(to, message(targets.clone()), out);
-        }
+        self.peers.spread(&message(targets), ANNOUNCE_FANOUT, &mut self.rng, out);
     }
 
     fn push(&mut self, now: Duration, forwarder: &Forwarder, out: &mut Outbox<'_>) {
@@ -188,10 +197,7 @@
         // A new era may begin without changed records.
         let digest = Message::Digest { known: digest(forwarder), wants_reply: false };
         let message = if changes.records.is_empty() { digest } else { Message::Targets(changes) };
-        let receivers = self.peers.local.choose_multiple(&mut self.rng, PUSH_FANOUT);
-        for &to in receivers {
-            send(to, message.clone(), out);
-        }
+        self.peers.spread(&message, PUSH_FANOUT, &mut self.rng, out);
     }
 
     /// Sends what is due; called about ten times a second. `routes_failing` is set while
@@ -247,7 +253,7 @@
             }
             Message::Suspect(targets) => {
                 for &target in &targets {
-                    forwarder.suspect_target(now, target);
+                    forwarder.doubt_target(now, target);
                 }
                 self.announce_suspects(now, &targets, out);
                 false
--- a/src/steering/gossip/route_changes.rs
+++ b/src/steering/gossip/route_changes.rs
@@ -2,15 +2,13 @@
 //!
 //! Load pattern: the operators change the routes, and all instances need them within a second.
 //! Reading them from the platform costs a call for each instance, and the routes are mostly the
-//! same. Each instance that adopts newer routes therefore sends what has changed to the next
-//! instance of its failure domain in the order of their IDs, and to a few others at random. The
-//! random ones make the spread fast, the next ones make sure that none is left out. Changes that
-//! do not fit one message are only announced, and read from the platform.
+//! same. Each instance that adopts newer routes therefore sends what has changed to a few others of
+//! its failure domain. Changes that do not fit one message are only announced, and read from the
+//! platform.
 
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
-use rand::seq::IndexedRandom;
 
 use super::{Peers, send};
 use crate::ids::{InstanceId, Version};
@@ -105,7 +103,7 @@
         if let Message::NewRoutes { version } = message {
             self.too_large = version;
         }
-        send_to_some(&message, peers, rng, out);
+        peers.spread(&message, RANDOM_RECEIVERS, rng, out);
     }
 
     /// Records an announcement of routes that are not sent as a change, and passes it on if it is
@@ -124,7 +122,7 @@
         }
         self.note_behind(now, version);
         self.too_large = version;
-        send_to_some(&Message::NewRoutes { version }, peers, rng, out);
+        peers.spread(&Message::NewRoutes { version }, RANDOM_RECEIVERS, rng, out);
     }
 
     /// Applies a change. Returns whether it made newer routes active.
@@ -177,11 +175,3 @@
         None => Message::NewRoutes { version: forwarder.routes.version() },
     }
 }
-
-fn send_to_some(message: &Message, peers: &Peers, rng: &mut SmallRng, out: &mut Outbox<'_>) {
-    let random = peers.local.choose_multiple(rng, RANDOM_RECEIVERS).copied();
-    let random: Vec<_> = random.filter(|&to| Some(to) != peers.next).collect();
-    for to in peers.next.into_iter().chain(random) {
-        send(to, message.clone(), out);
-    }
-}
--- a/src/steering/health.rs
+++ b/src/steering/health.rs
@@ -4,6 +4,10 @@
 //! be sent there, and callers must not be left waiting. An unresponsive target gets no new
 //! flows, which is harmless in case of a false positive. Its open flows are reset only if it
 //! does not accept a connection either.
+//!
+//! Load pattern: many targets fall silent at once, and each instance of a large fleet sees only a
+//! few flows of each. The first instance to find out tells the others. They send it no new flows
+//! from then on, and those that have open flows there check the connection themselves.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -27,9 +31,8 @@
 /// Minimum time since the last response before a connection check; short enough for the first
 /// repeated packet to trigger one.
 const CONNECTION_CHECK_DELAY: Duration = Duration::from_millis(190);
-/// Consecutive failed connection checks at which a target counts as dead even if its flows do not
-/// show it as unresponsive.
-const MAX_FAILED_CHECKS: u32 = 2;
+/// Time for which a target that another instance reports as dead gets no new flows.
+const DOUBT_TIME: Duration = Duration::from_millis(3_000);
 /// Time for which a target counts as dead after a failed connection check.
 const DEAD_TIME: Duration = Duration::from_millis(2_500);
 
@@ -47,10 +50,10 @@
     /// Address and start time of the connection check in progress.
     check_in_progress: Option<(SocketAddr, Duration)>,
     next_check: Duration,
-    /// Consecutive failed connection checks.
-    failed_checks: u32,
     /// End of the time for which the target counts as dead.
     dead_until: Duration,
+    /// End of the time for which the target gets no new flows, as others report it as dead.
+    doubted_until: Duration,
 }
 
 /// Health of the targets as observed by this instance.
@@ -69,8 +72,8 @@
         health.unanswered.clear();
         health.last_response = Some(now);
         health.unresponsive = false;
-        health.failed_checks = 0;
         health.dead_until = Duration::ZERO;
+        health.doubted_until = Duration::ZERO;
         was_unresponsive
     }
 
@@ -109,7 +112,7 @@
     pub fn is_unresponsive(&self, now: Duration, target: TargetIncarnation) -> bool {
         let unresponsive = |health: &TargetHealth| {
             (health.unresponsive && now < health.last_repeat + AVOID_TIME)
-                || now < health.dead_until
+                || now < health.dead_until.max(health.doubted_until)
         };
         self.targets.get(&target).is_some_and(unresponsive)
     }
@@ -124,6 +127,16 @@
         self.targets.get(&target).is_some_and(|health| now < health.dead_until)
     }
 
+    /// Records that another instance reports a target as dead.
+    pub fn doubt(&mut self, now: Duration, target: TargetIncarnation) {
+        let health = self.targets.entry(target).or_default();
+        let responded_recently =
+            health.last_response.is_some_and(|response| now < response + CONNECTION_CHECK_DELAY);
+        if !responded_recently {
+            health.doubted_until = now + DOUBT_TIME;
+        }
+    }
+
     /// Requests a connection check of a target, unless there was one recently or the target has
     /// just responded.
     pub fn check_connection(
@@ -148,8 +161,7 @@
     }
 
     /// Records the result of a connection check. Returns the targets that count as dead from now
-    /// on: those that have not responded since the check began and are unresponsive to their
-    /// flows too. A target that is not unresponsive needs a second failed check.
+    /// on: those that have not responded since the check began.
     pub fn record_connection_check(
         &mut self,
         now: Duration,
@@ -165,14 +177,8 @@
             };
             health.check_in_progress = None;
             if accepted || health.last_response.is_some_and(|response| response >= since) {
-                health.failed_checks = 0;
                 health.dead_until = Duration::ZERO;
-                continue;
-            }
-            health.failed_checks += 1;
-            if !health.unresponsive && health.failed_checks < MAX_FAILED_CHECKS {
-                health.check_in_progress = Some((address, since));
-                self.pending_checks.push(address);
+                health.doubted_until = Duration::ZERO;
                 continue;
             }
             if now >= health.dead_until {
@@ -186,7 +192,8 @@
     /// Removes targets without any observation for the given time.
     pub fn expire(&mut self, now: Duration, retention: Duration) {
         let last_observation = |health: &TargetHealth| {
-            health.last_repeat.max(health.next_check).max(health.last_response.unwrap_or_default())
+            let last_response = health.last_response.unwrap_or_default();
+            health.last_repeat.max(health.next_check).max(last_response).max(health.doubted_until)
         };
         self.targets.retain(|_, health| now < last_observation(health) + retention);
     }
--- /dev/null
+++ b/tests/connection_check.rs
@@ -0,0 +1,86 @@
+//! Connection checks with attempts that succeed, fail or get no answer.
+
+use std::cell::RefCell;
+use std::future::pending;
+use std::io;
+use std::time::{Duration, Instant};
+
+use limpetdeck::daemon::accepts_connections;
+
+/// How an attempt ends.
+#[derive(Debug, Clone, Copy)]
+enum Attempt {
+    Accepted(Duration),
+    Refused,
+    Lost,
+}
+
+/// Runs a check whose attempts end as given. Returns the result, its time and the number of
+/// attempts.
+fn check(script: &[Attempt]) -> (bool, Duration, usize) {
+    let attempts = RefCell::new(script.iter());
+    let begin = Instant::now();
+    let connect = || {
+        let attempt = *attempts.borrow_mut().next().expect("two attempts at most");
+        async move {
+            match attempt {
+                Attempt::Accepted(after) => {
+                    smol::Timer::after(after).await;
+                    Ok(())
+                }
+                Attempt::Refused => Err(io::ErrorKind::ConnectionRefused.into()),
+                Attempt::Lost => pending().await,
+            }
+        }
+    };
+    let accepts = smol::block_on(accepts_connections(connect));
+    let made = script.len() - attempts.borrow().len();
+    (accepts, begin.elapsed(), made)
+}
+
+const SOON: Attempt = Attempt::Accepted(Duration::from_millis(1));
+
+#[test]
+fn accepted_at_once() {
+    let (accepts, _, made) = check(&[SOON, SOON]);
+    assert_eq!((accepts, made), (true, 1), "a second connection costs the target work");
+}
+
+/// The loss of one packet does not make a target look dead.
+#[test]
+fn first_lost() {
+    let (accepts, time, made) = check(&[Attempt::Lost, SOON]);
+    assert_eq!((accepts, made), (true, 2));
+    assert!(time < Duration::from_millis(350), "{time:?}");
+}
+
+/// The first attempt may succeed while the second one is lost or refused.
+#[test]
+fn first_slow() {
+    let slow = Attempt::Accepted(Duration::from_millis(180));
+    for second in [Attempt::Lost, Attempt::Refused] {
+        let (accepts, _, made) = check(&[slow, second]);
+        assert_eq!((accepts, made), (true, 2), "{second:?}");
+    }
+}
+
+#[test]
+fn both_lost() {
+    let (accepts, time, made) = check(&[Attempt::Lost, Attempt::Lost]);
+    assert_eq!((accepts, made), (false, 2));
+    assert!(time >= Duration::from_millis(350), "{time:?}");
+}
+
+#[test]
+fn both_refused() {
+    let (accepts, time, made) = check(&[Attempt::Refused, Attempt::Refused]);
+    assert_eq!((accepts, made), (false, 2));
+    assert!(time < Duration::from_millis(100), "{time:?}");
+}
+
+/// A target that restarts refuses connections for a moment.
+#[test]
+fn refused_once() {
+    let (accepts, _, made) = check(&[Attempt::Refused, SOON]);
+    assert_eq!((accepts, made), (true, 2));
+}
