limpetctl: say that the outcome of a stop is unknown when its answer is lost

The users asked for work that had run and was reported as not run.

Its own error with exit code 4; several addresses are refused.

--- a/src/ctl/error.rs
+++ b/src/ctl/error.rs
@@ -48,6 +48,13 @@
         /// ID of the operation, as in the object's history.
         operation: String,
     },
+    /// A request to stop was sent to an instance, and it is not known whether it arrived.
+    #[display(
+        "outcome unknown: {_0} was asked to stop and has not answered; \
+        `limpetctl instances list` shows whether it is still healthy"
+    )]
+    #[from(ignore)]
+    StopUnsettled(#[error(not(source))] String),
     /// The command failed for another reason.
     #[display("{_0}")]
     #[from(ignore)]
@@ -63,6 +70,7 @@
             Self::Conflict { .. } | Self::Platform(PlatformError::Conflict(_)) => 3,
             Self::Unreachable(_)
             | Self::Unsettled { .. }
+            | Self::StopUnsettled(_)
             | Self::Platform(PlatformError::NoAnswer(_)) => 4,
             Self::Failed(_)
             | Self::Platform(
--- a/src/ctl/instances.rs
+++ b/src/ctl/instances.rs
@@ -41,9 +41,13 @@
 
 /// Requests a graceful stop of an instance, after checking that the address is its own.
 pub(super) fn stop(id: InstanceId, options: &CommonOptions) -> Result<String, CtlError> {
-    let address = match options.instances.first() {
-        Some(&address) => address,
-        None => {
+    let address = match options.instances[..] {
+        [address] => address,
+        [_, _, ..] => {
+            let problem = "instances stop takes one --instance at most";
+            return Err(CtlError::Usage(problem.to_owned()));
+        }
+        [] => {
             let infos = client::registered_instances(options)?;
             let found = infos.iter().find(|info| info.id == id);
             let not_registered = || CtlError::Failed(format!("instance {id} is not registered"));
@@ -63,7 +67,8 @@
     }
     match client::call_instances::<bool>(&[address], STOP).pop().flatten() {
         Some(true) => Ok(format!("instance {id} is stopping\n")),
-        _ => Err(CtlError::Unreachable(format!("instance {id} at {address}"))),
+        Some(false) => Err(CtlError::Failed(format!("instance {id} refused to stop"))),
+        None => Err(CtlError::StopUnsettled(format!("instance {id} at {address}"))),
     }
 }
 
