Change the shared key without a stop, finish what was accepted before a stop, keep reused ports apart

Tests key_change (three rolls without an interruption; an instance with the withdrawn key is not heard, also by one that has restarted) and keys (platform). - Accepted and cut off: opening packets that were held back waited on during a stop, and what the socket had queued at the exit was lost with it. An instance that stops holds nothing back, and handles what is queued. Errors of receiving are counted and logged. Test steering_stop; held_callers failed first. - A port used again: a late packet of the earlier flow replaced the flow that was being opened in the table of flows, and was answered with a reset if the earlier target was dead or had restarted, which ends a flow that is not open yet. It is dropped now. Test reused_ports; late_packet failed first.

--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -108,7 +108,7 @@
     let cfg = InstanceConfig {
         me,
         seeds: (1..=INSTANCE_COUNT).map(peer_address).collect(),
-        peer_key: [7; 32],
+        peer_keys: [7; 32].into(),
         control_budget: 3_000,
         flow_capacity: 1_000,
         trace_one_in: 0,
--- a/lab/src/measure/instance_model.rs
+++ b/lab/src/measure/instance_model.rs
@@ -101,7 +101,7 @@
         let instance_cfg = InstanceConfig {
             me,
             seeds: (1..=3).map(peer_address).collect(),
-            peer_key: PEER_KEY,
+            peer_keys: PEER_KEY.into(),
             control_budget: CONTROL_BUDGET,
             flow_capacity: FLOW_CAPACITY,
             trace_one_in: 0,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -11,7 +11,7 @@
 
 use derive_more::{Debug, Display, Error};
 use hyper::{Method, StatusCode};
-use metrics::histogram;
+use metrics::{counter, histogram};
 use smol::channel::{Sender, bounded};
 use smol::net::{TcpListener, TcpStream};
 use smol::{Async, LocalExecutor, Task};
@@ -42,6 +42,9 @@
 /// Number of datagrams that are read consecutively before other tasks run.
 const MAX_READ_BATCH: usize = 64;
 
+/// Largest number of queued datagrams that are handled when the instance exits.
+const MAX_LEFT_DATAGRAMS: usize = 4_096;
+
 /// One in this many packet decisions is timed, to limit the cost of reading the clock.
 const TIMING_SAMPLE_INTERVAL: u32 = 16;
 
@@ -171,7 +174,7 @@
         rpc: Rc::new(rpc),
         core: RefCell::new(core),
     });
-    ex.spawn(read_datagrams(Rc::clone(&daemon), packets, Event::Packet)).detach();
+    ex.spawn(read_datagrams(Rc::clone(&daemon), Arc::clone(&packets), Event::Packet)).detach();
     ex.spawn(read_datagrams(Rc::clone(&daemon), peers, Event::Peer)).detach();
     ex.spawn(run_ticks(Rc::clone(&daemon))).detach();
     ex.spawn(handle_signals(Rc::clone(&daemon), signals)).detach();
@@ -185,10 +188,28 @@
     daemon.handle(Event::Tick);
     // The daemon owns the sender, so the wait ends only when the instance exits.
     let _ = stopped.recv().await;
+    let left = read_queued(packets.get_ref(), |buf| daemon.handle(Event::Packet(buf)));
+    if left > 0 {
+        log::info!(packets = left; "queued_packets_handled");
+    }
     log::info!("stopped");
     Ok(())
 }
 
+/// Handles the datagrams that a socket has queued, up to a limit, and returns their number. Packets
+/// that arrived before the end of a graceful stop are not lost with the socket.
+pub fn read_queued(socket: &UdpSocket, mut handle: impl FnMut(Vec<u8>)) -> usize {
+    let mut buf = vec![0; MAX_DATAGRAM_LEN];
+    let mut count = 0;
+    while count < MAX_LEFT_DATAGRAMS
+        && let Ok((len, _)) = socket.recv_from(&mut buf)
+    {
+        handle(buf[..len].to_vec());
+        count += 1;
+    }
+    count
+}
+
 fn bind(address: SocketAddr) -> Result<Arc<Async<UdpSocket>>, DaemonError> {
     let socket = Async::<UdpSocket>::bind(address);
     socket.map(Arc::new).map_err(|source| DaemonError::Bind { address, source })
@@ -325,9 +346,13 @@
 ) {
     let mut buf = vec![0; MAX_DATAGRAM_LEN];
     loop {
-        // Errors are ignored: they report an earlier sent datagram that had no receiver (ICMP).
-        if let Ok((len, _)) = socket.recv_from(&mut buf).await {
-            daemon.handle(event(buf[..len].to_vec()));
+        match socket.recv_from(&mut buf).await {
+            Ok((len, _)) => daemon.handle(event(buf[..len].to_vec())),
+            Err(e) => {
+                // Mostly reports that a datagram sent earlier had no receiver (ICMP).
+                counter!("limpetdeck_receive_errors_total").increment(1);
+                log::debug!(problem = e.to_string().as_str(); "receive_failed");
+            }
         }
         // Reads datagrams that are already queued without waiting for readiness again.
         for _ in 0..MAX_READ_BATCH {
--- a/src/entry/setup.rs
+++ b/src/entry/setup.rs
@@ -46,7 +46,7 @@
     let cfg = InstanceConfig {
         me,
         seeds: settings.seeds,
-        peer_key: settings.peer_key,
+        peer_keys: settings.peer_keys,
         control_budget: settings.control_budget,
         flow_capacity: FLOW_CAPACITY,
         trace_one_in: settings.trace_one_in,
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -17,7 +17,7 @@
 use crate::lists::Lists;
 use crate::membership::Membership;
 use crate::pause::PauseDetector;
-use crate::peer::{Body, MemberInfo, RedirectedPacket};
+use crate::peer::{Body, KeyRing, MemberInfo, RedirectedPacket};
 use crate::pipeline::{Discard, Outcome, Pipeline};
 use crate::placement::{Placement, PlacementConfig, Policy, Route, TargetView};
 use crate::platform::{Call, Object, PlatformError, Reply, object_value};
@@ -38,8 +38,8 @@
     pub me: MemberInfo,
     /// Peer addresses at which other instances may run; pinged most often while none is known.
     pub seeds: Vec<SocketAddr>,
-    /// Key that authenticates the messages between instances.
-    pub peer_key: [u8; 32],
+    /// Keys that authenticate the messages between instances.
+    pub peer_keys: KeyRing,
     /// Limit of the control traffic that the instance sends, in bytes per second.
     pub control_budget: u32,
     /// Maximum number of flows in the flow table.
@@ -80,7 +80,7 @@
         };
         let placement = Placement::new(&placement_cfg);
         let tracer = Tracer::new(id, cfg.trace_one_in);
-        let link = Link::new(cfg.peer_key, id, cfg.me.incarnation, cfg.control_budget, now);
+        let link = Link::new(cfg.peer_keys, id, cfg.me.incarnation, cfg.control_budget, now);
         let admission = RuleAdmission::new(SmallRng::from_rng(&mut rng));
         Self {
             pipeline: Pipeline::new(placement, Box::new(admission), tracer),
--- a/src/link.rs
+++ b/src/link.rs
@@ -11,7 +11,7 @@
 use crate::hash::HashMap;
 use crate::ids::{Incarnation, InstanceId};
 use crate::instance::Action;
-use crate::peer::{Body, Sealer};
+use crate::peer::{Body, KeyRing, Sealer};
 use crate::platform::Call;
 
 /// Bytes of the IPv4 and UDP headers of each message; they count against the budget too.
@@ -28,14 +28,14 @@
 impl Link {
     /// Creates a link without peer addresses; `budget` is in bytes per second.
     pub fn new(
-        key: [u8; 32],
+        keys: impl Into<KeyRing>,
         me: InstanceId,
         incarnation: Incarnation,
         budget: u32,
         now: Duration,
     ) -> Self {
         Self {
-            sealer: Sealer::new(key, me, incarnation),
+            sealer: Sealer::new(keys, me, incarnation),
             budget: Budget::new(budget, now),
             addresses: HashMap::default(),
         }
--- a/src/peer/seal.rs
+++ b/src/peer/seal.rs
@@ -1,9 +1,10 @@
 //! Authentication of peer messages by a keyed hash, with replay protection.
 
 use derive_more::{Display, Error};
+use metrics::counter;
 use serde::{Deserialize, Serialize};
 
-use super::Body;
+use super::{Body, KeyRing, PeerKey};
 use crate::hash::HashMap;
 use crate::ids::{Incarnation, InstanceId};
 
@@ -109,10 +110,10 @@
     ((at / WORD_BITS) as usize, 1 << (at % WORD_BITS))
 }
 
-/// Adds authentication tags to messages and verifies them, with the key that all instances share.
+/// Adds authentication tags to messages and verifies them, with the keys that all instances share.
 #[derive(Debug)]
 pub struct Sealer {
-    key: [u8; 32],
+    keys: KeyRing,
     me: InstanceId,
     incarnation: Incarnation,
     sequence: u64,
@@ -122,8 +123,9 @@
 
 impl Sealer {
     /// Creates a sealer for one incarnation of an instance.
-    pub fn new(key: [u8; 32], me: InstanceId, incarnation: Incarnation) -> Self {
-        Self { key, me, incarnation, sequence: 0, windows: HashMap::default(), opened: 0 }
+    pub fn new(keys: impl Into<KeyRing>, me: InstanceId, incarnation: Incarnation) -> Self {
+        let keys = keys.into();
+        Self { keys, me, incarnation, sequence: 0, windows: HashMap::default(), opened: 0 }
     }
 
     /// Raises the incarnation; a lower one is ignored. Needed if an earlier start had a clock that
@@ -144,8 +146,7 @@
         };
         // Cannot fail: serialization to memory supports every type of a message.
         let mut buf = postcard::to_stdvec(&envelope).unwrap_or_default();
-        let tag = blake3::keyed_hash(&self.key, &buf);
-        buf.extend_from_slice(&tag.as_bytes()[..TAG_LEN]);
+        buf.extend_from_slice(&tag(self.keys.current(), &buf));
         buf
     }
 
@@ -156,9 +157,11 @@
     /// Returns the reason why the message has to be dropped.
     pub fn open(&mut self, buf: &[u8]) -> Result<(InstanceId, Body), OpenError> {
         let split = buf.len().checked_sub(TAG_LEN).ok_or(OpenError::Truncated)?;
-        let (encoded, tag) = buf.split_at(split);
-        if !constant_time_eq(&blake3::keyed_hash(&self.key, encoded).as_bytes()[..TAG_LEN], tag) {
-            return Err(OpenError::Forged);
+        let (encoded, claimed) = buf.split_at(split);
+        let matches = |key| constant_time_eq(&tag(key, encoded), claimed);
+        let key = self.keys.all().position(matches).ok_or(OpenError::Forged)?;
+        if key > 0 {
+            counter!("limpetdeck_peer_messages_other_key_total").increment(1);
         }
         let envelope: Envelope<Body> =
             postcard::from_bytes(encoded).map_err(|_| OpenError::Malformed)?;
@@ -196,6 +199,13 @@
     }
 }
 
+fn tag(key: &PeerKey, encoded: &[u8]) -> [u8; TAG_LEN] {
+    let hash = blake3::keyed_hash(key, encoded);
+    let mut tag = [0; TAG_LEN];
+    tag.copy_from_slice(&hash.as_bytes()[..TAG_LEN]);
+    tag
+}
+
 /// Compares in constant time, so that timing reveals nothing about the tag.
 fn constant_time_eq(a: &[u8], b: &[u8]) -> bool {
     a.iter().zip(b).fold(0, |differ, (x, y)| differ | (x ^ y)) == 0
--- a/src/settings/checked.rs
+++ b/src/settings/checked.rs
@@ -4,6 +4,7 @@
 
 use super::{Findings, RawSettings};
 use crate::ids::{FailureDomain, InstanceId};
+use crate::peer::{KeyRing, PeerKey};
 
 /// Default of `control_budget`, in bytes per second.
 const DEFAULT_CONTROL_BUDGET: u32 = 3_000;
@@ -15,8 +16,6 @@
 const DEFAULT_TRACE_ONE_IN: u32 = 1_000;
 /// Longest allowed name of a failure domain, in bytes.
 const MAX_NAME_LEN: usize = 64;
-/// Length of the peer key, in bytes.
-const PEER_KEY_LEN: usize = 32;
 
 /// Lowest severity that is logged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -64,8 +63,8 @@
     pub platform_address: SocketAddr,
     /// Peer addresses at which other instances may run; pinged most often while none is known.
     pub seeds: Vec<SocketAddr>,
-    /// Key that authenticates messages between instances.
-    pub peer_key: [u8; PEER_KEY_LEN],
+    /// Keys that authenticate messages between instances.
+    pub peer_keys: KeyRing,
     /// Control traffic that this instance may send, in bytes per second.
     pub control_budget: u32,
     /// Lowest severity that is logged.
@@ -94,6 +93,7 @@
     let platform_address = f.ok_or_add("platform_address", parse_address(&raw.platform_address));
     let seeds = parse_seeds(&raw.seeds, f);
     let peer_key = f.ok_or_add("peer_key", parse_peer_key(&raw.peer_key));
+    let accepted = parse_accepted_keys(&raw.accepted_peer_keys, f);
     let control_budget = f.ok_or_add("control_budget", parse_control_budget(raw.control_budget));
     let level = LogLevel::try_from(raw.log_level.as_deref().unwrap_or("info"));
     let log_level = f.ok_or_add("log_level", level);
@@ -110,7 +110,7 @@
         fabric_address: fabric_address?,
         platform_address: platform_address?,
         seeds,
-        peer_key: peer_key?,
+        peer_keys: KeyRing::new(peer_key?, accepted),
         control_budget: control_budget?,
         log_level: log_level?,
         trace_one_in: trace_one_in?,
@@ -150,11 +150,20 @@
     Ok(address)
 }
 
-fn parse_peer_key(raw: &str) -> Result<[u8; PEER_KEY_LEN], String> {
+fn parse_peer_key(raw: &str) -> Result<PeerKey, String> {
     let hash = blake3::Hash::from_hex(raw).map_err(|_| "is not 64 hexadecimal digits")?;
     Ok(*hash.as_bytes())
 }
 
+fn parse_accepted_keys(raw: &[String], f: &mut Findings) -> Vec<PeerKey> {
+    let checked = raw.iter().enumerate();
+    checked
+        .filter_map(|(i, text)| {
+            f.ok_or_add(format!("accepted_peer_keys[{i}]"), parse_peer_key(text))
+        })
+        .collect()
+}
+
 fn parse_control_budget(raw: Option<i64>) -> Result<u32, String> {
     let Some(raw) = raw else { return Ok(DEFAULT_CONTROL_BUDGET) };
     if !(MIN_CONTROL_BUDGET..=MAX_CONTROL_BUDGET).contains(&raw) {
--- a/src/settings/raw.rs
+++ b/src/settings/raw.rs
@@ -25,6 +25,9 @@
     pub seeds: Vec<String>,
     /// Key that authenticates messages between instances: 64 hexadecimal digits.
     pub peer_key: String,
+    /// Further keys that messages of other instances may have, during a change of the key.
+    #[serde(default)]
+    pub accepted_peer_keys: Vec<String>,
     /// Control traffic that this instance may send, in bytes per second; 3000 by default.
     pub control_budget: Option<i64>,
     /// Lowest severity that is logged: `error`, `warn`, `info` (default) or `debug`.
--- a/src/steering/flows.rs
+++ b/src/steering/flows.rs
@@ -18,6 +18,11 @@
 /// half of the shortest request time-out of callers.
 const OVERDUE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time within which callers open a flow or give up.
+const OPENING_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest distance of sequence numbers within one flow, well above what an end may have in flight.
+const MAX_SEQUENCE_DISTANCE: u32 = 1 << 20;
+
 /// What a packet tells about the target of its flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FlowSignal {
@@ -87,6 +92,21 @@
         Some((flow.target, flow.waiting_since?))
     }
 
+    /// Returns whether a packet belongs to an earlier flow with the same addresses: a flow to another
+    /// target is being opened on them, with other sequence numbers.
+    pub fn is_of_earlier_flow(
+        &self,
+        now: Duration,
+        packet: &FlowPacket,
+        target: TargetIncarnation,
+    ) -> bool {
+        let Some(flow) = self.flows.get(&packet.flow.id()) else { return false };
+        let is_opening = !flow.open && now < flow.last_packet + OPENING_TIMEOUT;
+        let distance = packet.sequence.wrapping_sub(flow.next_sequence);
+        let is_far = distance.min(distance.wrapping_neg()) > MAX_SEQUENCE_DISTANCE;
+        is_opening && flow.target != target && is_far
+    }
+
     /// Returns the load of a target.
     pub fn load(&self, target: TargetIncarnation) -> Load {
         self.loads.get(&target).copied().unwrap_or_default()
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -18,6 +18,7 @@
 };
 use crate::flow::FlowKey;
 use crate::ids::FailureDomain;
+use crate::peer::KeyRing;
 
 /// Idle timeout of flows while there are no routes to configure one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
@@ -58,6 +59,10 @@
     /// The packet is of a kind that only targets send.
     #[display("from_target")]
     FromTarget,
+    /// The packet is a late one of an earlier flow: its caller is opening another one on the same
+    /// port, which it must not disturb.
+    #[display("earlier_flow")]
+    EarlierFlow,
 }
 
 /// Decision about a packet.
@@ -106,8 +111,8 @@
 
 impl Forwarder {
     /// Creates a forwarder without routes and targets. `local_domain` is the failure domain of this
-    /// instance, `key` the key of the tokens.
-    pub fn new(local_domain: FailureDomain, key: [u8; 32], rng: SmallRng) -> Self {
+    /// instance, `keys` are those of the tokens.
+    pub fn new(local_domain: FailureDomain, keys: impl Into<KeyRing>, rng: SmallRng) -> Self {
         Self {
             local_domain,
             routes: RouteTable::default(),
@@ -118,7 +123,7 @@
             domain_load: DomainLoad::default(),
             local_instances: 1,
             instances: 1,
-            tokens: Tokens::new(key),
+            tokens: Tokens::new(keys),
             health_changes: Vec::new(),
             rng,
         }
@@ -269,6 +274,9 @@
         let Some(incarnation) = find_target(&mut self.tokens, &self.targets, route, packet) else {
             return Verdict::Drop(DropReason::UnknownToken);
         };
+        if self.flows.is_of_earlier_flow(now, packet, incarnation) {
+            return Verdict::Drop(DropReason::EarlierFlow);
+        }
         if self.targets.has_restarted(incarnation) {
             return Verdict::Reset(ResetReason::TargetRestarted);
         }
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -31,7 +31,7 @@
 use crate::lists::ListVersions;
 use crate::membership::Membership;
 use crate::pause::PauseDetector;
-use crate::peer::{Body, MemberInfo};
+use crate::peer::{Body, KeyRing, MemberInfo};
 use crate::platform::Era;
 
 /// Shortest time for which an instance that shuts down keeps forwarding: packets arrive until
@@ -58,8 +58,8 @@
     pub me: MemberInfo,
     /// Peer addresses that are contacted while no other instance is known.
     pub seeds: Vec<SocketAddr>,
-    /// Key that protects messages between instances; the token key is derived from it.
-    pub peer_key: [u8; 32],
+    /// Keys that protect messages between instances; the token keys are derived from them.
+    pub peer_keys: KeyRing,
     /// Limit of the control traffic that the instance sends, in bytes per second.
     pub control_budget: u32,
     /// Traces one flow in this many; 0 disables tracing.
@@ -103,15 +103,15 @@
     /// Creates an instance that starts now and draws all its randomness from `rng`.
     pub fn new(now: Duration, cfg: NodeConfig, mut rng: SmallRng) -> Self {
         let id = cfg.me.id;
-        let token_key = blake3::derive_key("limpetdeck flow tokens", &cfg.peer_key);
+        let token_keys = cfg.peer_keys.derive("limpetdeck flow tokens");
         let local_domain = cfg.me.failure_domain.clone();
         let mut fork = || SmallRng::from_rng(&mut rng);
         Self {
             format: cfg.format,
-            forwarder: Forwarder::new(local_domain, token_key, fork()),
+            forwarder: Forwarder::new(local_domain, token_keys, fork()),
             list_watches: ListWatches::new(fork()),
             gossip: Gossip::new(fork()),
-            link: Link::new(cfg.peer_key, id, cfg.me.incarnation, cfg.control_budget, now),
+            link: Link::new(cfg.peer_keys, id, cfg.me.incarnation, cfg.control_budget, now),
             trace_one_in: u64::from(cfg.trace_one_in),
             membership: Membership::new(now, cfg.me, cfg.seeds, fork()),
             log: LogRateLimit::new(now),
@@ -185,8 +185,9 @@
 
     /// Returns whether the caller of an opening packet yields to others for now.
     fn yields(&self, now: Duration, packet: &FlowPacket, first_sent: Duration) -> bool {
-        // A flow that already has a target is not held back.
-        self.forwarder.ready()
+        // A flow that already has a target is not held back. An instance that stops holds nothing.
+        self.leaving_since.is_none()
+            && self.forwarder.ready()
             && self.forwarder.flows.half_open(packet.flow.id()).is_none()
             && self.forwarder.yields(now, packet.flow.service, now.saturating_sub(first_sent))
     }
@@ -210,9 +211,11 @@
     fn release_held(&mut self, now: Duration, out: &mut Vec<Action>) {
         while !self.late_openings.is_empty() {
             let yields = |age: Duration, buf: &[u8]| {
-                self.format
-                    .read(buf)
-                    .is_ok_and(|packet| self.forwarder.yields(now, packet.flow.service, age))
+                self.leaving_since.is_none()
+                    && self
+                        .format
+                        .read(buf)
+                        .is_ok_and(|packet| self.forwarder.yields(now, packet.flow.service, age))
             };
             let Some(opening) = self.late_openings.take_next(now, yields) else { return };
             self.forward_held(now, opening, out);
@@ -457,7 +460,10 @@
                 self.handle_connection_check(now, address, accepted, out);
             }
             Event::Tick => self.tick(now, out),
-            Event::Stop => self.begin_shutdown(now),
+            Event::Stop => {
+                self.begin_shutdown(now);
+                self.release_held(now, out);
+            }
             Event::SettingsChanged(settings) => self.apply_settings(settings),
         }
         out.extend(
--- a/tests/membership_platform.rs
+++ b/tests/membership_platform.rs
@@ -37,7 +37,7 @@
         let cfg = InstanceConfig {
             me: info(ME, 1, 6),
             seeds: Vec::new(),
-            peer_key: KEY,
+            peer_keys: KEY.into(),
             control_budget: 3_000,
             flow_capacity: 100,
             trace_one_in: 0,
--- a/tests/support/steering_world.rs
+++ b/tests/support/steering_world.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use limpetdeck::instance::{Action, Core, Event};
-use limpetdeck::peer::{MemberInfo, MemberState};
+use limpetdeck::peer::{KeyRing, MemberInfo, MemberState};
 use limpetdeck::platform::{Call, Changes, Era, Object, PlatformError, Position, Reply, Revision};
 use limpetdeck::steering::{Node, NodeConfig, RawRoutes, Target};
 use rand::rngs::SmallRng;
@@ -93,6 +93,10 @@
     /// Datagrams to targets and callers, by instance.
     pub datagrams: Vec<Vec<(SocketAddr, Vec<u8>)>>,
     pub exited: Vec<bool>,
+    /// Instances whose messages to and from peers are lost.
+    pub partitioned: Vec<usize>,
+    /// Peer keys of each instance from its next start on.
+    pub keys: Vec<KeyRing>,
     /// Bytes of messages to peers, with IPv4 and UDP headers.
     pub control_bytes: usize,
     /// Addresses of connection attempts, by instance.
@@ -124,6 +128,8 @@
             sent: 0,
             datagrams: vec![Vec::new(); instances],
             exited: vec![false; instances],
+            partitioned: Vec::new(),
+            keys: vec![KEY.into(); instances],
             control_bytes: 0,
             connect_attempts: vec![Vec::new(); instances],
             rng: SmallRng::seed_from_u64(11),
@@ -152,7 +158,7 @@
         let cfg = NodeConfig {
             me,
             seeds: vec![peer_address(0), peer_address(1)],
-            peer_key: KEY,
+            peer_keys: self.keys[i].clone(),
             control_budget: 3_000,
             trace_one_in: 0,
             grace: Duration::from_secs(6),
@@ -180,7 +186,7 @@
             match action {
                 Action::Peer(to, buf) => {
                     self.control_bytes += buf.len() + HEADER_BYTES;
-                    if let Some(to) = instance_at(to).filter(|&to| to < self.nodes.len()) {
+                    if let Some(to) = instance_at(to).filter(|&to| self.reaches(i, to)) {
                         self.deliver_later(to, Event::Peer(buf));
                     }
                 }
@@ -193,6 +199,10 @@
         }
     }
 
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        to < self.nodes.len() && ![from, to].iter().any(|i| self.partitioned.contains(i))
+    }
+
     pub fn deliver_later(&mut self, to: usize, event: Event) {
         self.sent += 1;
         self.in_flight.insert((self.now + DELAY, self.sent), (to, event));
