Learn of removals from peers that never knew the targets, or have forgotten them

A target that had left could stay in use for good. An instance that cannot reach the platform pulls changes from a peer; if the peer has started after the removal, or has forgotten it after 60 s, there is no record to send, and the receiver still took the reply for all changes up to the peer's position. Found by start_with_stale_peer, written for "after a restart, a server that had left was in use again" of the users' list; it needs an instance that is refused by the store or cut off for long. The same in a small fleet by the first push of a restarted instance.

The directory knows from which position on it records all removals. Below that, a pull is answered by the keys of the targets that exist, in parts, and what is missing is removed; then changes follow as before. A first list is announced by a digest instead of a push.

--- a/src/steering/directory.rs
+++ b/src/steering/directory.rs
@@ -11,13 +11,14 @@
 
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
+use std::ops::{Bound, RangeBounds};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::token::TargetIncarnation;
 use super::{Target, TargetKey, TargetState};
-use crate::hash::HashMap;
+use crate::hash::{HashMap, HashSet};
 use crate::platform::{Era, Position};
 
 /// Time for which removed targets are kept: the maximum lifetime of a flow.
@@ -60,6 +61,8 @@
     /// Position up to which all changes are known. Up to here, records of targets without an
     /// entry are outdated.
     complete_up_to: Position,
+    /// Removals after this position are all recorded; of some earlier ones there is no record.
+    removals_since: Position,
     /// The latest known era.
     era: Era,
     /// When the era became known.
@@ -134,6 +137,9 @@
         if !self.is_newer(&record) {
             return false;
         }
+        if record.target.is_none() && !self.entries.contains_key(&record.key) {
+            self.removals_since = self.removals_since.max(record.position);
+        }
         if self.is_unchanged(&record) {
             self.confirm(&record);
             return false;
@@ -154,22 +160,51 @@
         records: Vec<TargetRecord>,
     ) -> usize {
         self.enter_era(now, position);
-        let listed: Vec<_> = records.iter().map(|record| record.key).collect();
-        let is_missing = |(key, entry): (&TargetKey, &Entry)| {
-            (!entry.removed && entry.position < position && !listed.contains(key)).then_some(*key)
-        };
-        let missing: Vec<_> = self.entries.iter().filter_map(is_missing).collect();
-        let mut changes = missing.len();
-        for key in missing {
-            self.remove(now, position, key);
-        }
+        let listed: HashSet<_> = records.iter().map(|record| record.key).collect();
+        let mut changes = self.remove_unlisted(now, position, .., &listed);
         changes += records.into_iter().filter(|record| self.merge(now, record.clone())).count();
         self.advance_complete_up_to(position);
         changes
     }
 
+    /// Removes the targets in a range of keys that are not among those that existed at a position.
+    /// Returns their number.
+    pub fn remove_unlisted(
+        &mut self,
+        now: Duration,
+        position: Position,
+        range: impl RangeBounds<TargetKey>,
+        listed: &HashSet<TargetKey>,
+    ) -> usize {
+        let is_unlisted = |(key, entry): &(&TargetKey, &Entry)| {
+            !entry.removed && entry.position < position && !listed.contains(key)
+        };
+        let unlisted = self.entries.range(range).filter(is_unlisted);
+        let unlisted: Vec<_> = unlisted.map(|(key, _)| *key).collect();
+        for &key in &unlisted {
+            self.remove(now, position, key);
+        }
+        unlisted.len()
+    }
+
+    /// Returns whether all removals after a position are recorded, so that the records since then
+    /// say all that has changed.
+    pub fn knows_removals_since(&self, position: Position) -> bool {
+        position >= self.removals_since
+    }
+
+    /// Returns the keys of the targets that have not been removed, after the given one and in
+    /// ascending order.
+    pub fn keys_after(&self, key: TargetKey) -> impl Iterator<Item = TargetKey> {
+        let after = (Bound::Excluded(key), Bound::Unbounded);
+        self.entries.range(after).filter(|(_, entry)| !entry.removed).map(|(&key, _)| key)
+    }
+
     /// Records that all changes up to a position are known.
     pub fn advance_complete_up_to(&mut self, position: Position) {
+        if !self.complete_up_to.is_known() {
+            self.removals_since = position;
+        }
         self.complete_up_to = self.complete_up_to.max(position);
     }
 
@@ -286,6 +321,7 @@
             self.entries.iter().filter(|(_, entry)| expired(entry)).map(|(key, _)| *key).collect();
         for key in expired {
             if let Some(entry) = self.entries.remove(&key) {
+                self.removals_since = self.removals_since.max(entry.position);
                 self.remove_from_service(&entry.target);
             }
         }
--- a/src/steering/gossip.rs
+++ b/src/steering/gossip.rs
@@ -7,6 +7,7 @@
 
 mod changes;
 mod dedup;
+mod listing;
 mod removed;
 mod route_changes;
 mod route_transfer;
@@ -19,6 +20,7 @@
 
 use self::changes::{apply_changes, changes_since};
 use self::dedup::Dedup;
+use self::listing::{ListingTransfer, listing_after};
 use self::removed::RemovedTargets;
 use self::route_changes::{RouteChanges, describe_change};
 use self::route_transfer::RouteTransfer;
@@ -83,6 +85,7 @@
     route_changes: RouteChanges,
     route_transfer: RouteTransfer,
     removed_targets: RemovedTargets,
+    listing: ListingTransfer,
     /// Announcements of targets that may have stopped.
     suspects: Dedup,
     /// Announcements of targets with overdue responses.
@@ -101,6 +104,7 @@
             route_changes: RouteChanges::default(),
             route_transfer: RouteTransfer::default(),
             removed_targets: RemovedTargets::new(),
+            listing: ListingTransfer::default(),
             suspects: Dedup::default(),
             overdue: Dedup::default(),
             rng,
@@ -196,7 +200,13 @@
         let changes = changes_since(now, forwarder, since);
         // A new era may begin without changed records.
         let digest = Message::Digest { known: digest(forwarder), wants_reply: false };
-        let message = if changes.records.is_empty() { digest } else { Message::Targets(changes) };
+        // Receivers would take the changes for all since then.
+        let is_complete = forwarder.targets.knows_removals_since(since);
+        let message = if changes.records.is_empty() || !is_complete {
+            digest
+        } else {
+            Message::Targets(changes)
+        };
         self.peers.spread(&message, PUSH_FANOUT, &mut self.rng, out);
     }
 
@@ -239,6 +249,20 @@
                 false
             }
             Message::PullTargets { since } => {
+                let reply = if since.is_known() && !forwarder.targets.knows_removals_since(since) {
+                    listing_after(forwarder, 0)
+                } else {
+                    Message::Targets(changes_since(now, forwarder, since))
+                };
+                send(from, reply, out);
+                false
+            }
+            Message::Listing(part) => self.listing.on_part(now, from, part, forwarder, out),
+            Message::PullListing { after } => {
+                send(from, listing_after(forwarder, after), out);
+                false
+            }
+            Message::PullChanges { since } => {
                 send(from, Message::Targets(changes_since(now, forwarder, since)), out);
                 false
             }
@@ -348,6 +372,7 @@
         | Message::PullTargets { .. }
         | Message::Targets(_)
         | Message::Suspect(_)
+        | Message::PullChanges { .. }
         | Message::PullRouteChange { .. }
         | Message::RouteChange(_)
         | Message::NewRoutes { .. } => Class::Liveness,
@@ -356,6 +381,8 @@
         Message::PullRemoved { .. }
         | Message::Removed { .. }
         | Message::PullRoutes { .. }
+        | Message::Listing(_)
+        | Message::PullListing { .. }
         | Message::Routes(_) => Class::Lists,
     };
     out.send(to, class, &Body::Steering(message));
--- a/src/steering/message.rs
+++ b/src/steering/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{RouteChange, Target, TargetIncarnation, TargetRecord};
+use super::{RouteChange, Target, TargetIncarnation, TargetKey, TargetRecord};
 use crate::ids::Version;
 use crate::platform::Position;
 
@@ -71,6 +71,32 @@
         /// Version of the routes.
         version: Version,
     },
+    /// Keys of the targets that exist. Answers [`Message::PullTargets`] if the sender does not know
+    /// all targets that were removed since.
+    Listing(Listing),
+    /// Requests the next part of a listing.
+    PullListing {
+        /// Last key that the sender has received.
+        after: TargetKey,
+    },
+    /// Requests the target changes after a position, from an instance whose listing the sender has.
+    PullChanges {
+        /// Position up to which the sender has all changes.
+        since: Position,
+    },
+}
+
+/// All targets with keys in a range that exist at a position.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listing {
+    /// Position up to which the sender has all changes.
+    pub position: Position,
+    /// Key after which the range begins.
+    pub after: TargetKey,
+    /// Last key of the range; `None` if it has no end.
+    pub last: Option<TargetKey>,
+    /// The keys, in ascending order.
+    pub keys: Vec<TargetKey>,
 }
 
 /// All target changes between two positions.
--- a/tests/steering_spread.rs
+++ b/tests/steering_spread.rs
@@ -139,6 +139,27 @@
     assert_eq!(world.node(4).forwarder().targets.len(), 1);
 }
 
+/// An instance starts while the only peer that answers is behind: what has left stays out of use once
+/// the platform has answered, whatever the peer repeats, and the peer learns of it.
+#[test]
+fn start_with_stale_peer() {
+    let mut world = World::new(2);
+    world.run(Duration::from_secs(10));
+    world.store.refused_instances = vec![0];
+    world.kill(1);
+    world.store.remove_target(2);
+    world.store.put_target(&Target { state: TargetState::Draining, ..target(3, STATION) });
+    world.start(1);
+    world.run(ms(300));
+    for _ in 0..50 {
+        assert!(not_eligible(2)(world.node(1)) && not_eligible(3)(world.node(1)));
+        world.run(TICK);
+    }
+    let targets = &world.node(0).forwarder().targets;
+    let eligible: Vec<_> = targets.eligible(world.now, STATION).map(|(t, _)| t.key).collect();
+    assert_eq!(eligible, [1, 4]);
+}
+
 /// If all instances start during an outage of the platform, none has any data, and none reports
 /// ready before the outage ends.
 #[test]
