--- a/lab/src/slopes.rs
+++ b/lab/src/slopes.rs
@@ -7,6 +7,7 @@
 mod lookups;
 mod peers;
 mod services;
+mod steering;
 
 use std::hint::black_box;
 use std::process::ExitCode;
@@ -45,6 +46,7 @@
     peers::print_messages();
     peers::print_pings(seed);
     lookups::print();
+    steering::print(seed);
     Ok(ExitCode::SUCCESS)
 }
 
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -288,12 +288,17 @@
     /// Returns whether this instance is one of the few of its failure domain that watch the
     /// platform on behalf of the others. An isolated instance always watches.
     pub fn is_watcher(&self, now: Duration) -> bool {
+        self.is_isolated(now) || self.ranks_as_watcher()
+    }
+
+    /// Returns whether this instance ranks among the watchers of its failure domain. Changes only
+    /// with the live instances.
+    pub fn ranks_as_watcher(&self) -> bool {
         let rank = |id: InstanceId| (stable_pair(WATCH_SALT, u64::from(id)), id);
         let mine = rank(self.me.id);
         let domain = &self.me.failure_domain;
         let domain_peers = self.table.live().filter(|m| m.info.failure_domain == *domain);
-        self.is_isolated(now)
-            || domain_peers.filter(|m| rank(m.info.id) > mine).count() < self.watchers_per_domain()
+        domain_peers.filter(|m| rank(m.info.id) > mine).count() < self.watchers_per_domain()
     }
 
     /// Returns the number of watchers in the failure domain of this instance.
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -37,6 +37,6 @@
 pub use packet::{FlowPacket, PacketError, PacketFormat, PacketKind};
 pub use route_change::{ChangeError, ChangedRoute, RouteChange};
 pub use routes::{RawRoute, RawRoutes, Route, RouteTable, WeightedService};
-pub use selection::{Candidate, select_target};
+pub use selection::{Candidate, local_targets_suffice, select_target};
 pub use target::{RawTarget, Target, TargetKey, TargetState};
 pub use token::{NO_TOKEN, TargetIncarnation, Token, Tokens};
--- a/src/steering/directory.rs
+++ b/src/steering/directory.rs
@@ -16,9 +16,11 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::target::ServiceName;
 use super::token::TargetIncarnation;
 use super::{Target, TargetKey, TargetState};
 use crate::hash::{HashMap, HashSet};
+use crate::ids::FailureDomain;
 use crate::platform::{Era, Position};
 
 /// Time for which removed targets are kept: the maximum lifetime of a flow.
@@ -70,7 +72,10 @@
     /// Earliest known position of the era. Entries up to here may be those of the copy.
     copied_up_to: Position,
     removal_grace_until: Duration,
-    by_service: HashMap<String, Vec<TargetKey>>,
+    /// Number of changes of the entries.
+    changes: u64,
+    /// Keys of the targets of each service, by failure domain.
+    by_service: HashMap<ServiceName, BTreeMap<FailureDomain, Vec<TargetKey>>>,
 }
 
 impl TargetDirectory {
@@ -79,6 +84,11 @@
         self.complete_up_to
     }
 
+    /// Returns a number that rises whenever a target is added or changed.
+    pub fn change_count(&self) -> u64 {
+        self.changes
+    }
+
     /// Returns the latest known era.
     pub fn era(&self) -> Era {
         self.era
@@ -236,8 +246,28 @@
         now: Duration,
         service: &str,
     ) -> impl Iterator<Item = (&'a Target, Duration)> + use<'a> {
-        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        let entries = keys.iter().filter_map(|key| self.entries.get(key));
+        let domains = self.by_service.get(service).into_iter().flat_map(BTreeMap::values);
+        self.eligible_of(now, domains.flatten())
+    }
+
+    /// Returns those of the targets that [`TargetDirectory::eligible`] returns that are in a failure
+    /// domain.
+    pub fn eligible_in<'a>(
+        &'a self,
+        now: Duration,
+        service: &str,
+        domain: &str,
+    ) -> impl Iterator<Item = (&'a Target, Duration)> + use<'a> {
+        let keys = self.by_service.get(service).and_then(|domains| domains.get(domain));
+        self.eligible_of(now, keys.into_iter().flatten())
+    }
+
+    fn eligible_of<'a>(
+        &'a self,
+        now: Duration,
+        keys: impl Iterator<Item = &'a TargetKey>,
+    ) -> impl Iterator<Item = (&'a Target, Duration)> {
+        let entries = keys.filter_map(|key| self.entries.get(key));
         let eligible = entries.filter(move |entry| !entry.removed || now < entry.grace_until);
         let ready = eligible.filter(|entry| entry.target.state == TargetState::Ready);
         ready.map(move |entry| {
@@ -248,8 +278,8 @@
 
     /// Returns all targets of a service, including those that get no new flows.
     pub fn of_service(&self, service: &str) -> impl Iterator<Item = &Target> {
-        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        keys.iter().filter_map(|key| self.entries.get(key)).map(|entry| &entry.target)
+        let domains = self.by_service.get(service).into_iter().flat_map(BTreeMap::values);
+        domains.flatten().filter_map(|key| self.entries.get(key)).map(|entry| &entry.target)
     }
 
     /// Returns all targets that may have flows, removed and earlier incarnations included.
@@ -386,6 +416,7 @@
     }
 
     fn insert(&mut self, now: Duration, position: Position, target: Target) {
+        self.changes += 1;
         let key = target.key;
         if let Some(previous) = self.entries.remove(&key) {
             self.remove_from_service(&previous.target);
@@ -394,7 +425,8 @@
                 self.replaced.insert(incarnation, (previous.target, now));
             }
         }
-        self.by_service.entry(target.service.clone()).or_default().push(key);
+        let domains = self.by_service.entry(target.service.clone()).or_default();
+        domains.entry(target.failure_domain.clone()).or_default().push(key);
         let grace_until = Duration::ZERO;
         let entry = Entry { position, target, updated_at: now, removed: false, grace_until };
         self.entries.insert(key, entry);
@@ -412,7 +444,8 @@
     }
 
     fn remove_from_service(&mut self, target: &Target) {
-        if let Some(keys) = self.by_service.get_mut(&target.service) {
+        let domains = self.by_service.get_mut(&target.service);
+        if let Some(keys) = domains.and_then(|domains| domains.get_mut(&target.failure_domain)) {
             keys.retain(|&key| key != target.key);
         }
     }
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -13,13 +13,16 @@
 use super::token::TargetIncarnation;
 use super::{
     Candidate, DomainLoad, FlowPacket, FlowSignal, FlowTable, Health, Load, NO_TOKEN, PacketKind,
-    Route, RouteLoad, RouteTable, Target, TargetDirectory, TargetKey, Token, Tokens, select_target,
-    yields,
+    Route, RouteLoad, RouteTable, Target, TargetDirectory, TargetKey, Token, Tokens,
+    local_targets_suffice, select_target, yields,
 };
 use crate::flow::FlowKey;
-use crate::ids::FailureDomain;
+use crate::ids::{FailureDomain, Version};
 use crate::peer::KeyRing;
 
+/// Targets that may get a flow, with the inputs of the selection.
+type CandidateList = Vec<(TargetIncarnation, Candidate)>;
+
 /// Idle timeout of flows while there are no routes to configure one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -150,11 +153,15 @@
         self.instances = instances;
     }
 
-    /// Returns whether the caller of an opening packet yields to others for now; `age` is the time
-    /// since its first copy.
-    pub fn yields(&self, now: Duration, service: SocketAddrV4, age: Duration) -> bool {
-        let Some(route) = self.routes.get(service) else { return false };
-        let Some(latency_target) = route.latency_target else { return false };
+    /// Returns the latency target of a service address and the load of its targets, or `None` if
+    /// callers do not yield there.
+    pub fn route_load(
+        &self,
+        now: Duration,
+        service: SocketAddrV4,
+    ) -> Option<(Duration, RouteLoad)> {
+        let route = self.routes.get(service)?;
+        let latency_target = route.latency_target?;
         let mut load = RouteLoad { instances: self.instances, ..RouteLoad::default() };
         for service in route.services.iter() {
             for (target, _) in self.targets.eligible(now, &service.service) {
@@ -163,7 +170,18 @@
                 load.slots += target.slots;
             }
         }
-        yields(age, latency_target, load)
+        Some((latency_target, load))
+    }
+
+    /// Returns whether the caller of an opening packet yields to others for now; `age` is the time
+    /// since its first copy.
+    pub fn yields(&self, now: Duration, service: SocketAddrV4, age: Duration) -> bool {
+        let latency_target = self.routes.get(service).and_then(|route| route.latency_target);
+        // Callers that are in time need no look at the targets.
+        latency_target.is_some_and(|latency_target| age > latency_target)
+            && self
+                .route_load(now, service)
+                .is_some_and(|(latency_target, load)| yields(age, latency_target, load))
     }
 
     /// Samples the load of the local failure domain; to be called about ten times per second.
@@ -228,38 +246,67 @@
         }
     }
 
-    /// Selects the target of a new flow.
+    /// Selects the target of a new flow. Of two targets with equal tokens, the later one gets none.
     fn select_for_flow(
         &mut self,
         now: Duration,
         flow: &FlowKey,
         services: &[super::WeightedService],
     ) -> Option<TargetIncarnation> {
+        let state = (self.targets.change_count(), self.routes.version());
+        let of_route = services.iter().flat_map(|s| self.targets.of_service(&s.service));
+        self.tokens.survey(flow.service, state, of_route);
         let service = pick_service(services, &mut self.rng)?;
-        let (mut responsive, mut unresponsive) = (Vec::new(), Vec::new());
-        for (target, warm_up_left) in self.targets.eligible(now, service) {
-            let incarnation = (target.key, target.incarnation);
-            let token = self.tokens.mint(flow.service, target);
-            if !self.tokens.cache(flow.service, token, target) {
-                continue;
+        let mut excluded = Vec::new();
+        loop {
+            let chosen = self.select_of_service(now, service, &excluded)?;
+            if self.tokens.is_usable(flow.service, chosen) {
+                return Some(chosen);
             }
+            excluded.push(chosen);
+        }
+    }
+
+    /// Selects a target of a service that is not excluded. Targets of other failure domains are
+    /// looked at only if the local ones do not suffice: most of a large fleet's are elsewhere.
+    fn select_of_service(
+        &mut self,
+        now: Duration,
+        service: &str,
+        excluded: &[TargetIncarnation],
+    ) -> Option<TargetIncarnation> {
+        let local = self.targets.eligible_in(now, service, &self.local_domain);
+        let (mut list, _) = self.candidates(now, local, excluded);
+        let slots = list.iter().map(|(_, candidate)| candidate.slots).sum();
+        let domain_load = self.domain_load.waiting_per_slot(service, self.local_instances, slots);
+        let candidates = |list: &[(_, Candidate)]| -> Vec<_> {
+            list.iter().map(|(_, candidate)| *candidate).collect()
+        };
+        if !local_targets_suffice(&candidates(&list), domain_load) {
+            let all = self.targets.eligible(now, service);
+            let (responsive, unresponsive) = self.candidates(now, all, excluded);
+            // If all seem unresponsive, the cause may be the network rather than the targets.
+            list = if responsive.is_empty() { unresponsive } else { responsive };
+        }
+        select_target(&candidates(&list), domain_load, &mut self.rng).map(|i| list[i].0)
+    }
+
+    /// Returns the responsive and the unresponsive ones of some targets.
+    fn candidates<'a>(
+        &self,
+        now: Duration,
+        targets: impl Iterator<Item = (&'a Target, Duration)>,
+        excluded: &[TargetIncarnation],
+    ) -> (CandidateList, CandidateList) {
+        let candidates = targets.filter_map(|(target, warm_up_left)| {
+            let incarnation = (target.key, target.incarnation);
             let Load { flows, waiting, .. } = self.flows.load(incarnation);
             let waiting = waiting + self.overdue.count(incarnation);
             let local = target.failure_domain == self.local_domain;
             let candidate = Candidate { local, slots: target.slots, flows, waiting, warm_up_left };
-            let list = if self.health.is_unresponsive(now, incarnation) {
-                &mut unresponsive
-            } else {
-                &mut responsive
-            };
-            list.push((incarnation, candidate));
-        }
-        // If all seem unresponsive, the cause may be the network rather than the targets.
-        let list = if responsive.is_empty() { unresponsive } else { responsive };
-        let candidates: Vec<_> = list.iter().map(|(_, candidate)| *candidate).collect();
-        let slots = candidates.iter().filter(|c| c.local).map(|c| c.slots).sum();
-        let domain_load = self.domain_load.waiting_per_slot(service, self.local_instances, slots);
-        select_target(&candidates, domain_load, &mut self.rng).map(|i| list[i].0)
+            (!excluded.contains(&incarnation)).then_some((incarnation, candidate))
+        });
+        candidates.partition(|&(incarnation, _)| !self.health.is_unresponsive(now, incarnation))
     }
 
     /// Decides about a packet of an open flow.
@@ -271,7 +318,9 @@
             }
             return Verdict::Drop(DropReason::UnknownAddress);
         };
-        let Some(incarnation) = find_target(&mut self.tokens, &self.targets, route, packet) else {
+        let version = self.routes.version();
+        let found = find_target(&mut self.tokens, &self.targets, route, version, packet);
+        let Some(incarnation) = found else {
             return Verdict::Drop(DropReason::UnknownToken);
         };
         if self.flows.is_of_earlier_flow(now, packet, incarnation) {
@@ -416,24 +465,26 @@
     None
 }
 
-/// Finds the target that a packet's token identifies: in the cache, then among the targets of the
-/// route's services, then among all targets.
+/// Finds the target that a packet's token identifies: among the known tokens, then among the targets
+/// of the route's services, then among all targets.
 fn find_target(
     tokens: &mut Tokens,
     targets: &TargetDirectory,
     route: &Route,
+    version: Version,
     packet: &FlowPacket,
 ) -> Option<TargetIncarnation> {
     let (service, token) = (packet.flow.service, packet.token);
     if token == NO_TOKEN {
         return None;
     }
-    if let Some(cached) = tokens.lookup(service, token) {
-        return Some(cached);
+    if let Some(known) = tokens.lookup(service, token) {
+        return Some(known);
     }
     let of_route = route.services.iter().flat_map(|s| targets.of_service(&s.service));
-    if let Some(target) = tokens.find(service, token, of_route) {
-        return Some((target.key, target.incarnation));
+    tokens.survey(service, (targets.change_count(), version), of_route);
+    if let Some(known) = tokens.lookup(service, token) {
+        return Some(known);
     }
-    tokens.find(service, token, targets.all()).map(|target| (target.key, target.incarnation))
+    tokens.find(service, token, targets.all())
 }
--- a/src/steering/late_openings.rs
+++ b/src/steering/late_openings.rs
@@ -7,6 +7,7 @@
 //! the capacity that is left. None waits longer than its opening packet would be repeated.
 
 use std::collections::VecDeque;
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use crate::ids::FlowId;
@@ -50,6 +51,8 @@
 pub(super) struct HeldOpening {
     /// Flow that it opens.
     pub flow: FlowId,
+    /// Address that the caller connects to.
+    pub service: SocketAddrV4,
     /// When the caller sent the first copy.
     pub first_sent: Duration,
     /// The latest copy.
@@ -80,14 +83,14 @@
         if self.held.len() > MAX_HELD { self.held.pop_front() } else { None }
     }
 
-    /// Takes the first packet that does not yield any more. `yields` gets its age and its bytes.
+    /// Takes the first packet that does not yield any more. `yields` gets its age and its address.
     pub(super) fn take_next(
         &mut self,
         now: Duration,
-        yields: impl Fn(Duration, &[u8]) -> bool,
+        mut yields: impl FnMut(Duration, SocketAddrV4) -> bool,
     ) -> Option<HeldOpening> {
         let age = |held: &HeldOpening| now.saturating_sub(held.first_sent);
-        let next = self.held.iter().position(|held| !yields(age(held), &held.buf))?;
+        let next = self.held.iter().position(|held| !yields(age(held), held.service))?;
         self.held.remove(next)
     }
 }
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -17,7 +17,7 @@
 use self::members_log::MembersLog;
 use self::startup_queue::StartupQueue;
 use super::gossip::{Gossip, Peers};
-use super::late_openings::{HeldOpening, LateOpenings};
+use super::late_openings::{HeldOpening, LateOpenings, yields};
 use super::list_watch::{Interest, ListWatches};
 use super::log_rate_limit::LogRateLimit;
 use super::registration::Registration;
@@ -25,6 +25,7 @@
     DropReason, FlowPacket, Forwarder, PacketFormat, PacketKind, ResetReason, TargetIncarnation,
     Verdict,
 };
+use crate::flow::FlowKey;
 use crate::hash::HashMap;
 use crate::instance::{Action, Core, Event, ReloadableSettings, Status};
 use crate::link::{Link, count_dropped_message};
@@ -45,6 +46,8 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two checks for overdue responses, each of which scans all flows.
 const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Minimum time between two looks for room for held packets, each of which scans the targets.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(5);
 /// Time after the start before an instance may watch the platform. Before that it does not know
 /// all peers yet and would take itself for one of the few watchers.
 const WATCH_DELAY: Duration = Duration::from_millis(2_500);
@@ -70,6 +73,17 @@
     pub format: Box<dyn PacketFormat>,
 }
 
+/// How an instance shares the watches of the platform; changes only with the live instances.
+#[derive(Debug, Clone, Copy)]
+struct WatchRole {
+    /// Whether it knows no other instance.
+    alone: bool,
+    /// Whether it ranks among the watchers of its failure domain.
+    ranked: bool,
+    /// Number of watchers in its failure domain.
+    watchers: u32,
+}
+
 /// An instance that forwards packets by token.
 #[derive(Debug)]
 pub struct Node {
@@ -83,6 +97,7 @@
     log: LogRateLimit,
     startup_queue: StartupQueue,
     late_openings: LateOpenings,
+    next_release: Duration,
     started: Duration,
     pauses: PauseDetector,
     last_packet: Duration,
@@ -93,6 +108,7 @@
     era: Era,
     registration: Registration,
     members_log: MembersLog,
+    watch_role: WatchRole,
     grace: Duration,
     leaving_since: Option<Duration>,
     exited: bool,
@@ -117,6 +133,7 @@
             log: LogRateLimit::new(now),
             startup_queue: StartupQueue::default(),
             late_openings: LateOpenings::default(),
+            next_release: now,
             started: now,
             pauses: PauseDetector::new(now),
             last_packet: now,
@@ -126,6 +143,7 @@
             era: 0,
             registration: Registration::new(now, fork()),
             members_log: MembersLog::default(),
+            watch_role: WatchRole { alone: true, ranked: true, watchers: 1 },
             grace: cfg.grace,
             leaving_since: None,
             exited: false,
@@ -201,7 +219,8 @@
         out: &mut Vec<Action>,
     ) {
         counter!("limpetdeck_openings_held_total").increment(1);
-        let opening = HeldOpening { flow: packet.flow.id(), first_sent, buf };
+        let FlowKey { service, .. } = packet.flow;
+        let opening = HeldOpening { flow: packet.flow.id(), service, first_sent, buf };
         if let Some(oldest) = self.late_openings.hold(opening) {
             self.forward_held(now, oldest, out);
         }
@@ -209,16 +228,24 @@
 
     /// Forwards the held opening packets for which there is room now, or that cannot wait longer.
     fn release_held(&mut self, now: Duration, out: &mut Vec<Action>) {
-        while !self.late_openings.is_empty() {
-            let yields = |age: Duration, buf: &[u8]| {
-                self.leaving_since.is_none()
-                    && self
-                        .format
-                        .read(buf)
-                        .is_ok_and(|packet| self.forwarder.yields(now, packet.flow.service, age))
+        let is_leaving = self.leaving_since.is_some();
+        if self.late_openings.is_empty() || (!is_leaving && now < self.next_release) {
+            return;
+        }
+        self.next_release = now + RELEASE_INTERVAL;
+        let mut loads = HashMap::default();
+        loop {
+            let forwarder = &self.forwarder;
+            let has_to_yield = |age, service| {
+                let load =
+                    loads.entry(service).or_insert_with(|| forwarder.route_load(now, service));
+                !is_leaving
+                    && load.is_some_and(|(latency_target, load)| yields(age, latency_target, load))
             };
-            let Some(opening) = self.late_openings.take_next(now, yields) else { return };
+            let Some(opening) = self.late_openings.take_next(now, has_to_yield) else { return };
             self.forward_held(now, opening, out);
+            // Several addresses may share targets.
+            loads.clear();
         }
     }
 
@@ -381,11 +408,11 @@
             return;
         }
         let age = now.saturating_sub(self.started);
-        let alone = self.membership.live_count() < 2;
-        let watches = age >= WATCH_DELAY && self.membership.is_watcher(now);
+        let WatchRole { alone, ranked, watchers } = self.watch_role;
+        let watches = age >= WATCH_DELAY && (ranked || self.membership.is_isolated(now));
         let interest = Interest {
             watches,
-            watchers: self.membership.local_watchers() as u32,
+            watchers,
             routes: self.gossip.reads_routes(now, &self.forwarder),
             instances: alone && age >= DISCOVERY_DELAY,
         };
@@ -406,6 +433,11 @@
             others.partition(|info| info.failure_domain == me.failure_domain);
         let ids = |infos: Vec<&MemberInfo>| infos.into_iter().map(|info| info.id).collect();
         let counts = (local.len(), remote.len());
+        self.watch_role = WatchRole {
+            alone: counts == (0, 0),
+            ranked: self.membership.ranks_as_watcher(),
+            watchers: self.membership.local_watchers() as u32,
+        };
         gauge!("limpetdeck_instances_live").set((local.len() + remote.len() + 1) as f64);
         self.forwarder.set_local_instances(counts.0 + 1);
         self.forwarder.set_instances(counts.0 + counts.1 + 1);
--- a/src/steering/selection.rs
+++ b/src/steering/selection.rs
@@ -61,6 +61,14 @@
     }
 }
 
+/// Returns whether the local ones among the candidates suffice, so that those of other failure
+/// domains need not be looked at. `domain_load` is the estimated number of waiting requests per slot
+/// of the local failure domain.
+pub fn local_targets_suffice(candidates: &[Candidate], domain_load: f64) -> bool {
+    let has_capacity = candidates.iter().any(|candidate| candidate.local && !candidate.is_busy());
+    has_capacity && domain_load < DOMAIN_OVERLOAD_THRESHOLD
+}
+
 /// Returns the index of the least loaded eligible candidate, at random among equals, or `None`
 /// if there are no candidates. `domain_load` is the estimated number of waiting requests per
 /// slot of the local failure domain.
@@ -69,8 +77,7 @@
     domain_load: f64,
     rng: &mut SmallRng,
 ) -> Option<usize> {
-    let has_capacity = candidates.iter().any(|candidate| candidate.local && !candidate.is_busy());
-    let local_only = has_capacity && domain_load < DOMAIN_OVERLOAD_THRESHOLD;
+    let local_only = local_targets_suffice(candidates, domain_load);
     let eligible =
         candidates.iter().enumerate().filter(|(_, candidate)| candidate.local || !local_only);
     let ranked = eligible.map(|(i, candidate)| (i, candidate.load_per_slot(), rng.random::<u32>()));
--- a/src/steering/token.rs
+++ b/src/steering/token.rs
@@ -4,7 +4,7 @@
 
 use super::{Target, TargetKey};
 use crate::hash::HashMap;
-use crate::ids::Incarnation;
+use crate::ids::{Incarnation, Version};
 use crate::peer::{KeyRing, PeerKey};
 
 /// Value carried by each packet of a flow that identifies the flow's target.
@@ -12,24 +12,70 @@
 
 /// Token value of packets without a token.
 pub const NO_TOKEN: Token = 0;
-/// Maximum number of cached tokens, about 40 bytes each.
-const MAX_CACHED: usize = 65_536;
+/// Maximum number of known tokens, about 80 bytes each.
+const MAX_TOKENS: usize = 65_536;
 
 /// One incarnation of a target.
 pub type TargetIncarnation = (TargetKey, Incarnation);
 
-/// Derives tokens, and caches the targets of those already seen.
+/// Number of changes of the directory, and version of the routes.
+pub(super) type TargetsState = (u64, Version);
+
+/// Derives tokens, and keeps those of the known targets.
+///
+/// Load pattern: after a restart, the packets of all open flows and the openings of all callers come
+/// at once. Deriving the tokens of all targets for each of them would take most of the processor
+/// time, so they are derived once for each service address, and again only for new targets.
 #[derive(Debug)]
 pub struct Tokens {
     keys: KeyRing,
-    cache: HashMap<(SocketAddrV4, Token), TargetIncarnation>,
+    targets: HashMap<(SocketAddrV4, Token), TargetIncarnation>,
+    /// Tokens of new flows to each target at each service address.
+    derived: HashMap<(SocketAddrV4, TargetIncarnation), Token>,
+    /// State of the directory and the routes for which the tokens at each service address are derived.
+    surveyed: HashMap<SocketAddrV4, TargetsState>,
 }
 
 impl Tokens {
-    /// Creates an empty cache. Instances with the same key derive the same tokens; those of the
+    /// Creates an empty table. Instances with the same key derive the same tokens; those of the
     /// other accepted keys are recognised.
     pub fn new(keys: impl Into<KeyRing>) -> Self {
-        Self { keys: keys.into(), cache: HashMap::default() }
+        Self {
+            keys: keys.into(),
+            targets: HashMap::default(),
+            derived: HashMap::default(),
+            surveyed: HashMap::default(),
+        }
+    }
+
+    /// Derives the tokens of the targets that may get flows at a service address, unless that has
+    /// been done in this state.
+    pub(super) fn survey<'a>(
+        &mut self,
+        service: SocketAddrV4,
+        state: TargetsState,
+        targets: impl Iterator<Item = &'a Target>,
+    ) {
+        if self.surveyed.get(&service) == Some(&state) {
+            return;
+        }
+        self.limit_size();
+        for target in targets {
+            let incarnation = (target.key, target.incarnation);
+            if !self.derived.contains_key(&(service, incarnation)) {
+                let token = self.mint(service, target);
+                self.derived.insert((service, incarnation), token);
+                self.record(service, token, incarnation);
+            }
+        }
+        self.surveyed.insert(service, state);
+    }
+
+    /// Returns whether a target may get new flows at a service address: of several with equal tokens
+    /// only the one with the lowest incarnation does, as on all other instances.
+    pub(super) fn is_usable(&self, service: SocketAddrV4, target: TargetIncarnation) -> bool {
+        let token = self.derived.get(&(service, target));
+        token.is_some_and(|&token| self.targets.get(&(service, token)) == Some(&target))
     }
 
     /// Derives the token of new flows to a target at a service address.
@@ -42,33 +88,41 @@
         self.keys.all().any(|key| derive_token(key, service, target) == token)
     }
 
-    /// Returns the target of a cached token.
+    /// Returns the target of a token, if it is known.
     pub(super) fn lookup(&self, service: SocketAddrV4, token: Token) -> Option<TargetIncarnation> {
-        self.cache.get(&(service, token)).copied()
+        self.targets.get(&(service, token)).copied()
     }
 
-    /// Finds and caches the target of a token among `targets`. If several match, returns the one
-    /// with the lowest incarnation, as only that one gets flows.
+    /// Finds the target of a token that is not known yet among `targets`. If several match, returns
+    /// the one with the lowest incarnation, as only that one gets flows.
     pub(super) fn find<'a>(
         &mut self,
         service: SocketAddrV4,
         token: Token,
         targets: impl Iterator<Item = &'a Target>,
-    ) -> Option<&'a Target> {
+    ) -> Option<TargetIncarnation> {
         let matching = targets.filter(|target| self.names(token, service, target));
         let found = matching.min_by_key(|target| (target.incarnation, target.key))?;
-        self.cache(service, token, found);
-        Some(found)
+        self.limit_size();
+        self.record(service, token, (found.key, found.incarnation));
+        self.lookup(service, token)
+    }
+
+    fn record(&mut self, service: SocketAddrV4, token: Token, target: TargetIncarnation) {
+        let order = |(key, incarnation): TargetIncarnation| (incarnation, key);
+        let known = self.targets.entry((service, token)).or_insert(target);
+        if order(target) < order(*known) {
+            *known = target;
+        }
     }
 
-    /// Caches the target of a token. Returns false if the token already belongs to another target.
-    pub(super) fn cache(&mut self, service: SocketAddrV4, token: Token, target: &Target) -> bool {
-        if self.cache.len() >= MAX_CACHED {
-            // Entries that are still in use are added again by the next lookup.
-            self.cache.clear();
+    /// Forgets all tokens if there are too many. Those in use are derived again.
+    fn limit_size(&mut self) {
+        if self.targets.len() >= MAX_TOKENS {
+            self.targets.clear();
+            self.derived.clear();
+            self.surveyed.clear();
         }
-        let incarnation = (target.key, target.incarnation);
-        *self.cache.entry((service, token)).or_insert(incarnation) == incarnation
     }
 }
 
--- a/tests/steering_tokens.rs
+++ b/tests/steering_tokens.rs
@@ -91,6 +91,22 @@
     assert_eq!(flows_by_target, [99, 0]);
 }
 
+/// Which of two targets with equal tokens a token stands for does not depend on which one an
+/// instance has known for longer.
+#[test]
+fn collision_order() {
+    let (older, newer) = find_collision(&Tokens::new(token_key()));
+    let token = Tokens::new(token_key()).mint(address(1), &newer);
+    let mut late = forwarder_for_targets(std::slice::from_ref(&newer));
+    assert_eq!(place(&mut late, NOW, &opening(1, 1)), (newer.key, token));
+    late.targets.merge(NOW, record(11, older.clone()));
+    assert_eq!(place(&mut late, NOW, &opening(2, 1)).0, older.key);
+    for mut instance in [late, forwarder_for_targets(&[older.clone(), newer])] {
+        let verdict = instance.decide(NOW, &request(3, 1, token, 0));
+        assert!(matches!(verdict, Verdict::Forward(target, None) if target.key == older.key));
+    }
+}
+
 fn token_key() -> [u8; 32] {
     KEY
 }
