Pause between watches that the platform ends at once

A watch without changes goes on at once since the pace of watches is shared; a platform that answers each watch immediately would then be called in a loop. The pause now counts from the beginning of the watch.

--- a/src/steering/list_watch.rs
+++ b/src/steering/list_watch.rs
@@ -51,13 +51,15 @@
     position: Option<Position>,
     /// Whether a call is in flight.
     in_flight: bool,
+    /// When the last call was made.
+    called_at: Duration,
     backoff: Backoff,
 }
 
 impl ListWatch {
     fn new(prefix: &'static str) -> Self {
         let backoff = Backoff::new(MAX_FIRST_RETRY_DELAY, MAX_RETRY_DELAY, 0.5..=1.0);
-        Self { prefix, position: None, in_flight: false, backoff }
+        Self { prefix, position: None, in_flight: false, called_at: Duration::ZERO, backoff }
     }
 
     /// Returns the call that is due. After the first list, there is none unless the instance
@@ -84,6 +86,7 @@
             _ => Call::List { prefix },
         };
         self.in_flight = true;
+        self.called_at = now;
         Some(call)
     }
 
@@ -98,10 +101,9 @@
         match result {
             Ok(Reply::Changes(changes)) => {
                 self.position = Some(changes.position());
-                // A watch that has ended without changes goes on at once.
-                let changed = !changes.objects.is_empty();
-                let pause = if changed { WATCH_BATCH_DELAY * watchers } else { Duration::ZERO };
-                self.backoff.record_success(now + pause);
+                // A watch that has waited without changes goes on at once.
+                let begin = if changes.objects.is_empty() { self.called_at } else { now };
+                self.backoff.record_success(begin + WATCH_BATCH_DELAY * watchers);
             }
             Ok(_) => {}
             Err(e) => {
