--- a/lab/src/slopes/steering.rs
+++ b/lab/src/slopes/steering.rs
@@ -28,14 +28,14 @@
 pub(super) fn print(seed: u64) {
     for targets in [30, 300, 3_000, 7_400] {
         let list: Vec<_> = (1..=targets).map(target).collect();
-        let mut forwarder = forwarder(&list, seed);
+        let mut forwarder = new_forwarder(&list, seed);
         let opening_ns = mean_ns(FLOWS, |n| {
             let opening = packet(n, PacketKind::Opening { repeats: 0 }, NO_TOKEN);
             matches!(forwarder.decide(NOW, &opening), Verdict::Forward(..))
         });
         let tokens = Tokens::new(KEY);
         let tokens: Vec<_> = list.iter().map(|target| tokens.mint(ADDRESS, target)).collect();
-        let mut restarted = self::forwarder(&list, seed);
+        let mut restarted = new_forwarder(&list, seed);
         let within_ns = mean_ns(tokens.len(), |n| {
             let within = packet(n, PacketKind::Within, tokens[n]);
             matches!(restarted.decide(NOW, &within), Verdict::Forward(..))
@@ -46,7 +46,7 @@
     }
 }
 
-fn forwarder(targets: &[Target], seed: u64) -> Forwarder {
+fn new_forwarder(targets: &[Target], seed: u64) -> Forwarder {
     let rng = SmallRng::seed_from_u64(seed);
     let mut forwarder = Forwarder::new("domain-0".to_owned(), KEY, rng);
     let services = vec![WeightedService { service: SERVICE.to_owned(), weight: 1 }];
--- a/src/steering/gossip.rs
+++ b/src/steering/gossip.rs
@@ -50,8 +50,7 @@
     pub local: Vec<InstanceId>,
     /// Peers in other failure domains.
     pub remote: Vec<InstanceId>,
-    /// The local peer that follows this instance in the order of their IDs, the lowest after the
-    /// highest one.
+    /// The local peer that follows this instance in the order of IDs, which wraps around.
     next: Option<InstanceId>,
 }
 
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -1,6 +1,7 @@
 //! The core of an instance that forwards packets by token. It does no I/O: it takes events and
 //! returns actions.
 
+mod held_openings;
 mod logging;
 mod members_log;
 mod platform_reply;
@@ -17,7 +18,7 @@
 use self::members_log::MembersLog;
 use self::startup_queue::StartupQueue;
 use super::gossip::{Gossip, Peers};
-use super::late_openings::{HeldOpening, LateOpenings, yields};
+use super::late_openings::LateOpenings;
 use super::list_watch::{Interest, ListWatches};
 use super::log_rate_limit::LogRateLimit;
 use super::registration::Registration;
@@ -25,7 +26,6 @@
     DropReason, FlowPacket, Forwarder, PacketFormat, PacketKind, ResetReason, TargetIncarnation,
     Verdict,
 };
-use crate::flow::FlowKey;
 use crate::hash::HashMap;
 use crate::instance::{Action, Core, Event, ReloadableSettings, Status};
 use crate::link::{Link, count_dropped_message};
@@ -46,8 +46,6 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two checks for overdue responses, each of which scans all flows.
 const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Minimum time between two looks for room for held packets, each of which scans the targets.
-const RELEASE_INTERVAL: Duration = Duration::from_millis(5);
 /// Time after the start before an instance may watch the platform. Before that it does not know
 /// all peers yet and would take itself for one of the few watchers.
 const WATCH_DELAY: Duration = Duration::from_millis(2_500);
@@ -201,60 +199,6 @@
         self.forward(now, arrived, &packet, buf, out);
     }
 
-    /// Returns whether the caller of an opening packet yields to others for now.
-    fn yields(&self, now: Duration, packet: &FlowPacket, first_sent: Duration) -> bool {
-        // A flow that already has a target is not held back. An instance that stops holds nothing.
-        self.leaving_since.is_none()
-            && self.forwarder.ready()
-            && self.forwarder.flows.half_open(packet.flow.id()).is_none()
-            && self.forwarder.yields(now, packet.flow.service, now.saturating_sub(first_sent))
-    }
-
-    fn hold_opening(
-        &mut self,
-        now: Duration,
-        packet: &FlowPacket,
-        first_sent: Duration,
-        buf: Vec<u8>,
-        out: &mut Vec<Action>,
-    ) {
-        counter!("limpetdeck_openings_held_total").increment(1);
-        let FlowKey { service, .. } = packet.flow;
-        let opening = HeldOpening { flow: packet.flow.id(), service, first_sent, buf };
-        if let Some(oldest) = self.late_openings.hold(opening) {
-            self.forward_held(now, oldest, out);
-        }
-    }
-
-    /// Forwards the held opening packets for which there is room now, or that cannot wait longer.
-    fn release_held(&mut self, now: Duration, out: &mut Vec<Action>) {
-        let is_leaving = self.leaving_since.is_some();
-        if self.late_openings.is_empty() || (!is_leaving && now < self.next_release) {
-            return;
-        }
-        self.next_release = now + RELEASE_INTERVAL;
-        let mut loads = HashMap::default();
-        loop {
-            let forwarder = &self.forwarder;
-            let has_to_yield = |age, service| {
-                let load =
-                    loads.entry(service).or_insert_with(|| forwarder.route_load(now, service));
-                !is_leaving
-                    && load.is_some_and(|(latency_target, load)| yields(age, latency_target, load))
-            };
-            let Some(opening) = self.late_openings.take_next(now, has_to_yield) else { return };
-            self.forward_held(now, opening, out);
-            // Several addresses may share targets.
-            loads.clear();
-        }
-    }
-
-    fn forward_held(&mut self, now: Duration, opening: HeldOpening, out: &mut Vec<Action>) {
-        if let Ok(packet) = self.format.read(&opening.buf) {
-            self.forward(now, now, &packet, opening.buf, out);
-        }
-    }
-
     fn forward(
         &mut self,
         now: Duration,
