--- a/tests/settings_findings.rs
+++ b/tests/settings_findings.rs
@@ -51,6 +51,32 @@
     assert_eq!(locations(text), expected);
 }
 
+/// Each invalid key is reported with its place, and valid ones are accepted besides the one in use.
+#[test]
+fn accepted_keys() {
+    let settings = |keys: &str| {
+        format!(
+            r#"
+            instance = 1
+            failure_domain = "a"
+            packet_address = "127.0.0.1:7101"
+            peer_address = "127.0.0.1:7102"
+            metrics_address = "127.0.0.1:7103"
+            fabric_address = "127.0.0.1:7104"
+            platform_address = "127.0.0.1:7010"
+            peer_key = "{}"
+            accepted_peer_keys = [{keys}]
+            "#,
+            "0a".repeat(32)
+        )
+    };
+    let valid = format!("{:?}", "0b".repeat(32));
+    assert_eq!(locations(&settings(&format!("{valid}, \"abc\""))), ["accepted_peer_keys[1]"]);
+    let checked = settings::parse(&settings(&valid)).expect("valid settings");
+    let keys: Vec<_> = checked.peer_keys.all().copied().collect();
+    assert_eq!(keys, [[0x0a; 32], [0x0b; 32]]);
+}
+
 #[test]
 fn unknown_key() {
     // The finding about the unknown key must not hide the one about the missing keys.
