--- a/lab/src/soak.rs
+++ b/lab/src/soak.rs
@@ -49,12 +49,13 @@
 /// Text for `soak --help`.
 const HELP: &str = "\
 usage: limpetdeck-lab soak --seed N [--minutes M] [--instances N] [--node FILE]
-                           [--report FILE] [--keep]
+                           [--drill NAME] [--report FILE] [--keep]
 
   --seed N        seed of the random numbers; determines the faults
   --minutes M     length of the run (default 2)
   --instances N   instances in three failure domains (default 9)
   --node FILE     program to run (default limpetdeck-node next to this program)
+  --drill NAME    one kind of fault instead of all: restore
   --report FILE   write an HTML report with a plot
   --keep          keep the logs even if no promise was broken
 
@@ -90,6 +91,7 @@
     length: Duration,
     instances: usize,
     node: PathBuf,
+    restore_drill: bool,
     report: Option<PathBuf>,
     keep: bool,
 }
@@ -99,7 +101,13 @@
         let minutes: f64 = args.value_or("--minutes", 2.0)?;
         let default_node =
             std::env::current_exe().map_err(CommandError::new)?.with_file_name("limpetdeck-node");
+        let restore_drill = match args.value_or("--drill", String::new())?.as_str() {
+            "" => false,
+            "restore" => true,
+            other => return Err(CommandError::new(format!("--drill {other} is not known"))),
+        };
         let options = Self {
+            restore_drill,
             seed: args.value("--seed")?,
             length: Duration::from_secs_f64(minutes.clamp(MIN_MINUTES, 600.0) * 60.0),
             instances: args.value_or("--instances", 9)?,
@@ -145,7 +153,8 @@
 async fn run(ex: Rc<LocalExecutor<'static>>, options: &Options, dir: &Path) -> io::Result<bool> {
     fs::create_dir_all(dir)?;
     let mut rng = SmallRng::seed_from_u64(options.seed);
-    let schedule = plan::schedule(options.length, &mut fork_rng(&mut rng));
+    let generate = if options.restore_drill { plan::restore_drill } else { plan::schedule };
+    let schedule = generate(options.length, &mut fork_rng(&mut rng));
     let env = start_environment(&ex, options, dir, &mut rng).await?;
     let mut faults = FaultInjector::new(schedule.clone(), fork_rng(&mut rng));
     let completed = run_until_stopped(options, &env, &mut faults).await;
--- a/lab/src/soak/plan.rs
+++ b/lab/src/soak/plan.rs
@@ -1,5 +1,6 @@
 //! The fault schedule of a run, generated from its seed.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use rand::Rng;
@@ -18,6 +19,14 @@
 /// settling time after a fault, in which the bounds are not checked.
 const PHASE_LENGTH: Duration = Duration::from_secs(11);
 
+/// Age of the copies of a restore drill.
+const COPY_AGE: Duration = Duration::from_secs(14);
+/// Time between two replacements of servers in the time that a copy lacks.
+const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(400);
+/// When servers drain after a restore of a drill.
+const DRAINS_AFTER_RESTORE: Range<Duration> =
+    Duration::from_millis(1_500)..Duration::from_millis(5_000);
+
 /// A kind of fault or maintenance. The names go to the log through `Debug`.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Fault {
@@ -124,6 +133,41 @@
     pub fault: Fault,
 }
 
+/// Generates restores of the store from copies that are much older than the settling time after a
+/// fault, each followed by drains that have to be known before the revisions of the copy's time are
+/// given out again.
+pub fn restore_drill(length: Duration, rng: &mut SmallRng) -> Vec<ScheduledFault> {
+    let end = length.saturating_sub(RECOVERY_TIME + RECOVERY_SAMPLE_TIME);
+    let mut faults = Vec::new();
+    let mut at = STARTUP_TIME;
+    while at + COPY_AGE + DRAINS_AFTER_RESTORE.end < end {
+        faults.push(ScheduledFault { at, duration: COPY_AGE, fault: Fault::Restore });
+        let restored = at + COPY_AGE;
+        // Most servers are replaced meanwhile, so that their entries have revisions that the copy
+        // does not have.
+        let mut replaced = at + REPLACEMENT_INTERVAL;
+        while replaced < restored {
+            faults.push(ScheduledFault {
+                at: replaced,
+                duration: Duration::ZERO,
+                fault: Fault::Drain,
+            });
+            replaced += REPLACEMENT_INTERVAL;
+        }
+        let mut drain = restored + DRAINS_AFTER_RESTORE.start;
+        while drain < restored + DRAINS_AFTER_RESTORE.end {
+            faults.push(ScheduledFault {
+                at: drain,
+                duration: Duration::ZERO,
+                fault: Fault::Drain,
+            });
+            drain += Duration::from_millis(rng.random_range(150..500));
+        }
+        at = drain + COPY_AGE;
+    }
+    faults
+}
+
 /// Generates the faults of a run of the given length.
 pub fn schedule(length: Duration, rng: &mut SmallRng) -> Vec<ScheduledFault> {
     let end = length.saturating_sub(RECOVERY_TIME + RECOVERY_SAMPLE_TIME);
--- a/lab/tests/short_soak.rs
+++ b/lab/tests/short_soak.rs
@@ -8,16 +8,26 @@
 /// - 138 (1.5 minutes, 9 instances): SIGHUP ended a process that was starting; `early_signal`.
 const SEEDS: [&str; 1] = ["7"];
 
-#[test]
-fn promises_kept() {
+fn soak(args: &[&str]) {
     let lab = PathBuf::from(env!("CARGO_BIN_EXE_limpetdeck-lab"));
     let node = lab.with_file_name("limpetdeck-node");
     assert!(node.exists(), "limpetdeck-node is not built: run the tests with --workspace");
+    let args = [&["soak", "--instances", "6"], args].concat();
+    let output = Command::new(&lab).args(&args).output().expect("a run");
+    let text = String::from_utf8_lossy(&output.stdout);
+    println!("{text}");
+    assert!(output.status.success(), "{args:?}: {text}");
+}
+
+#[test]
+fn promises_kept() {
     for seed in SEEDS {
-        let args = ["soak", "--seed", seed, "--minutes", "0.6", "--instances", "6"];
-        let output = Command::new(&lab).args(args).output().expect("a run");
-        let text = String::from_utf8_lossy(&output.stdout);
-        println!("{text}");
-        assert!(output.status.success(), "seed {seed}: {text}");
+        soak(&["--seed", seed, "--minutes", "0.6"]);
     }
 }
+
+/// Drains soon after the store has come back from an old copy are known in time.
+#[test]
+fn restore_drill() {
+    soak(&["--drill", "restore", "--seed", "901", "--minutes", "0.75"]);
+}
