Decisions under load in one folder, and request classes of routes

The decisions that forwarder and node make under load stood among the modules that keep state. They move to steering/policy without change: domain_load, health, late_openings, overdue, selection.

Routes now carry timeout, priority and whether requests may be repeated, and the limits on new flows to cold targets; nothing uses them yet. Instances exchange them as the last fields, so an earlier release reads the routes as before; its own route changes lack the fields, cannot be decoded, and the routes then come from the platform. Fingerprints leave the new fields out.

--- a/lab/src/soak/environment.rs
+++ b/lab/src/soak/environment.rs
@@ -436,5 +436,11 @@
     };
     let routes: Vec<_> = service_addresses().into_iter().zip(services).map(route).collect();
     let latency_targets_ms = vec![LATENCY_TARGET_MS; routes.len()];
-    RawRoutes { version: 1, routes, idle_timeout_ms: IDLE_TIMEOUT_MS, latency_targets_ms }
+    RawRoutes {
+        version: 1,
+        routes,
+        idle_timeout_ms: IDLE_TIMEOUT_MS,
+        latency_targets_ms,
+        ..RawRoutes::default()
+    }
 }
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -5,38 +5,37 @@
 //! any packet, without per-flow state and without a lookup at other instances.
 
 mod directory;
-mod domain_load;
 mod flows;
 mod forwarder;
 mod gossip;
-mod health;
-mod late_openings;
 mod list_watch;
 mod log_rate_limit;
 mod message;
 mod node;
-mod overdue;
 mod packet;
+mod policy;
 mod registration;
 mod route_change;
 mod routes;
-mod selection;
 mod target;
 mod token;
 
 pub use directory::{TargetDirectory, TargetRecord};
-pub use domain_load::DomainLoad;
 pub use flows::{FlowSignal, FlowTable, Load};
 pub use forwarder::{DropReason, Forwarder, HealthChange, ResetReason, Verdict};
 pub use gossip::Gossip;
-pub use health::Health;
-pub use late_openings::{RouteLoad, yields};
 pub use list_watch::{INSTANCES_PREFIX, Interest, ListWatches, ROUTES_PREFIX, TARGETS_PREFIX};
 pub use message::Message;
 pub use node::{Node, NodeConfig};
 pub use packet::{FlowPacket, PacketError, PacketFormat, PacketKind};
+pub use policy::domain_load::DomainLoad;
+pub use policy::health::Health;
+pub use policy::late_openings::{RouteLoad, yields};
+pub use policy::selection::{Candidate, local_targets_suffice, select_target};
 pub use route_change::{ChangeError, ChangedRoute, RouteChange};
-pub use routes::{RawRoute, RawRoutes, Route, RouteTable, WeightedService};
-pub use selection::{Candidate, local_targets_suffice, select_target};
+pub use routes::{
+    Priority, RawRoute, RawRoutes, RequestClass, Route, RouteTable, ServiceWarmUp, WarmUp,
+    WeightedService,
+};
 pub use target::{RawTarget, Target, TargetKey, TargetState};
 pub use token::{NO_TOKEN, TargetIncarnation, Token, Tokens};
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -9,7 +9,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
-use super::overdue::OverdueResponses;
+use super::policy::overdue::OverdueResponses;
 use super::token::TargetIncarnation;
 use super::{
     Candidate, DomainLoad, FlowPacket, FlowSignal, FlowTable, Health, Load, NO_TOKEN, PacketKind,
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -18,9 +18,9 @@
 use self::members_log::MembersLog;
 use self::startup_queue::StartupQueue;
 use super::gossip::{Gossip, Peers};
-use super::late_openings::LateOpenings;
 use super::list_watch::{Interest, ListWatches};
 use super::log_rate_limit::LogRateLimit;
+use super::policy::late_openings::LateOpenings;
 use super::registration::Registration;
 use super::{
     DropReason, FlowPacket, Forwarder, PacketFormat, PacketKind, ResetReason, TargetIncarnation,
--- a/src/steering/node/held_openings.rs
+++ b/src/steering/node/held_openings.rs
@@ -10,7 +10,7 @@
 use crate::hash::HashMap;
 use crate::instance::Action;
 use crate::steering::FlowPacket;
-use crate::steering::late_openings::{HeldOpening, yields};
+use crate::steering::policy::late_openings::{HeldOpening, yields};
 
 /// Minimum time between two looks for room for held packets, each of which scans the targets.
 const RELEASE_INTERVAL: Duration = Duration::from_millis(5);
--- a/src/steering/domain_load.rs
+++ b/src/steering/policy/domain_load.rs
@@ -6,8 +6,8 @@
 
 use std::time::Duration;
 
-use super::target::ServiceName;
 use crate::hash::HashMap;
+use crate::steering::target::ServiceName;
 
 /// Time constant of the moving average: long compared to the processing of a request, so that a
 /// single request has little weight, and short compared to the lifetime of a flow.
--- a/src/steering/health.rs
+++ b/src/steering/policy/health.rs
@@ -12,9 +12,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::token::TargetIncarnation;
 use crate::hash::HashMap;
 use crate::ids::FlowId;
+use crate::steering::token::TargetIncarnation;
 
 /// Number of flows without a response at which a target counts as unresponsive.
 const UNANSWERED_FLOWS: usize = 2;
--- a/src/steering/late_openings.rs
+++ b/src/steering/policy/late_openings.rs
@@ -48,7 +48,7 @@
 
 /// An opening packet that is held back.
 #[derive(Debug)]
-pub(super) struct HeldOpening {
+pub(in crate::steering) struct HeldOpening {
     /// Flow that it opens.
     pub flow: FlowId,
     /// Address that the caller connects to.
@@ -61,19 +61,19 @@
 
 /// The opening packets that are held back, in the order in which their callers came.
 #[derive(Debug, Default)]
-pub(super) struct LateOpenings {
+pub(in crate::steering) struct LateOpenings {
     held: VecDeque<HeldOpening>,
 }
 
 impl LateOpenings {
     /// Returns whether no packet is held back.
-    pub(super) fn is_empty(&self) -> bool {
+    pub(in crate::steering) fn is_empty(&self) -> bool {
         self.held.is_empty()
     }
 
     /// Holds back a packet. A later copy replaces an earlier one. Returns the oldest packet if
     /// there are too many.
-    pub(super) fn hold(&mut self, opening: HeldOpening) -> Option<HeldOpening> {
+    pub(in crate::steering) fn hold(&mut self, opening: HeldOpening) -> Option<HeldOpening> {
         if let Some(earlier) = self.held.iter_mut().find(|held| held.flow == opening.flow) {
             earlier.buf = opening.buf;
             return None;
@@ -84,7 +84,7 @@
     }
 
     /// Takes the first packet that does not yield any more. `yields` gets its age and its address.
-    pub(super) fn take_next(
+    pub(in crate::steering) fn take_next(
         &mut self,
         now: Duration,
         mut yields: impl FnMut(Duration, SocketAddrV4) -> bool,
--- a/src/steering/overdue.rs
+++ b/src/steering/policy/overdue.rs
@@ -8,8 +8,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::token::TargetIncarnation;
 use crate::hash::HashMap;
+use crate::steering::token::TargetIncarnation;
 
 /// Time for which an overdue response counts; short, so that a target that has recovered soon gets
 /// new flows.
--- a/src/steering/route_change.rs
+++ b/src/steering/route_change.rs
@@ -6,7 +6,8 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
-use super::{RawRoute, RawRoutes};
+use super::routes::RouteEntry;
+use super::{RawRoute, RawRoutes, RequestClass, ServiceWarmUp};
 use crate::hash::stable_bytes;
 use crate::ids::Version;
 
@@ -34,6 +35,11 @@
     pub changed: Vec<ChangedRoute>,
     /// Fingerprint of all routes of the new version.
     pub fingerprint: u64,
+    /// What the requests of the changed routes need, in order. Earlier releases do not send this
+    /// field and the one below; they cannot be read then, and the routes come from the platform.
+    pub classes: Vec<RequestClass>,
+    /// All services whose cold targets bear only a limited rate of new flows.
+    pub warm_ups: Vec<ServiceWarmUp>,
 }
 
 /// Reason why a change cannot be applied.
@@ -58,17 +64,23 @@
             return Err(ChangeError::Gap);
         }
         let mut by_address: BTreeMap<_, _> =
-            routes.with_latency_targets().map(|(route, ms)| (route.address, (route, ms))).collect();
+            routes.entries().map(|entry| (entry.route.address, entry)).collect();
         for address in &self.removed {
             by_address.remove(address);
         }
-        for ChangedRoute { route, latency_target_ms } in &self.changed {
-            by_address.insert(route.address, (route, *latency_target_ms));
+        for (ChangedRoute { route, latency_target_ms }, &class) in
+            self.changed.iter().zip(&self.classes)
+        {
+            let entry = RouteEntry { route, latency_target_ms: *latency_target_ms, class };
+            by_address.insert(route.address, entry);
         }
-        let (routes, latency_targets_ms) =
-            by_address.into_values().map(|(route, ms)| (route.clone(), ms)).unzip();
-        let (version, idle_timeout_ms) = (self.version, self.idle_timeout_ms);
-        let changed = RawRoutes { version, routes, idle_timeout_ms, latency_targets_ms };
+        let mut changed = RawRoutes {
+            version: self.version,
+            idle_timeout_ms: self.idle_timeout_ms,
+            warm_ups: self.warm_ups.clone(),
+            ..RawRoutes::default()
+        };
+        changed.set_entries(by_address.into_values());
         if fingerprint(&changed) != self.fingerprint {
             return Err(ChangeError::Mismatch);
         }
@@ -76,8 +88,9 @@
     }
 }
 
-/// Returns the fingerprint of routes that are in the order of their addresses.
+/// Returns the fingerprint of routes that are in the order of their addresses. It leaves out what
+/// earlier releases do not know, so that they compute the same one.
 pub(super) fn fingerprint(routes: &RawRoutes) -> u64 {
     // Cannot fail: serialization to memory supports every type of the routes.
-    stable_bytes(&postcard::to_stdvec(routes).unwrap_or_default())
+    stable_bytes(&postcard::to_stdvec(&routes.unclassified()).unwrap_or_default())
 }
--- a/src/steering/routes.rs
+++ b/src/steering/routes.rs
@@ -21,6 +21,40 @@
     pub weight: u32,
 }
 
+/// Priority of the requests of a route; 0 is the most urgent.
+pub type Priority = u8;
+
+/// What the requests of a route need, apart from their latency target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestClass {
+    /// Time after which callers give up, in milliseconds; 0 if it is not known.
+    pub timeout_ms: u64,
+    /// Priority of the requests.
+    pub priority: Priority,
+    /// Whether a request that may have run can be sent again.
+    pub repeatable: bool,
+}
+
+/// A service whose targets bear only a limited rate of new flows while they are cold.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceWarmUp {
+    /// Name of the service.
+    pub service: ServiceName,
+    /// Time after its start for which a target is cold, in milliseconds.
+    pub duration_ms: u64,
+    /// New flows that a cold target bears in 1,000 seconds.
+    pub flows_per_1000_s: u64,
+}
+
+/// Limit on the new flows to a cold target.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WarmUp {
+    /// Time after its start for which a target is cold.
+    pub duration: Duration,
+    /// New flows per second that a cold target bears, from all instances together.
+    pub flows_per_s: f64,
+}
+
 /// A configured route, not yet validated.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RawRoute {
@@ -42,9 +76,24 @@
     /// Time without packets after which a flow is removed, in milliseconds.
     pub idle_timeout_ms: u64,
     /// Time within which callers expect a response, in milliseconds, for each route in order; 0
-    /// or no entry if there is none. The last field, as earlier releases do not send it.
+    /// or no entry if there is none. Earlier releases do not send this field and those below.
     #[serde(default)]
     pub latency_targets_ms: Vec<u64>,
+    /// What the requests of each route need, in order.
+    #[serde(default)]
+    pub classes: Vec<RequestClass>,
+    /// Services whose cold targets bear only a limited rate of new flows.
+    #[serde(default)]
+    pub warm_ups: Vec<ServiceWarmUp>,
+}
+
+/// The routes as releases without request classes encode them.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct UnclassifiedRoutes {
+    version: Version,
+    routes: Vec<RawRoute>,
+    idle_timeout_ms: u64,
+    latency_targets_ms: Vec<u64>,
 }
 
 /// The routes as releases without latency targets encode them.
@@ -55,12 +104,35 @@
     idle_timeout_ms: u64,
 }
 
+impl From<UnclassifiedRoutes> for RawRoutes {
+    fn from(earlier: UnclassifiedRoutes) -> Self {
+        Self {
+            version: earlier.version,
+            routes: earlier.routes,
+            idle_timeout_ms: earlier.idle_timeout_ms,
+            latency_targets_ms: earlier.latency_targets_ms,
+            ..Self::default()
+        }
+    }
+}
+
 impl From<EarlierRoutes> for RawRoutes {
     fn from(EarlierRoutes { version, routes, idle_timeout_ms }: EarlierRoutes) -> Self {
-        Self { version, routes, idle_timeout_ms, latency_targets_ms: Vec::new() }
+        Self { version, routes, idle_timeout_ms, ..Self::default() }
     }
 }
 
+/// A route with what is configured for its requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct RouteEntry<'a> {
+    /// The route.
+    pub route: &'a RawRoute,
+    /// Time within which callers expect a response, in milliseconds; 0 if there is none.
+    pub latency_target_ms: u64,
+    /// What the requests need.
+    pub class: RequestClass,
+}
+
 impl RawRoutes {
     /// Decodes routes that a peer has sent, which may run an earlier release.
     ///
@@ -69,21 +141,43 @@
     /// Fails if the bytes are not routes.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         postcard::from_bytes(bytes)
+            .or_else(|e| postcard::from_bytes(bytes).map(UnclassifiedRoutes::into).map_err(|_| e))
             .or_else(|e| postcard::from_bytes(bytes).map(EarlierRoutes::into).map_err(|_| e))
     }
 
-    /// Returns each route with its latency target in milliseconds, 0 if there is none.
-    pub(super) fn with_latency_targets(&self) -> impl Iterator<Item = (&RawRoute, u64)> {
+    /// Returns each route with what is configured for its requests.
+    pub(super) fn entries(&self) -> impl Iterator<Item = RouteEntry<'_>> {
         let latency_targets = self.latency_targets_ms.iter().copied().chain(std::iter::repeat(0));
-        self.routes.iter().zip(latency_targets)
+        let classes =
+            self.classes.iter().copied().chain(std::iter::repeat(RequestClass::default()));
+        self.routes.iter().zip(latency_targets).zip(classes).map(
+            |((route, latency_target_ms), class)| RouteEntry { route, latency_target_ms, class },
+        )
+    }
+
+    /// Replaces the routes and what is configured for their requests.
+    pub(super) fn set_entries<'a>(&mut self, entries: impl Iterator<Item = RouteEntry<'a>>) {
+        (self.routes, self.latency_targets_ms, self.classes) = entries
+            .map(|entry| (entry.route.clone(), entry.latency_target_ms, entry.class))
+            .collect();
+    }
+
+    /// Returns the routes as releases without request classes encode them.
+    pub(super) fn unclassified(&self) -> UnclassifiedRoutes {
+        UnclassifiedRoutes {
+            version: self.version,
+            routes: self.routes.clone(),
+            idle_timeout_ms: self.idle_timeout_ms,
+            latency_targets_ms: self.latency_targets_ms.clone(),
+        }
     }
 
     /// Orders the routes by their addresses, so that equal routes have equal fingerprints.
     fn sort(&mut self) {
-        let mut routes: Vec<_> =
-            self.with_latency_targets().map(|(route, ms)| (route.clone(), ms)).collect();
-        routes.sort_by_key(|(route, _)| route.address);
-        (self.routes, self.latency_targets_ms) = routes.into_iter().unzip();
+        let unsorted = self.clone();
+        let mut entries: Vec<_> = unsorted.entries().collect();
+        entries.sort_by_key(|entry| entry.route.address);
+        self.set_entries(entries.into_iter());
     }
 }
 
@@ -96,6 +190,12 @@
     pub services: Arc<[WeightedService]>,
     /// Time within which callers expect a response, if the operators have set one.
     pub latency_target: Option<Duration>,
+    /// Time after which callers give up, if the operators have set one.
+    pub timeout: Option<Duration>,
+    /// Priority of the requests.
+    pub priority: Priority,
+    /// Whether a request that may have run can be sent again.
+    pub repeatable: bool,
 }
 
 type RoutesByAddress = HashMap<SocketAddrV4, Route>;
@@ -144,6 +244,16 @@
         self.removed.contains_key(&address)
     }
 
+    /// Returns the limit on new flows to cold targets of a service, if there is one.
+    pub fn warm_up(&self, service: &str) -> Option<WarmUp> {
+        let warm_ups = self.raw.as_ref().map(|raw| raw.warm_ups.as_slice()).unwrap_or_default();
+        let warm_up = warm_ups.iter().find(|warm_up| warm_up.service == service)?;
+        Some(WarmUp {
+            duration: Duration::from_millis(warm_up.duration_ms),
+            flows_per_s: warm_up.flows_per_1000_s as f64 / 1_000.0,
+        })
+    }
+
     /// Returns the time without packets after which a flow is removed.
     pub fn idle_timeout(&self) -> Option<Duration> {
         self.raw.as_ref().map(|raw| Duration::from_millis(raw.idle_timeout_ms))
@@ -199,14 +309,12 @@
         let is_newer = |address: &SocketAddrV4, versions: &HashMap<_, Version>| {
             versions.get(address).is_some_and(|&version| version > since)
         };
-        let changed = raw
-            .with_latency_targets()
-            .filter(|(route, _)| is_newer(&route.address, &self.changed))
-            .map(|(route, latency_target_ms)| ChangedRoute {
-                route: route.clone(),
-                latency_target_ms,
+        let newer = raw.entries().filter(|entry| is_newer(&entry.route.address, &self.changed));
+        let (changed, classes) = newer
+            .map(|RouteEntry { route, latency_target_ms, class }| {
+                (ChangedRoute { route: route.clone(), latency_target_ms }, class)
             })
-            .collect();
+            .unzip();
         let removed = self.removed.keys().copied();
         Some(RouteChange {
             since,
@@ -215,6 +323,8 @@
             removed: removed.filter(|address| is_newer(address, &self.removed)).collect(),
             changed,
             fingerprint: fingerprint(raw),
+            classes,
+            warm_ups: raw.warm_ups.clone(),
         })
     }
 
@@ -238,10 +348,10 @@
             return;
         };
         let before: HashMap<_, _> =
-            active.with_latency_targets().map(|(route, ms)| (route.address, (route, ms))).collect();
-        for (route, latency_target_ms) in raw.with_latency_targets() {
-            if before.get(&route.address) != Some(&(route, latency_target_ms)) {
-                self.changed.insert(route.address, raw.version);
+            active.entries().map(|entry| (entry.route.address, entry)).collect();
+        for entry in raw.entries() {
+            if before.get(&entry.route.address) != Some(&entry) {
+                self.changed.insert(entry.route.address, raw.version);
             }
         }
     }
@@ -250,15 +360,21 @@
 fn validate(raw: &RawRoutes) -> Result<RoutesByAddress, Findings> {
     let mut findings = Findings::default();
     let mut routes = HashMap::default();
-    for (i, route) in raw.routes.iter().enumerate() {
+    let milliseconds = |ms: u64| (ms > 0).then(|| Duration::from_millis(ms));
+    for (i, RouteEntry { route, latency_target_ms, class }) in raw.entries().enumerate() {
         let services: Arc<[_]> =
             route.services.iter().filter(|service| service.weight > 0).cloned().collect();
         if services.is_empty() {
             findings.add(format!("routes[{i}].services"), "no service has a weight above 0");
         }
-        let latency_target = raw.latency_targets_ms.get(i).copied().filter(|&ms| ms > 0);
-        let latency_target = latency_target.map(Duration::from_millis);
-        let validated = Route { name: route.name.clone(), services, latency_target };
+        let validated = Route {
+            name: route.name.clone(),
+            services,
+            latency_target: milliseconds(latency_target_ms),
+            timeout: milliseconds(class.timeout_ms),
+            priority: class.priority,
+            repeatable: class.repeatable,
+        };
         if routes.insert(route.address, validated).is_some() {
             let problem = format!("{} is already used by another route", route.address);
             findings.add(format!("routes[{i}].address"), problem);
--- a/tests/steering_route_changes.rs
+++ b/tests/steering_route_changes.rs
@@ -13,8 +13,8 @@
 use limpetdeck::instance::{Core, Event};
 use limpetdeck::platform::{Call, Changes, Object};
 use limpetdeck::steering::{
-    ChangeError, DropReason, Node, RawRoute, RawRoutes, ResetReason, RouteTable, Verdict,
-    WeightedService,
+    ChangeError, DropReason, Node, RawRoute, RawRoutes, RequestClass, ResetReason, RouteTable,
+    ServiceWarmUp, Verdict, WeightedService,
 };
 use quickcheck::{TestResult, quickcheck};
 use rand::rngs::SmallRng;
@@ -22,6 +22,14 @@
 use support::*;
 use world::*;
 
+fn class_of(port: u16) -> RequestClass {
+    RequestClass {
+        timeout_ms: port.into(),
+        priority: (port % 3) as u8,
+        repeatable: port.is_multiple_of(2),
+    }
+}
+
 /// Returns routes for the given ports, in the given order; those of odd ports lead to `service`.
 fn routes_of(version: u64, ports: &[u16], service: &str) -> RawRoutes {
     let route = |&port: &u16| {
@@ -34,7 +42,18 @@
     };
     let routes: Vec<_> = ports.iter().map(route).collect();
     let latency_targets_ms = ports.iter().map(|&port| u64::from(port)).collect();
-    RawRoutes { version, routes, idle_timeout_ms: 15_000, latency_targets_ms }
+    RawRoutes {
+        version,
+        routes,
+        idle_timeout_ms: 15_000,
+        latency_targets_ms,
+        classes: ports.iter().map(|&port| class_of(port)).collect(),
+        warm_ups: vec![ServiceWarmUp {
+            service: service.to_owned(),
+            duration_ms: 2_000,
+            flows_per_1000_s: version,
+        }],
+    }
 }
 
 fn table(raw: RawRoutes) -> RouteTable {
--- a/tests/steering_routes.rs
+++ b/tests/steering_routes.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use limpetdeck::steering::{
-    DropReason, Forwarder, RawRoute, RawRoutes, ResetReason, RouteTable, Verdict, WeightedService,
+    DropReason, Forwarder, RawRoute, RawRoutes, RequestClass, ResetReason, RouteTable,
+    ServiceWarmUp, Verdict, WeightedService,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -80,16 +81,24 @@
     assert!((850..1_150).contains(&fares), "{fares} of 10000 flows, expected about 1000");
 }
 
-/// Releases with and without latency targets understand each other's routes.
+/// Releases with and without latency targets or request classes understand each other's routes.
 #[test]
 fn other_release() {
-    let newer = routes(4, &[STATION, FARES]);
+    let mut newer = routes(4, &[STATION, FARES]);
+    newer.classes = vec![RequestClass { timeout_ms: 2_500, priority: 1, repeatable: true }; 2];
+    newer.warm_ups =
+        vec![ServiceWarmUp { service: FARES.into(), duration_ms: 2_000, flows_per_1000_s: 500 }];
     let bytes = postcard::to_stdvec(&newer).expect("plain data");
     assert_eq!(RawRoutes::decode(&bytes), Ok(newer.clone()));
     let earlier = (newer.version, newer.routes.clone(), newer.idle_timeout_ms);
     let bytes_of_earlier = postcard::to_stdvec(&earlier).expect("plain data");
     let decoded = RawRoutes::decode(&bytes_of_earlier).expect("routes");
-    assert_eq!(decoded, RawRoutes { latency_targets_ms: Vec::new(), ..newer.clone() });
+    let unclassified = RawRoutes { classes: Vec::new(), warm_ups: Vec::new(), ..newer.clone() };
+    assert_eq!(decoded, RawRoutes { latency_targets_ms: Vec::new(), ..unclassified.clone() });
+    let earlier_with_latency =
+        (newer.version, &newer.routes, newer.idle_timeout_ms, &newer.latency_targets_ms);
+    let bytes_with_latency = postcard::to_stdvec(&earlier_with_latency).expect("plain data");
+    assert_eq!(RawRoutes::decode(&bytes_with_latency), Ok(unclassified));
     // An earlier release reads its own fields and ignores the rest.
     let read: (u64, Vec<RawRoute>, u64) = postcard::from_bytes(&bytes).expect("routes");
     assert_eq!(read, earlier);
--- a/tests/support/steering.rs
+++ b/tests/support/steering.rs
@@ -69,7 +69,13 @@
     };
     let routes = services.iter().enumerate().map(route).collect();
     let latency_targets_ms = vec![150; services.len()];
-    RawRoutes { version, routes, idle_timeout_ms: 15_000, latency_targets_ms }
+    RawRoutes {
+        version,
+        routes,
+        idle_timeout_ms: 15_000,
+        latency_targets_ms,
+        ..RawRoutes::default()
+    }
 }
 
 /// Returns the steering state of an instance with these targets, listed at revision 10.
