Obey the operator's orders to drain failure domains

Open flows stay. If only drained targets are left, the caller gets a reset with the reason domain_drained. Status reports drained_domains.

Conclusion: the interfaces for the lab and the soak test are in place: prefix, message, NodeConfig.domain_drains, NodeSettings.domain_drains and Status.drained_domains.

--- a/lab/src/fuzz.rs
+++ b/lab/src/fuzz.rs
@@ -226,6 +226,7 @@
         store_address: address,
         seeds: vec![address],
         grace: Duration::from_secs(6),
+        domain_drains: false,
     };
     let _ = parse(&apply_text_edits(&settings_file(&intact), &edits));
     let own = include_str!("../../sample_configs/recarga/entry.toml");
--- a/lab/src/soak.rs
+++ b/lab/src/soak.rs
@@ -269,6 +269,7 @@
         store_address: addresses.store_proxy(i),
         seeds: (0..3).map(|seed| addresses.peer_proxy(seed)).collect(),
         grace: Duration::from_secs(6),
+        domain_drains: false,
     };
     Instance::new(&options.node, dir, domain, settings, addresses.peer_proxy(i))
 }
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -142,6 +142,7 @@
             live_instances: self.membership.live().len(),
             open_flows: self.pipeline.placement.flows().len(),
             refusals: self.refusals.clone(),
+            drained_domains: Vec::new(),
         }
     }
 
--- a/src/instance/status.rs
+++ b/src/instance/status.rs
@@ -7,6 +7,7 @@
 use crate::ids::{FailureDomain, Incarnation, InstanceId};
 use crate::lists::ListVersions;
 use crate::peer::MemberState;
+use crate::steering::DrainedDomain;
 
 /// The state of an instance at one moment.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,4 +38,8 @@
     pub open_flows: usize,
     /// Number of flows refused since the start, by reason.
     pub refusals: BTreeMap<String, u64>,
+    /// Failure domains that get no new flows by order of the operator. Earlier releases do not
+    /// report them.
+    #[serde(default)]
+    pub drained_domains: Vec<DrainedDomain>,
 }
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -5,6 +5,7 @@
 //! any packet, without per-flow state and without a lookup at other instances.
 
 mod directory;
+mod domain_drains;
 mod flows;
 mod forwarder;
 mod gossip;
@@ -21,10 +22,13 @@
 mod token;
 
 pub use directory::{TargetDirectory, TargetRecord};
+pub use domain_drains::{DomainDrains, DrainOrders, DrainSnapshot, DrainedDomain};
 pub use flows::{FlowSignal, FlowTable, Load};
 pub use forwarder::{DropReason, Forwarder, HealthChange, ResetReason, Verdict};
 pub use gossip::Gossip;
-pub use list_watch::{INSTANCES_PREFIX, Interest, ListWatches, ROUTES_PREFIX, TARGETS_PREFIX};
+pub use list_watch::{
+    DOMAIN_DRAINS_PREFIX, INSTANCES_PREFIX, Interest, ListWatches, ROUTES_PREFIX, TARGETS_PREFIX,
+};
 pub use message::Message;
 pub use node::{Node, NodeConfig};
 pub use packet::{FlowPacket, PacketError, PacketFormat, PacketKind};
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -1,5 +1,8 @@
 //! Decides for each packet whether it is forwarded to a target, answered with a reset, or dropped.
 
+mod eligibility;
+mod lookup;
+
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,15 +12,16 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
+use self::lookup::find_target;
 use super::policy::overdue::OverdueResponses;
 use super::token::TargetIncarnation;
 use super::{
-    Candidate, DomainLoad, FlowPacket, FlowSignal, FlowTable, Health, Load, NO_TOKEN, PacketKind,
-    Route, RouteLoad, RouteTable, Target, TargetDirectory, TargetKey, Token, Tokens,
+    Candidate, DomainDrains, DomainLoad, FlowPacket, FlowSignal, FlowTable, Health, Load,
+    PacketKind, RouteLoad, RouteTable, Target, TargetDirectory, TargetKey, Token, Tokens,
     local_targets_suffice, select_target, yields,
 };
 use crate::flow::FlowKey;
-use crate::ids::{FailureDomain, Version};
+use crate::ids::FailureDomain;
 use crate::peer::KeyRing;
 
 /// Targets that may get a flow, with the inputs of the selection.
@@ -38,6 +42,9 @@
     /// No target of the route's services accepts new flows.
     #[display("no_target")]
     NoTarget,
+    /// All targets of the route's services that accept new flows are in drained failure domains.
+    #[display("domain_drained")]
+    DomainDrained,
     /// The target has restarted and lost the flow.
     #[display("target_restarted")]
     TargetRestarted,
@@ -98,6 +105,8 @@
     pub routes: RouteTable,
     /// The known targets.
     pub targets: TargetDirectory,
+    /// The failure domains that get no new flows.
+    pub drains: DomainDrains,
     /// The flows through this instance.
     pub flows: FlowTable,
     health: Health,
@@ -120,6 +129,7 @@
             local_domain,
             routes: RouteTable::default(),
             targets: TargetDirectory::default(),
+            drains: DomainDrains::default(),
             flows: FlowTable::default(),
             health: Health::default(),
             overdue: OverdueResponses::default(),
@@ -132,9 +142,10 @@
         }
     }
 
-    /// Returns whether routes and targets have been received.
+    /// Returns whether routes and targets have been received, and the orders to drain failure domains
+    /// where there are such.
     pub fn ready(&self) -> bool {
-        self.routes.version() > 0 && self.targets.complete_up_to().is_known()
+        self.routes.version() > 0 && self.targets.complete_up_to().is_known() && self.drains.ready()
     }
 
     /// Returns whether the targets and the route of an address have been received: routes may arrive
@@ -164,7 +175,7 @@
         let latency_target = route.latency_target?;
         let mut load = RouteLoad { instances: self.instances, ..RouteLoad::default() };
         for service in route.services.iter() {
-            for (target, _) in self.targets.eligible(now, &service.service) {
+            for (target, _) in self.eligible(now, &service.service) {
                 let flows = self.flows.load((target.key, target.incarnation));
                 load.in_flight += flows.waiting.saturating_sub(flows.overdue);
                 load.slots += target.slots;
@@ -201,6 +212,9 @@
             return Verdict::Drop(DropReason::NotReady);
         }
         match packet.kind {
+            PacketKind::Opening { .. } if !self.drains.ready() => {
+                Verdict::Drop(DropReason::NotReady)
+            }
             PacketKind::Opening { repeats } => self.open(now, packet, repeats),
             PacketKind::FromTarget => Verdict::Drop(DropReason::FromTarget),
             PacketKind::Within | PacketKind::Closing | PacketKind::Reset => {
@@ -236,9 +250,11 @@
         };
         let services = Arc::clone(&route.services);
         let reused = previous.filter(|&previous| !self.health.is_unresponsive(now, previous));
-        let reused = reused.filter(|&previous| self.targets.get(previous).is_some());
+        let reused = reused.filter(|&previous| self.may_get_flow(previous));
         let chosen = reused.or_else(|| self.select_for_flow(now, &packet.flow, &services));
-        let Some(chosen) = chosen else { return Verdict::Reset(ResetReason::NoTarget) };
+        let Some(chosen) = chosen else {
+            return Verdict::Reset(self.no_target_reason(now, &services));
+        };
         self.flows.record(now, packet, chosen);
         match self.targets.get(chosen) {
             Some(target) => Verdict::Forward(target, Some(self.tokens.mint(service, target))),
@@ -256,7 +272,8 @@
         let state = (self.targets.change_count(), self.routes.version());
         let of_route = services.iter().flat_map(|s| self.targets.of_service(&s.service));
         self.tokens.survey(flow.service, state, of_route);
-        let service = pick_service(services, &mut self.rng)?;
+        let services = self.undrained_services(now, services);
+        let service = pick_service(&services, &mut self.rng)?;
         let mut excluded = Vec::new();
         loop {
             let chosen = self.select_of_service(now, service, &excluded)?;
@@ -275,7 +292,7 @@
         service: &str,
         excluded: &[TargetIncarnation],
     ) -> Option<TargetIncarnation> {
-        let local = self.targets.eligible_in(now, service, &self.local_domain);
+        let local = self.eligible_locally(now, service);
         let (mut list, _) = self.candidates(now, local, excluded);
         let slots = list.iter().map(|(_, candidate)| candidate.slots).sum();
         let domain_load = self.domain_load.waiting_per_slot(service, self.local_instances, slots);
@@ -283,7 +300,7 @@
             list.iter().map(|(_, candidate)| *candidate).collect()
         };
         if !local_targets_suffice(&candidates(&list), domain_load) {
-            let all = self.targets.eligible(now, service);
+            let all = self.eligible(now, service);
             let (responsive, unresponsive) = self.candidates(now, all, excluded);
             // If all seem unresponsive, the cause may be the network rather than the targets.
             list = if responsive.is_empty() { unresponsive } else { responsive };
@@ -464,27 +481,3 @@
     }
     None
 }
-
-/// Finds the target that a packet's token identifies: among the known tokens, then among the targets
-/// of the route's services, then among all targets.
-fn find_target(
-    tokens: &mut Tokens,
-    targets: &TargetDirectory,
-    route: &Route,
-    version: Version,
-    packet: &FlowPacket,
-) -> Option<TargetIncarnation> {
-    let (service, token) = (packet.flow.service, packet.token);
-    if token == NO_TOKEN {
-        return None;
-    }
-    if let Some(known) = tokens.lookup(service, token) {
-        return Some(known);
-    }
-    let of_route = route.services.iter().flat_map(|s| targets.of_service(&s.service));
-    tokens.survey(service, (targets.change_count(), version), of_route);
-    if let Some(known) = tokens.lookup(service, token) {
-        return Some(known);
-    }
-    tokens.find(service, token, targets.all())
-}
--- a/src/steering/gossip.rs
+++ b/src/steering/gossip.rs
@@ -7,6 +7,7 @@
 
 mod changes;
 mod dedup;
+mod domain_drains;
 mod listing;
 mod removed;
 mod route_changes;
@@ -225,8 +226,12 @@
             let known = digest(forwarder);
             for to in self.digest_peers() {
                 send(to, Message::Digest { known, wants_reply: !forwarder.ready() }, out);
+                domain_drains::remind(to, forwarder, out);
             }
         }
+        if forwarder.drains.asks_peers(now) {
+            domain_drains::request(&self.digest_peers(), out);
+        }
         self.push(now, forwarder, out);
         self.push_routes(now, forwarder, out);
         self.request_removed(now, forwarder, out);
@@ -312,6 +317,10 @@
                 self.route_changes.on_announced(now, version, forwarder, peers, rng, out);
                 false
             }
+            Message::DomainDrains { snapshot, wants_reply } => {
+                self.on_domain_drains(now, from, snapshot, wants_reply, forwarder, out);
+                false
+            }
         }
     }
 
@@ -374,7 +383,8 @@
         | Message::PullChanges { .. }
         | Message::PullRouteChange { .. }
         | Message::RouteChange(_)
-        | Message::NewRoutes { .. } => Class::Liveness,
+        | Message::NewRoutes { .. }
+        | Message::DomainDrains { .. } => Class::Liveness,
         // A lost announcement costs only a few flows.
         Message::Overdue(_) => Class::Lists,
         Message::PullRemoved { .. }
--- a/src/steering/list_watch.rs
+++ b/src/steering/list_watch.rs
@@ -1,4 +1,5 @@
-//! Scheduling of list and watch calls to the platform for routes, targets and instances.
+//! Scheduling of list and watch calls to the platform for routes, targets, instances and orders to
+//! drain failure domains.
 //!
 //! The platform counts the calls of all instances, so only a few of each failure domain watch
 //! it; the others list objects when they start and when peers announce newer routes that they do
@@ -22,6 +23,8 @@
 pub const ROUTES_PREFIX: &str = "routes/";
 /// Prefix of the object names under which instances register.
 pub const INSTANCES_PREFIX: &str = "instances/";
+/// Prefix of the object names of orders to drain a failure domain, followed by its name.
+pub const DOMAIN_DRAINS_PREFIX: &str = "domain-drains/";
 
 /// Longest time that a watch waits for a change. Short, so that a stalled connection is detected
 /// before a change has to be in force.
@@ -132,6 +135,8 @@
     pub routes: bool,
     /// Whether it knows no other instance.
     pub instances: bool,
+    /// Whether the deployment has orders to drain failure domains.
+    pub domain_drains: bool,
 }
 
 /// All list and watch calls of an instance.
@@ -140,6 +145,7 @@
     routes: ListWatch,
     targets: ListWatch,
     instances: ListWatch,
+    domain_drains: ListWatch,
     /// The latest era of the platform that is known.
     era: Era,
     /// Number of instances that share the watches, this one included.
@@ -156,6 +162,7 @@
             routes: ListWatch::new(ROUTES_PREFIX),
             targets: ListWatch::new(TARGETS_PREFIX),
             instances: ListWatch::new(INSTANCES_PREFIX),
+            domain_drains: ListWatch::new(DOMAIN_DRAINS_PREFIX),
             era: 0,
             watchers: 1,
             in_outage: false,
@@ -172,7 +179,12 @@
         let targets = self.targets.due(now, era, interest.watches, false, rng);
         let instances =
             if interest.instances { self.instances.due(now, era, false, true, rng) } else { None };
-        routes.into_iter().chain(targets).chain(instances).collect()
+        let domain_drains = if interest.domain_drains {
+            self.domain_drains.due(now, era, interest.watches, false, rng)
+        } else {
+            None
+        };
+        routes.into_iter().chain(targets).chain(instances).chain(domain_drains).collect()
     }
 
     /// Enters a new era of the platform: watchers list all objects again, and no longer wait for
@@ -182,7 +194,8 @@
             return;
         }
         self.era = era;
-        for list_watch in [&mut self.routes, &mut self.targets, &mut self.instances] {
+        let Self { routes, targets, instances, domain_drains, .. } = self;
+        for list_watch in [routes, targets, instances, domain_drains] {
             // A first list that is still in flight may be of either era.
             if list_watch.position.is_some() {
                 list_watch.in_flight = false;
@@ -209,6 +222,7 @@
             ROUTES_PREFIX => &mut self.routes,
             TARGETS_PREFIX => &mut self.targets,
             INSTANCES_PREFIX => &mut self.instances,
+            DOMAIN_DRAINS_PREFIX => &mut self.domain_drains,
             _ => return true,
         };
         if is_outdated(self.era, call, result) {
@@ -217,8 +231,10 @@
             }
             return false;
         }
-        list_watch.on_result(now, result, self.watchers, &mut self.rng);
-        if is_list && result.is_ok() && prefix != TARGETS_PREFIX {
+        // Orders are rare and urgent: the watchers take no turns.
+        let watchers = if prefix == DOMAIN_DRAINS_PREFIX { 0 } else { self.watchers };
+        list_watch.on_result(now, result, watchers, &mut self.rng);
+        if is_list && result.is_ok() && (prefix == ROUTES_PREFIX || prefix == INSTANCES_PREFIX) {
             let pause = MAX_LIST_PAUSE.mul_f64(self.rng.random_range(0.5..=1.0));
             list_watch.backoff.set_due(now + pause);
         }
@@ -226,9 +242,9 @@
         true
     }
 
-    /// Lists routes and targets again, for example after a pause of the process.
+    /// Lists routes, targets and orders again, for example after a pause of the process.
     pub fn relist(&mut self, now: Duration) {
-        for list_watch in [&mut self.routes, &mut self.targets] {
+        for list_watch in [&mut self.routes, &mut self.targets, &mut self.domain_drains] {
             list_watch.position = None;
             list_watch.backoff.set_due(now);
         }
--- a/src/steering/message.rs
+++ b/src/steering/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{RouteChange, Target, TargetIncarnation, TargetKey, TargetRecord};
+use super::{DrainSnapshot, RouteChange, Target, TargetIncarnation, TargetKey, TargetRecord};
 use crate::ids::Version;
 use crate::platform::Position;
 
@@ -84,6 +84,13 @@
         /// Position up to which the sender has all changes.
         since: Position,
     },
+    /// The failure domains that are drained. Earlier releases do not know this message.
+    DomainDrains {
+        /// All orders that the sender knows.
+        snapshot: DrainSnapshot,
+        /// Whether the receiver is to reply with its snapshot even if it has nothing newer.
+        wants_reply: bool,
+    },
 }
 
 /// All targets with keys in a range that exist at a position.
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -1,6 +1,7 @@
 //! The core of an instance that forwards packets by token. It does no I/O: it takes events and
 //! returns actions.
 
+mod domain_drains;
 mod held_openings;
 mod logging;
 mod members_log;
@@ -23,8 +24,8 @@
 use super::policy::late_openings::LateOpenings;
 use super::registration::Registration;
 use super::{
-    DropReason, FlowPacket, Forwarder, PacketFormat, PacketKind, ResetReason, TargetIncarnation,
-    Verdict,
+    DomainDrains, DropReason, FlowPacket, Forwarder, PacketFormat, PacketKind, ResetReason,
+    TargetIncarnation, Verdict,
 };
 use crate::hash::HashMap;
 use crate::instance::{Action, Core, Event, ReloadableSettings, Status};
@@ -67,6 +68,8 @@
     pub trace_one_in: u32,
     /// Time within which a graceful shutdown has to complete.
     pub grace: Duration,
+    /// Whether the deployment has orders to drain failure domains.
+    pub domain_drains: bool,
     /// Reads and writes the packet format.
     pub format: Box<dyn PacketFormat>,
 }
@@ -120,9 +123,13 @@
         let token_keys = cfg.peer_keys.derive("limpetdeck flow tokens");
         let local_domain = cfg.me.failure_domain.clone();
         let mut fork = || SmallRng::from_rng(&mut rng);
+        let mut forwarder = Forwarder::new(local_domain, token_keys, fork());
+        if cfg.domain_drains {
+            forwarder.drains = DomainDrains::enabled();
+        }
         Self {
             format: cfg.format,
-            forwarder: Forwarder::new(local_domain, token_keys, fork()),
+            forwarder,
             list_watches: ListWatches::new(fork()),
             gossip: Gossip::new(fork()),
             link: Link::new(cfg.peer_keys, id, cfg.me.incarnation, cfg.control_budget, now),
@@ -246,6 +253,7 @@
                 self.update_peers();
             }
             Body::Steering(message) => {
+                let was_ready = self.forwarder.drains.ready();
                 let changed =
                     self.gossip.on_message(now, from, message, &mut self.forwarder, &mut outbox);
                 if self.forwarder.routes.version() > routes_before {
@@ -254,7 +262,7 @@
                     self.gossip.note_changes(now, &self.forwarder, since, &mut outbox);
                 }
                 self.enter_era(now, self.forwarder.targets.era(), "peer");
-                if changed {
+                if changed || self.forwarder.drains.ready() != was_ready {
                     self.release_queued(now, out);
                 }
             }
@@ -282,6 +290,7 @@
             self.begin_shutdown(now);
         }
         self.call_platform(now, out);
+        self.stop_waiting_for_drains(now, out);
         self.forwarder.sample_load(now);
         if now >= self.next_expiry {
             self.next_expiry = now + EXPIRY_INTERVAL;
@@ -359,6 +368,7 @@
             watchers,
             routes: self.gossip.reads_routes(now, &self.forwarder),
             instances: alone && age >= DISCOVERY_DELAY,
+            domain_drains: self.forwarder.drains.is_enabled(),
         };
         out.extend(self.list_watches.due(now, interest).into_iter().map(Action::Platform));
         if watches && !alone && !self.list_watches.in_outage() {
@@ -469,6 +479,7 @@
             live_instances: self.membership.live_count(),
             open_flows: self.forwarder.flows.len(),
             refusals: self.refusals.clone(),
+            drained_domains: self.forwarder.drains.drained(now),
         }
     }
 }
--- a/src/steering/node/platform_reply.rs
+++ b/src/steering/node/platform_reply.rs
@@ -9,7 +9,7 @@
 use crate::instance::Action;
 use crate::peer::MemberInfo;
 use crate::platform::{Call, Changes, Era, Object, PlatformError, Position, Reply};
-use crate::steering::list_watch::{ROUTES_PREFIX, TARGETS_PREFIX};
+use crate::steering::list_watch::{DOMAIN_DRAINS_PREFIX, ROUTES_PREFIX, TARGETS_PREFIX};
 use crate::steering::{RawRoutes, RawTarget, Target, TargetRecord};
 
 impl Node {
@@ -43,6 +43,10 @@
                         let is_list = matches!(call, Call::List { .. });
                         self.apply_targets(now, is_list, changes, out);
                     }
+                    DOMAIN_DRAINS_PREFIX => {
+                        let is_list = matches!(call, Call::List { .. });
+                        self.apply_domain_drains(now, is_list, changes, out);
+                    }
                     _ => self.apply_instances(now, &changes.objects),
                 }
                 self.release_queued(now, out);
--- a/tests/ctl_rpc.rs
+++ b/tests/ctl_rpc.rs
@@ -29,6 +29,7 @@
         live_instances: 3,
         open_flows: 5,
         refusals: BTreeMap::from([("not_in_plan".to_owned(), 4)]),
+        drained_domains: Vec::new(),
     }
 }
 
--- a/tests/support/steering_world.rs
+++ b/tests/support/steering_world.rs
@@ -10,7 +10,7 @@
 use limpetdeck::steering::{Node, NodeConfig, RawRoutes, Target};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use super::support::*;
 
@@ -57,8 +57,21 @@
     }
 
     pub fn remove_target(&mut self, key: u64) {
+        self.remove(format!("targets/{key:x}"));
+    }
+
+    /// Orders to drain a failure domain.
+    pub fn drain(&mut self, domain: &str) {
+        self.put(Object { name: format!("domain-drains/{domain}"), version: 0, value: json!({}) });
+    }
+
+    /// Withdraws the order to drain a failure domain.
+    pub fn withdraw(&mut self, domain: &str) {
+        self.remove(format!("domain-drains/{domain}"));
+    }
+
+    fn remove(&mut self, name: String) {
         self.revision += 1;
-        let name = format!("targets/{key:x}");
         let removed = Object { name: name.clone(), version: self.revision, value: Value::Null };
         self.objects.insert(name, removed);
     }
@@ -95,6 +108,8 @@
     pub exited: Vec<bool>,
     /// Instances whose messages to and from peers are lost.
     pub partitioned: Vec<usize>,
+    /// Whether each instance obeys orders to drain failure domains from its next start on.
+    pub domain_drains: Vec<bool>,
     /// Peer keys of each instance from its next start on.
     pub keys: Vec<KeyRing>,
     /// Bytes of messages to peers, with IPv4 and UDP headers.
@@ -118,6 +133,12 @@
 
 impl World {
     pub fn new(instances: usize) -> Self {
+        Self::with_domain_drains(&vec![false; instances])
+    }
+
+    /// Creates instances of which some obey orders to drain failure domains.
+    pub fn with_domain_drains(domain_drains: &[bool]) -> Self {
+        let instances = domain_drains.len();
         let mut world = Self {
             now: Duration::from_secs(1),
             store: Store::default(),
@@ -129,6 +150,7 @@
             datagrams: vec![Vec::new(); instances],
             exited: vec![false; instances],
             partitioned: Vec::new(),
+            domain_drains: domain_drains.to_vec(),
             keys: vec![KEY.into(); instances],
             control_bytes: 0,
             connect_attempts: vec![Vec::new(); instances],
@@ -162,6 +184,7 @@
             control_budget: 3_000,
             trace_one_in: 0,
             grace: Duration::from_secs(6),
+            domain_drains: self.domain_drains[i],
             format: Box::new(TextPackets),
         };
         let rng = SmallRng::seed_from_u64(self.rng.random());
