Keep orders of a restored store for starting instances, and test the orders

Cause: a test showed that an instance which starts within 6 s after a restore was ready with the store's list alone, and opened flows to a failure domain whose order only its peers had kept (restored_store: ready after 100 ms without the order).

Requests to peers are sent every 200 ms and only while an instance is not ready. Excluded failure domains are skipped as a whole instead of target by target. limpetctl status shows the drained failure domains.

--- a/src/ctl/status.rs
+++ b/src/ctl/status.rs
@@ -13,6 +13,7 @@
 use crate::instance::Status;
 use crate::lists::{ListKind, ListVersions};
 use crate::rpc::STATUS;
+use crate::steering::DrainedDomain;
 
 /// Time without a response of the platform after which an instance counts as cut off. Even an
 /// instance without a watch renews its registration more often.
@@ -127,6 +128,29 @@
 }
 
 impl Fleet {
+    /// Returns a line for each drained failure domain: the latest order, the time for which the first
+    /// instance has known it, and how many instances know it.
+    fn drained_domains(&self) -> Vec<String> {
+        let mut orders: BTreeMap<&str, Vec<&DrainedDomain>> = BTreeMap::new();
+        for drained in self.instances.iter().flat_map(|row| &row.status.drained_domains) {
+            orders.entry(&drained.failure_domain).or_default().push(drained);
+        }
+        let line = |(domain, orders): (&str, Vec<&DrainedDomain>)| {
+            let (era, revision) =
+                orders.iter().map(|order| (order.era, order.revision)).max().unwrap_or_default();
+            let known_ms = orders.iter().map(|order| order.known_ms).max().unwrap_or_default();
+            format!(
+                "drained failure domain {domain}: order {era}.{revision}, for {}.{} s, known to {} of \
+                 {} instances\n",
+                known_ms / 1_000,
+                known_ms % 1_000 / 100,
+                orders.len(),
+                self.instances.len()
+            )
+        };
+        orders.into_iter().map(line).collect()
+    }
+
     fn to_text(&self) -> String {
         let heading = [
             "id",
@@ -153,6 +177,9 @@
         for (reason, count) in &self.refusals {
             text += &format!("refused for {reason}: {count}\n");
         }
+        for line in self.drained_domains() {
+            text += &line;
+        }
         for address in &self.not_answering {
             text += &format!("no answer: {address}\n");
         }
--- a/src/steering/directory.rs
+++ b/src/steering/directory.rs
@@ -250,6 +250,19 @@
         self.eligible_of(now, domains.flatten())
     }
 
+    /// Returns those of the targets that [`TargetDirectory::eligible`] returns that are not in an
+    /// excluded failure domain.
+    pub fn eligible_outside<'a, F: Fn(&str) -> bool>(
+        &'a self,
+        now: Duration,
+        service: &str,
+        is_excluded: F,
+    ) -> impl Iterator<Item = (&'a Target, Duration)> + use<'a, F> {
+        let domains = self.by_service.get(service).into_iter().flatten();
+        let domains = domains.filter(move |(domain, _)| !is_excluded(domain));
+        self.eligible_of(now, domains.flat_map(|(_, keys)| keys))
+    }
+
     /// Returns those of the targets that [`TargetDirectory::eligible`] returns that are in a failure
     /// domain.
     pub fn eligible_in<'a>(
--- a/src/steering/domain_drains.rs
+++ b/src/steering/domain_drains.rs
@@ -25,6 +25,9 @@
 /// without one: peers of an earlier release send none.
 const MAX_SNAPSHOT_WAIT: Duration = Duration::from_secs(2);
 
+/// Time for which an instance that starts in a restored platform waits for a peer's snapshot, which
+/// may hold orders that the platform has lost. Longer than it takes to find peers (300 ms).
+const MAX_KEPT_ORDERS_WAIT: Duration = Duration::from_millis(500);
 /// Time for which it is known that an order was withdrawn: longer than targets take to become warm.
 const WITHDRAWN_RETENTION: Duration = Duration::from_secs(60);
 
@@ -134,6 +137,8 @@
     withdrawn: BTreeMap<FailureDomain, Duration>,
     /// Whether a peer has sent a snapshot.
     heard_peer: bool,
+    /// Whether the platform has been read, but may lack orders that peers have kept.
+    may_lack_orders: bool,
     /// Since when only the snapshot has been missing.
     waiting_since: Option<Duration>,
     /// Whether the instance continues without a snapshot.
@@ -153,7 +158,8 @@
 
     /// Returns whether new flows may be placed: a snapshot is known, or none is needed.
     pub fn ready(&self) -> bool {
-        !self.enabled || self.gave_up || self.snapshot.position.is_known()
+        let is_known = self.snapshot.position.is_known() && !self.may_lack_orders;
+        !self.enabled || self.gave_up || is_known
     }
 
     /// Returns whether a failure domain gets no new flows.
@@ -192,23 +198,20 @@
         self.enabled && !self.snapshot.is_empty()
     }
 
-    /// Returns whether peers are to be asked for a snapshot: there is none, or one read in an era in
-    /// which the platform may lack orders that peers have kept.
-    pub fn asks_peers(&self, now: Duration) -> bool {
-        let position = self.snapshot.position;
-        let may_lack_orders = position.era > 0 && now < self.era_since + MAX_SNAPSHOT_WAIT;
-        self.enabled && !self.heard_peer && (!position.is_known() || may_lack_orders)
-    }
-
     /// Advances time; `others_known` is set if routes and targets are known. Returns whether the
-    /// instance stops waiting for a snapshot now.
+    /// instance stops waiting for the snapshot of a peer now.
     pub fn stop_waiting(&mut self, now: Duration, others_known: bool) -> bool {
         if self.ready() || !others_known {
             return false;
         }
         let since = *self.waiting_since.get_or_insert(now);
-        self.gave_up = now >= since + MAX_SNAPSHOT_WAIT;
-        self.gave_up
+        if self.may_lack_orders {
+            self.may_lack_orders = now < since + MAX_KEPT_ORDERS_WAIT;
+        } else if now >= since + MAX_SNAPSHOT_WAIT {
+            log::warn!("domain_drains_unknown");
+            self.gave_up = true;
+        }
+        self.ready()
     }
 
     /// Merges what was read from the platform at a position: `changes` of the orders, `None` if one
@@ -233,6 +236,8 @@
                 None => drop(orders.remove(&domain)),
             }
         }
+        let is_first = !self.snapshot.position.is_known() && !self.heard_peer;
+        self.may_lack_orders |= is_first && position.era > 0;
         let settled = same_era && position.era > 0 && now >= self.era_since + ERA_SETTLING_TIME;
         self.merge(now, DrainSnapshot { position, orders, earlier: None, settled }, "platform")
     }
@@ -244,6 +249,7 @@
             return false;
         }
         self.heard_peer = true;
+        self.may_lack_orders = false;
         self.merge(now, snapshot, "peer")
     }
 
--- a/src/steering/forwarder/eligibility.rs
+++ b/src/steering/forwarder/eligibility.rs
@@ -15,8 +15,7 @@
         now: Duration,
         service: &str,
     ) -> impl Iterator<Item = (&'a Target, Duration)> + use<'a> {
-        let eligible = self.targets.eligible(now, service);
-        eligible.filter(|(target, _)| !self.drains.is_drained(&target.failure_domain))
+        self.targets.eligible_outside(now, service, |domain| self.drains.is_drained(domain))
     }
 
     /// Returns the targets that [`Forwarder::eligible`] returns that are in the local failure domain.
@@ -43,7 +42,7 @@
         now: Duration,
         services: &'s [WeightedService],
     ) -> Cow<'s, [WeightedService]> {
-        if !self.drains.any() {
+        if !self.drains.any() || services.len() == 1 {
             return Cow::Borrowed(services);
         }
         let has_targets = |s: &&WeightedService| self.eligible(now, &s.service).next().is_some();
--- a/src/steering/gossip.rs
+++ b/src/steering/gossip.rs
@@ -80,6 +80,7 @@
     peers: Peers,
     next_digest: Duration,
     next_push: Duration,
+    next_drains_request: Duration,
     /// Position after which changes are still to be pushed.
     unpushed: Option<Position>,
     route_changes: RouteChanges,
@@ -100,6 +101,7 @@
             peers: Peers::default(),
             next_digest: Duration::ZERO,
             next_push: Duration::ZERO,
+            next_drains_request: Duration::ZERO,
             unpushed: None,
             route_changes: RouteChanges::default(),
             route_transfer: RouteTransfer::default(),
@@ -229,9 +231,7 @@
                 domain_drains::remind(to, forwarder, out);
             }
         }
-        if forwarder.drains.asks_peers(now) {
-            domain_drains::request(&self.digest_peers(), out);
-        }
+        self.request_domain_drains(now, forwarder, out);
         self.push(now, forwarder, out);
         self.push_routes(now, forwarder, out);
         self.request_removed(now, forwarder, out);
--- a/src/steering/gossip/domain_drains.rs
+++ b/src/steering/gossip/domain_drains.rs
@@ -11,12 +11,32 @@
 use crate::steering::message::Message;
 use crate::steering::{DrainSnapshot, Forwarder};
 
+/// Time between two requests of an instance that starts.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(200);
+
 impl Gossip {
     /// Pushes the orders to peers, after they have changed.
     pub fn push_domain_drains(&mut self, forwarder: &Forwarder, out: &mut Outbox<'_>) {
         self.peers.spread(&describe(forwarder), ANNOUNCE_FANOUT, &mut self.rng, out);
     }
 
+    /// Asks peers for the orders if they are missing and a request is due.
+    pub(super) fn request_domain_drains(
+        &mut self,
+        now: Duration,
+        forwarder: &Forwarder,
+        out: &mut Outbox<'_>,
+    ) {
+        if forwarder.drains.ready() || now < self.next_drains_request {
+            return;
+        }
+        for to in self.digest_peers() {
+            self.next_drains_request = now + REQUEST_INTERVAL;
+            let snapshot = DrainSnapshot::default();
+            send(to, Message::DomainDrains { snapshot, wants_reply: true }, out);
+        }
+    }
+
     pub(super) fn on_domain_drains(
         &mut self,
         now: Duration,
@@ -43,14 +63,6 @@
     }
 }
 
-/// Asks peers for their orders.
-pub(super) fn request(peers: &[InstanceId], out: &mut Outbox<'_>) {
-    for &to in peers {
-        let snapshot = DrainSnapshot::default();
-        send(to, Message::DomainDrains { snapshot, wants_reply: true }, out);
-    }
-}
-
 fn describe(forwarder: &Forwarder) -> Message {
     let snapshot = forwarder.drains.snapshot().clone();
     Message::DomainDrains { snapshot, wants_reply: false }
--- a/src/steering/list_watch.rs
+++ b/src/steering/list_watch.rs
@@ -231,8 +231,8 @@
             }
             return false;
         }
-        // Orders are rare and urgent: the watchers take no turns.
-        let watchers = if prefix == DOMAIN_DRAINS_PREFIX { 0 } else { self.watchers };
+        // Orders are rare and urgent: the watchers do not take turns.
+        let watchers = if prefix == DOMAIN_DRAINS_PREFIX { 1 } else { self.watchers };
         list_watch.on_result(now, result, watchers, &mut self.rng);
         if is_list && result.is_ok() && (prefix == ROUTES_PREFIX || prefix == INSTANCES_PREFIX) {
             let pause = MAX_LIST_PAUSE.mul_f64(self.rng.random_range(0.5..=1.0));
--- a/src/steering/node/domain_drains.rs
+++ b/src/steering/node/domain_drains.rs
@@ -34,7 +34,6 @@
         let others_known = self.forwarder.routes.version() > 0
             && self.forwarder.targets.complete_up_to().is_known();
         if self.forwarder.drains.stop_waiting(now, others_known) {
-            log::warn!("domain_drains_unknown");
             self.release_queued(now, out);
         }
     }
--- a/tests/ctl_rpc.rs
+++ b/tests/ctl_rpc.rs
@@ -3,11 +3,15 @@
 mod support;
 
 use std::collections::BTreeMap;
+use std::net::TcpListener;
+use std::rc::Rc;
 
 use limpetdeck::instance::Status;
 use limpetdeck::lists::ListVersions;
 use limpetdeck::peer::MemberState;
 use limpetdeck::rpc::Rpc;
+use limpetdeck::steering::DrainedDomain;
+use limpetdeck::{ctl, http};
 use serde_json::Value;
 
 fn call(rpc: &Rpc, body: &[u8]) -> Value {
@@ -29,7 +33,12 @@
         live_instances: 3,
         open_flows: 5,
         refusals: BTreeMap::from([("not_in_plan".to_owned(), 4)]),
-        drained_domains: Vec::new(),
+        drained_domains: vec![DrainedDomain {
+            failure_domain: "gt-centro-b".to_owned(),
+            era: 1,
+            revision: 57,
+            known_ms: 12_345,
+        }],
     }
 }
 
@@ -79,3 +88,39 @@
     }
     support::checker(2_000).quickcheck(property as fn(Vec<u8>, usize, usize) -> bool);
 }
+
+/// A status of an earlier release lacks the drained failure domains.
+#[test]
+fn earlier_status() {
+    let mut earlier = serde_json::to_value(status()).expect("plain data");
+    earlier.as_object_mut().expect("fields").remove("drained_domains");
+    let read: Status = serde_json::from_value(earlier).expect("a status");
+    assert_eq!(read, Status { drained_domains: Vec::new(), ..status() });
+}
+
+/// `limpetctl status` shows which failure domains are drained, also while the platform is down.
+#[test]
+fn drained_domains_shown() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address").to_string();
+    std::thread::spawn(move || {
+        let rpc = Rc::new(Rpc::new().expect("methods"));
+        rpc.set_status(status());
+        let handler = move |req: http::Request| -> http::HandlerFuture {
+            let rpc = Rc::clone(&rpc);
+            Box::pin(async move {
+                let body = rpc.handle_request(&req.body).await.into_bytes();
+                http::Response::new(http::StatusCode::OK, "application/json", body)
+            })
+        };
+        let ex = Rc::new(smol::LocalExecutor::new());
+        listener.set_nonblocking(true).expect("a listener");
+        let listener = listener.try_into().expect("a listener");
+        smol::block_on(ex.run(http::serve(Rc::clone(&ex), listener, Rc::new(handler))));
+    });
+    let mut text = String::new();
+    let args = ["status", "--instance", &address, "--platform", "127.0.0.1:1"];
+    ctl::run(args.map(Into::into).to_vec(), &mut text).expect("a status");
+    let line = "drained failure domain gt-centro-b: order 1.57, for 12.3 s, known to 1 of 1";
+    assert!(text.contains(line), "{text}");
+}
