--- a/tests/domain_drains.rs
+++ b/tests/domain_drains.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use limpetdeck::instance::{Core, Event};
-use limpetdeck::platform::Call;
+use limpetdeck::platform::{Call, Position};
 use limpetdeck::steering::{
     DOMAIN_DRAINS_PREFIX, DomainDrains, Forwarder, Node, ResetReason, Verdict,
 };
@@ -101,7 +101,8 @@
     assert!(key > 10);
 }
 
-/// A held opening packet obeys an order that arrives while it is held.
+/// A held opening packet obeys an order that arrives while it is held, and the slots of drained
+/// targets do not count as room for it.
 #[test]
 fn held_opening() {
     let mut world = world(&[true]);
@@ -111,11 +112,17 @@
         let token = sent.rsplit(' ').next().and_then(|token| token.parse().ok());
         world.handle(0, Event::Packet(text(&request(port, 1, token.expect("a token"), 0))));
     }
+    let slots = |world: &World| {
+        let load = world.node(0).forwarder().route_load(world.now, address(1));
+        load.expect("a latency target").1.slots
+    };
+    assert_eq!(slots(&world), 24);
     world.datagrams[0].clear();
     world.handle(0, Event::Packet(text(&retransmitted_opening(99, 1, 2))));
     assert!(world.datagrams[0].is_empty(), "not held");
     world.store.drain(LOCAL);
     world.run(ms(1_500));
+    assert_eq!(slots(&world), 12);
     let local = (1..=4).map(|key| socket(target(key, STATION).address));
     let to = world.datagrams[0].first().expect("forwarded").0;
     assert!(!local.collect::<Vec<_>>().contains(&to));
@@ -144,8 +151,7 @@
     let mut forwarder = drained(&[REMOTE]);
     let mut both = routes(2, &[STATION]);
     let services = &mut both.routes[0].services;
-    services[0].weight = 99;
-    services.push(limpetdeck::steering::WeightedService { service: FARES.to_owned(), weight: 1 });
+    services.push(limpetdeck::steering::WeightedService { service: FARES.to_owned(), weight: 99 });
     forwarder.routes.adopt(both).expect("valid routes");
     forwarder.targets.merge(ms(0), record(11, remote_target(21, FARES)));
     for caller in 1..=50 {
@@ -206,7 +212,7 @@
 }
 
 /// A peer that was cut off and has missed the order does not undo it, and neither does one that
-/// was frozen. Both learn of it.
+/// was frozen. Both learn of it, and a peer that has missed the withdrawal does too.
 #[test]
 fn peers_behind() {
     let mut world = world(&[true; 8]);
@@ -224,6 +230,41 @@
         assert!(others.into_iter().all(|i| drains(LOCAL)(world.node(i))));
     }
     assert!(world.all(drains(LOCAL)));
+    world.partitioned = vec![3];
+    world.store.withdraw(LOCAL);
+    world.run(Duration::from_secs(3));
+    assert!(drains(LOCAL)(world.node(3)));
+    world.partitioned.clear();
+    world.run_until(ms(3_000), |node| !drains(LOCAL)(node));
+}
+
+/// What is kept of an earlier era is not confused by snapshots from peers that know less or more:
+/// one that has settled in the era before drops nothing, and an order that was confirmed and then
+/// withdrawn in the new era is not kept.
+#[test]
+fn kept_orders() {
+    let instance = |reads: &[(u64, u64, bool)]| {
+        let mut drains = DomainDrains::enabled();
+        for &(era, revision, ordered) in reads {
+            let position = Position::new(era, revision);
+            let orders = ordered.then(|| (LOCAL.to_owned(), Some(position)));
+            drains.on_read(Duration::from_secs(10 * era), position, true, Vec::from_iter(orders));
+        }
+        drains
+    };
+    let now = Duration::from_secs(21);
+    let mut settled = instance(&[(0, 90, false), (1, 60, false)]);
+    settled.on_read(Duration::from_secs(17), Position::new(1, 61), true, Vec::new());
+    assert!(settled.snapshot().settled);
+    let mut drains = instance(&[(0, 90, true), (1, 60, true), (2, 60, false)]);
+    drains.on_peer_snapshot(now, settled.snapshot().clone());
+    assert!(drains.is_drained(LOCAL));
+
+    let withdrawn = instance(&[(0, 90, true), (1, 62, true), (1, 70, false)]);
+    let mut drains = instance(&[(0, 90, true), (1, 60, false)]);
+    assert!(drains.is_drained(LOCAL));
+    drains.on_peer_snapshot(now, withdrawn.snapshot().clone());
+    assert!(!drains.is_drained(LOCAL));
 }
 
 /// A store that comes back from a copy without the order: the order is kept while entries are
