Let a target become cold again without a restart

Cause: a record that differs from the known one only in its remaining warm-up time was ignored, so an instance kept sending flows at the full rate to a target that was cold again. The remaining time was also counted from the wrong moment twice: a removed target in its grace period got its whole warm-up time again, and peers passed a record on with the time of its first arrival.

Change: an entry has the end of its warm-up. A record that ends it more than 0.5 s later than known is a change and is spread; a countdown that arrives late only moves the end. Records of a restored copy do not make a target cold again. Peers get the remaining time as of now.

Evidence: cold_again, warm_up_in_copy and warm_in_grace in tests/steering_directory.rs fail with the earlier directory and pass now; steering_choice, steering_restore and restore_model pass.

--- a/src/steering/directory.rs
+++ b/src/steering/directory.rs
@@ -32,6 +32,10 @@
 /// learn of them. Entries that are still of an earlier era then count as removed.
 const ERA_SETTLING_TIME: Duration = Duration::from_secs(6);
 
+/// Time by which a record has to make the warm-up longer for the target to count as cold again: the
+/// records of one warm-up arrive with different delays.
+const WARM_UP_TOLERANCE: Duration = Duration::from_millis(500);
+
 /// The platform's latest record of a target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetRecord {
@@ -49,6 +53,8 @@
     target: Target,
     /// When the record was received.
     updated_at: Duration,
+    /// End of the warm-up.
+    cold_until: Duration,
     removed: bool,
     /// End of the time for which the target is still used after its removal.
     grace_until: Duration,
@@ -151,8 +157,7 @@
             self.removals_since = self.removals_since.max(record.position);
         }
         if self.is_unchanged(&record) {
-            self.confirm(&record);
-            return false;
+            return self.confirm(now, &record);
         }
         match record.target {
             Some(target) => self.insert(now, record.position, target),
@@ -270,10 +275,13 @@
         let entries = keys.filter_map(|key| self.entries.get(key));
         let eligible = entries.filter(move |entry| !entry.removed || now < entry.grace_until);
         let ready = eligible.filter(|entry| entry.target.state == TargetState::Ready);
-        ready.map(move |entry| {
-            let age = now.saturating_sub(entry.updated_at);
-            (&entry.target, entry.target.warm_up_left.saturating_sub(age))
-        })
+        ready.map(move |entry| (&entry.target, entry.cold_until.saturating_sub(now)))
+    }
+
+    /// Returns the remaining time until a target is warm; zero if it is not known.
+    pub fn warm_up_left(&self, now: Duration, key: TargetKey) -> Duration {
+        let entry = self.entries.get(&key);
+        entry.map(|entry| entry.cold_until.saturating_sub(now)).unwrap_or_default()
     }
 
     /// Returns all targets of a service, including those that get no new flows.
@@ -397,10 +405,26 @@
     }
 
     /// Moves an unchanged entry to the position of a record, so that no removal before it counts.
-    fn confirm(&mut self, record: &TargetRecord) {
-        if let Some(entry) = self.entries.get_mut(&record.key) {
-            entry.position = entry.position.max(record.position);
+    /// Returns whether the target is cold again; a warm-up that goes on is no change.
+    fn confirm(&mut self, now: Duration, record: &TargetRecord) -> bool {
+        let Some(entry) = self.entries.get_mut(&record.key) else { return false };
+        // A copy of the platform's data may hold the start of a warm-up that is long over.
+        let is_copied =
+            record.position.era != entry.position.era && record.position <= self.copied_up_to;
+        entry.position = entry.position.max(record.position);
+        let warm_up_left = record.target.as_ref().map(|target| target.warm_up_left);
+        let warm_up_left = warm_up_left.unwrap_or_default();
+        let cold_until = now + warm_up_left;
+        if is_copied || warm_up_left.is_zero() || cold_until <= entry.cold_until {
+            return false;
+        }
+        let is_cold_again = cold_until > entry.cold_until + WARM_UP_TOLERANCE;
+        entry.cold_until = cold_until;
+        if is_cold_again {
+            entry.target.warm_up_left = warm_up_left;
+            entry.updated_at = now;
         }
+        is_cold_again
     }
 
     fn remove_unconfirmed(&mut self, now: Duration) {
@@ -428,7 +452,9 @@
         let domains = self.by_service.entry(target.service.clone()).or_default();
         domains.entry(target.failure_domain.clone()).or_default().push(key);
         let grace_until = Duration::ZERO;
-        let entry = Entry { position, target, updated_at: now, removed: false, grace_until };
+        let cold_until = now + target.warm_up_left;
+        let entry =
+            Entry { position, target, updated_at: now, cold_until, removed: false, grace_until };
         self.entries.insert(key, entry);
     }
 
--- a/src/steering/gossip/changes.rs
+++ b/src/steering/gossip/changes.rs
@@ -26,6 +26,10 @@
         _ => newest,
     };
     records.truncate(fits);
+    // The receiver counts down from now, not from when this instance got the record.
+    for target in records.iter_mut().filter_map(|record| record.target.as_mut()) {
+        target.warm_up_left = forwarder.targets.warm_up_left(now, target.key);
+    }
     let removal_grace_ms = forwarder.targets.removal_grace_left(now).as_millis() as u32;
     Changes { since, up_to, newest, removal_grace_ms, records }
 }
--- a/tests/steering_directory.rs
+++ b/tests/steering_directory.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use checks::checker;
+use limpetdeck::platform::Position;
 use limpetdeck::steering::{Target, TargetDirectory, TargetRecord, TargetState};
 use support::*;
 
@@ -73,6 +74,58 @@
     assert_eq!(left, ms(1_300));
 }
 
+fn warm_up_left(targets: &TargetDirectory, now: Duration) -> Duration {
+    targets.eligible(now, STATION).next().expect("a target").1
+}
+
+/// A target becomes cold again without a restart: instances that ignore that send it more flows than
+/// it bears. The countdown, with delays of its records, is no change that has to be spread.
+#[test]
+fn cold_again() {
+    let mut targets = TargetDirectory::default();
+    let cold = |cold| Target { warm_up_left: ms(cold), ..target(1, STATION) };
+    assert!(targets.merge(ms(0), record(3, cold(2_000))));
+    for nth in 1..=20 {
+        let delay = nth % 3 * 150;
+        assert!(!targets.merge(ms(nth * 100 + delay), record(3 + nth, cold(2_000 - nth * 100))));
+    }
+    assert!(targets.merge(ms(2_400), record(30, cold(1_500))));
+    assert_eq!(warm_up_left(&targets, ms(2_500)), ms(1_400));
+    // A peer sends the record once more, and another one sends an older one.
+    assert!(!targets.merge(ms(2_600), record(30, cold(1_500))));
+    assert!(!targets.merge(ms(2_600), record(20, cold(2_000))));
+    assert_eq!(warm_up_left(&targets, ms(3_900)), ms(0));
+}
+
+/// A copy of the platform's data holds the start of a warm-up that is over: callers would be refused
+/// while all targets seem cold.
+#[test]
+fn warm_up_in_copy() {
+    let mut targets = TargetDirectory::default();
+    let cold = |cold| Target { warm_up_left: ms(cold), ..target(1, STATION) };
+    targets.replace_all(ms(0), at(5), vec![record(3, cold(2_000))]);
+    let restored = |revision, target| TargetRecord {
+        position: Position::new(1, revision),
+        ..record(revision, target)
+    };
+    targets.replace_all(ms(9_000), Position::new(1, 4), vec![restored(3, cold(2_000))]);
+    assert_eq!(warm_up_left(&targets, ms(9_000)), ms(0));
+    assert!(targets.merge(ms(9_100), restored(6, cold(2_000))));
+    assert_eq!(warm_up_left(&targets, ms(9_100)), ms(2_000));
+}
+
+/// The entry of a target expires during an outage long after its warm-up: it does not look cold in the
+/// grace period.
+#[test]
+fn warm_in_grace() {
+    let mut targets = TargetDirectory::default();
+    let cold = Target { warm_up_left: ms(2_000), ..target(1, STATION) };
+    targets.replace_all(ms(0), at(5), vec![record(3, cold)]);
+    targets.start_removal_grace(ms(10_000));
+    targets.replace_all(ms(10_010), at(9), vec![]);
+    assert_eq!(warm_up_left(&targets, ms(10_020)), ms(0));
+}
+
 #[test]
 fn removed_kept() {
     let mut targets = TargetDirectory::default();
