Limit the openings that reach cold targets

Change: as docs/design/hard-load.md describes, the instances that rank first by a hash for a cold target, among those of its failure domain, own its opening budget; each spaces its openings. No messages between instances. Instances that stopped count for 120 s. An instance owns nothing for 3 s after its start, for 1 s after it learned of another one, and while it is cut off, was paused, or has no table of a peer yet. Copies of an opening packet follow the first one uncounted, but not to a target that has restarted or become cold since. Callers for whom only cold targets without budget are left get a reset with the reason cold_targets. Forwarder::presume_cold lets the targets of a failure domain count as cold. Services without a limit skip all of it.

Ruled out: owners without the 1 s after learning of another instance exceed the budget when all restart and learn of each other over four seconds (trial: restart_of_fleet fails); so do owners that forget stopped instances (partition), own at once after their start (added_instances) or serve copies unchecked (copy_after_restart, presumed_cold).

Evidence: tests/steering_warm_up.rs in virtual time, fixed seeds: no target exceeds its limit in any sliding second.

Conclusion: the budget holds with views that differ as described, restarts and a partition of up to 120 s, and most of it is used.

--- a/src/membership.rs
+++ b/src/membership.rs
@@ -273,6 +273,11 @@
         others && now.saturating_sub(self.last_heard) >= ISOLATION_TIMEOUT
     }
 
+    /// Returns whether this instance has pulled the table of a peer since it started.
+    pub fn has_joined(&self) -> bool {
+        self.joined
+    }
+
     /// Returns whether this instance was paused and has not pulled a peer's table since.
     /// Ends after a time limit if no peer answers.
     pub fn is_refreshing(&self, now: Duration) -> bool {
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -1,5 +1,8 @@
 //! Decides for each packet whether it is forwarded to a target, answered with a reset, or dropped.
 
+mod token_lookup;
+mod warm_up;
+
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,15 +12,18 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
+use self::token_lookup::find_target;
+pub use self::warm_up::ColdTargets;
 use super::policy::overdue::OverdueResponses;
+use super::policy::warm_up::WarmUpBudget;
 use super::token::TargetIncarnation;
 use super::{
-    Candidate, DomainLoad, FlowPacket, FlowSignal, FlowTable, Health, Load, NO_TOKEN, PacketKind,
-    Route, RouteLoad, RouteTable, Target, TargetDirectory, TargetKey, Token, Tokens,
-    local_targets_suffice, select_target, yields,
+    Candidate, DomainLoad, FlowPacket, FlowSignal, FlowTable, Health, Load, PacketKind, RouteLoad,
+    RouteTable, Target, TargetDirectory, TargetKey, Token, Tokens, WarmUp, local_targets_suffice,
+    select_target, yields,
 };
 use crate::flow::FlowKey;
-use crate::ids::{FailureDomain, Version};
+use crate::ids::FailureDomain;
 use crate::peer::KeyRing;
 
 /// Targets that may get a flow, with the inputs of the selection.
@@ -38,6 +44,9 @@
     /// No target of the route's services accepts new flows.
     #[display("no_target")]
     NoTarget,
+    /// Only cold targets without an opening budget are left.
+    #[display("cold_targets")]
+    ColdTargets,
     /// The target has restarted and lost the flow.
     #[display("target_restarted")]
     TargetRestarted,
@@ -103,6 +112,7 @@
     health: Health,
     overdue: OverdueResponses,
     domain_load: DomainLoad,
+    warm_up: WarmUpBudget,
     /// Number of instances in the local failure domain, this one included.
     local_instances: usize,
     /// Number of instances in all failure domains, this one included.
@@ -124,6 +134,7 @@
             health: Health::default(),
             overdue: OverdueResponses::default(),
             domain_load: DomainLoad::default(),
+            warm_up: WarmUpBudget::default(),
             local_instances: 1,
             instances: 1,
             tokens: Tokens::new(keys),
@@ -221,6 +232,7 @@
         self.targets.expire(now);
         self.health.expire(now, idle);
         self.overdue.expire(now);
+        self.expire_warm_up(now);
     }
 
     fn open(&mut self, now: Duration, packet: &FlowPacket, repeats: u32) -> Verdict<'_> {
@@ -237,8 +249,11 @@
         let services = Arc::clone(&route.services);
         let reused = previous.filter(|&previous| !self.health.is_unresponsive(now, previous));
         let reused = reused.filter(|&previous| self.targets.get(previous).is_some());
+        let reused = reused.filter(|&previous| self.may_repeat(now, packet.flow.id(), previous));
         let chosen = reused.or_else(|| self.select_for_flow(now, &packet.flow, &services));
-        let Some(chosen) = chosen else { return Verdict::Reset(ResetReason::NoTarget) };
+        let Some(chosen) = chosen else {
+            return Verdict::Reset(self.refusal_reason(now, &services));
+        };
         self.flows.record(now, packet, chosen);
         match self.targets.get(chosen) {
             Some(target) => Verdict::Forward(target, Some(self.tokens.mint(service, target))),
@@ -261,6 +276,7 @@
         loop {
             let chosen = self.select_of_service(now, service, &excluded)?;
             if self.tokens.is_usable(flow.service, chosen) {
+                self.count_opening(now, flow.id(), chosen);
                 return Some(chosen);
             }
             excluded.push(chosen);
@@ -275,8 +291,9 @@
         service: &str,
         excluded: &[TargetIncarnation],
     ) -> Option<TargetIncarnation> {
+        let limit = self.prepare_limit(now, service);
         let local = self.targets.eligible_in(now, service, &self.local_domain);
-        let (mut list, _) = self.candidates(now, local, excluded);
+        let (mut list, _) = self.candidates(now, limit, local, excluded);
         let slots = list.iter().map(|(_, candidate)| candidate.slots).sum();
         let domain_load = self.domain_load.waiting_per_slot(service, self.local_instances, slots);
         let candidates = |list: &[(_, Candidate)]| -> Vec<_> {
@@ -284,21 +301,24 @@
         };
         if !local_targets_suffice(&candidates(&list), domain_load) {
             let all = self.targets.eligible(now, service);
-            let (responsive, unresponsive) = self.candidates(now, all, excluded);
+            let (responsive, unresponsive) = self.candidates(now, limit, all, excluded);
             // If all seem unresponsive, the cause may be the network rather than the targets.
             list = if responsive.is_empty() { unresponsive } else { responsive };
         }
         select_target(&candidates(&list), domain_load, &mut self.rng).map(|i| list[i].0)
     }
 
-    /// Returns the responsive and the unresponsive ones of some targets.
+    /// Returns the responsive and the unresponsive ones of some targets, without those that are cold
+    /// and have no opening budget left within the limit.
     fn candidates<'a>(
         &self,
         now: Duration,
+        limit: Option<WarmUp>,
         targets: impl Iterator<Item = (&'a Target, Duration)>,
         excluded: &[TargetIncarnation],
     ) -> (CandidateList, CandidateList) {
-        let candidates = targets.filter_map(|(target, warm_up_left)| {
+        let candidates = targets.filter_map(|(target, recorded)| {
+            let warm_up_left = self.warm_up_left(now, limit, target, recorded)?;
             let incarnation = (target.key, target.incarnation);
             let Load { flows, waiting, .. } = self.flows.load(incarnation);
             let waiting = waiting + self.overdue.count(incarnation);
@@ -464,27 +484,3 @@
     }
     None
 }
-
-/// Finds the target that a packet's token identifies: among the known tokens, then among the targets
-/// of the route's services, then among all targets.
-fn find_target(
-    tokens: &mut Tokens,
-    targets: &TargetDirectory,
-    route: &Route,
-    version: Version,
-    packet: &FlowPacket,
-) -> Option<TargetIncarnation> {
-    let (service, token) = (packet.flow.service, packet.token);
-    if token == NO_TOKEN {
-        return None;
-    }
-    if let Some(known) = tokens.lookup(service, token) {
-        return Some(known);
-    }
-    let of_route = route.services.iter().flat_map(|s| targets.of_service(&s.service));
-    tokens.survey(service, (targets.change_count(), version), of_route);
-    if let Some(known) = tokens.lookup(service, token) {
-        return Some(known);
-    }
-    tokens.find(service, token, targets.all())
-}
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -1,6 +1,7 @@
 //! The core of an instance that forwards packets by token. It does no I/O: it takes events and
 //! returns actions.
 
+mod cold_targets;
 mod held_openings;
 mod logging;
 mod members_log;
@@ -15,6 +16,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use self::cold_targets::ColdTargetsLog;
 use self::members_log::MembersLog;
 use self::startup_queue::StartupQueue;
 use super::gossip::{Gossip, Peers};
@@ -106,6 +108,7 @@
     era: Era,
     registration: Registration,
     members_log: MembersLog,
+    cold_targets_log: ColdTargetsLog,
     watch_role: WatchRole,
     grace: Duration,
     leaving_since: Option<Duration>,
@@ -141,6 +144,7 @@
             era: 0,
             registration: Registration::new(now, fork()),
             members_log: MembersLog::default(),
+            cold_targets_log: ColdTargetsLog::default(),
             watch_role: WatchRole { alone: true, ranked: true, watchers: 1 },
             grace: cfg.grace,
             leaving_since: None,
@@ -243,7 +247,7 @@
         match body {
             Body::Membership(message) => {
                 self.membership.on_message(now, from, message, &mut outbox);
-                self.update_peers();
+                self.update_peers(now);
             }
             Body::Steering(message) => {
                 let changed =
@@ -276,7 +280,8 @@
         self.membership.tick(now, &mut outbox);
         let routes_failing = self.list_watches.routes_failing();
         self.gossip.tick(now, &self.forwarder, routes_failing, &mut outbox);
-        self.update_peers();
+        self.update_peers(now);
+        self.update_instance_view(now);
         self.members_log.write(now, self.gossip.peers());
         if self.membership.is_superseded() {
             self.begin_shutdown(now);
@@ -286,6 +291,7 @@
         if now >= self.next_expiry {
             self.next_expiry = now + EXPIRY_INTERVAL;
             self.forwarder.expire(now);
+            self.report_cold_targets(now);
             gauge!("limpetdeck_flows_known").set(self.forwarder.flows.len() as f64);
             gauge!("limpetdeck_targets_known").set(self.forwarder.targets.len() as f64);
             gauge!("limpetdeck_routes_version").set(self.forwarder.routes.version() as f64);
@@ -367,7 +373,7 @@
         }
     }
 
-    fn update_peers(&mut self) {
+    fn update_peers(&mut self, now: Duration) {
         if !self.membership.take_changed() {
             return;
         }
@@ -384,6 +390,7 @@
         };
         gauge!("limpetdeck_instances_live").set((local.len() + remote.len() + 1) as f64);
         self.forwarder.set_local_instances(counts.0 + 1);
+        self.forwarder.set_local_ids(now, local.iter().map(|info| info.id).chain([me.id]));
         self.forwarder.set_instances(counts.0 + counts.1 + 1);
         self.gossip.set_peers(Peers::new(me.id, ids(local), ids(remote)));
         let addresses: HashMap<_, _> = self.membership.peer_addresses();
--- a/src/steering/policy.rs
+++ b/src/steering/policy.rs
@@ -8,4 +8,6 @@
 pub(super) mod health;
 pub(super) mod late_openings;
 pub(super) mod overdue;
+pub(super) mod seen_instances;
 pub(super) mod selection;
+pub(super) mod warm_up;
