Compare extensions of a warm-up with the end last spread

Cause: a record that made a warm-up longer by less than 500 ms moved the known end without being spread, and the next one was compared with the moved end. A sequence of such records was never spread, so instances that read no records of their own took the target for warm too early.

Change: `ColdTime` keeps the end that was last spread beside the known end, and when a known target restarted or became cold again, which the opening budgets need. The directory keeps the latest end of all warm-ups, so that nobody has to look for cold targets while there are none.

Conclusion: the ends of a warm-up that two instances know differ by at most the tolerance.

--- a/src/steering/directory.rs
+++ b/src/steering/directory.rs
@@ -9,6 +9,8 @@
 //! last: a later incarnation wins, and a target that drains never becomes ready again in the same
 //! incarnation. Entries that the new era does not confirm expire.
 
+mod cold_time;
+
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::ops::{Bound, RangeBounds};
@@ -16,6 +18,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use self::cold_time::ColdTime;
 use super::target::ServiceName;
 use super::token::TargetIncarnation;
 use super::{Target, TargetKey, TargetState};
@@ -32,10 +35,6 @@
 /// learn of them. Entries that are still of an earlier era then count as removed.
 const ERA_SETTLING_TIME: Duration = Duration::from_secs(6);
 
-/// Time by which a record has to make the warm-up longer for the target to count as cold again: the
-/// records of one warm-up arrive with different delays.
-const WARM_UP_TOLERANCE: Duration = Duration::from_millis(500);
-
 /// The platform's latest record of a target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetRecord {
@@ -53,8 +52,7 @@
     target: Target,
     /// When the record was received.
     updated_at: Duration,
-    /// End of the warm-up.
-    cold_until: Duration,
+    cold: ColdTime,
     removed: bool,
     /// End of the time for which the target is still used after its removal.
     grace_until: Duration,
@@ -80,6 +78,8 @@
     removal_grace_until: Duration,
     /// Number of changes of the entries.
     changes: u64,
+    /// Latest end of a warm-up.
+    cold_until: Duration,
     /// Keys of the targets of each service, by failure domain.
     by_service: HashMap<ServiceName, BTreeMap<FailureDomain, Vec<TargetKey>>>,
 }
@@ -275,13 +275,23 @@
         let entries = keys.filter_map(|key| self.entries.get(key));
         let eligible = entries.filter(move |entry| !entry.removed || now < entry.grace_until);
         let ready = eligible.filter(|entry| entry.target.state == TargetState::Ready);
-        ready.map(move |entry| (&entry.target, entry.cold_until.saturating_sub(now)))
+        ready.map(move |entry| (&entry.target, entry.cold.until.saturating_sub(now)))
+    }
+
+    /// Returns whether any target may be cold.
+    pub fn may_be_cold(&self, now: Duration) -> bool {
+        now < self.cold_until
+    }
+
+    /// Returns when a target that was known before restarted or became cold again, if it did.
+    pub fn cold_again_at(&self, key: TargetKey) -> Option<Duration> {
+        self.entries.get(&key).and_then(|entry| entry.cold.again_at)
     }
 
     /// Returns the remaining time until a target is warm; zero if it is not known.
     pub fn warm_up_left(&self, now: Duration, key: TargetKey) -> Duration {
         let entry = self.entries.get(&key);
-        entry.map(|entry| entry.cold_until.saturating_sub(now)).unwrap_or_default()
+        entry.map(|entry| entry.cold.until.saturating_sub(now)).unwrap_or_default()
     }
 
     /// Returns all targets of a service, including those that get no new flows.
@@ -414,12 +424,11 @@
         entry.position = entry.position.max(record.position);
         let warm_up_left = record.target.as_ref().map(|target| target.warm_up_left);
         let warm_up_left = warm_up_left.unwrap_or_default();
-        let cold_until = now + warm_up_left;
-        if is_copied || warm_up_left.is_zero() || cold_until <= entry.cold_until {
+        if is_copied || warm_up_left.is_zero() {
             return false;
         }
-        let is_cold_again = cold_until > entry.cold_until + WARM_UP_TOLERANCE;
-        entry.cold_until = cold_until;
+        let is_cold_again = entry.cold.extend(now, warm_up_left);
+        self.cold_until = self.cold_until.max(entry.cold.until);
         if is_cold_again {
             entry.target.warm_up_left = warm_up_left;
             entry.updated_at = now;
@@ -442,8 +451,10 @@
     fn insert(&mut self, now: Duration, position: Position, target: Target) {
         self.changes += 1;
         let key = target.key;
+        let mut cold = ColdTime::new(now, target.warm_up_left);
         if let Some(previous) = self.entries.remove(&key) {
             self.remove_from_service(&previous.target);
+            cold.follow(now, &previous.cold, previous.target.incarnation != target.incarnation);
             if previous.target.incarnation < target.incarnation {
                 let incarnation = (key, previous.target.incarnation);
                 self.replaced.insert(incarnation, (previous.target, now));
@@ -452,9 +463,8 @@
         let domains = self.by_service.entry(target.service.clone()).or_default();
         domains.entry(target.failure_domain.clone()).or_default().push(key);
         let grace_until = Duration::ZERO;
-        let cold_until = now + target.warm_up_left;
-        let entry =
-            Entry { position, target, updated_at: now, cold_until, removed: false, grace_until };
+        self.cold_until = self.cold_until.max(cold.until);
+        let entry = Entry { position, target, updated_at: now, cold, removed: false, grace_until };
         self.entries.insert(key, entry);
     }
 
--- a/tests/steering_directory.rs
+++ b/tests/steering_directory.rs
@@ -79,7 +79,7 @@
 }
 
 /// A target becomes cold again without a restart: instances that ignore that send it more flows than
-/// it bears. The countdown, with delays of its records, is no change that has to be spread.
+/// it accepts. The countdown, with delays of its records, is no change that has to be spread.
 #[test]
 fn cold_again() {
     let mut targets = TargetDirectory::default();
@@ -97,6 +97,16 @@
     assert_eq!(warm_up_left(&targets, ms(3_900)), ms(0));
 }
 
+/// Each record makes the warm-up a little longer: if it were compared with the one before, instances
+/// that get no further records would take the target for warm too early.
+#[test]
+fn small_extensions() {
+    let mut targets = TargetDirectory::default();
+    let cold = Target { warm_up_left: ms(2_000), ..target(1, STATION) };
+    let changes = (0..7).map(|nth| targets.merge(ms(nth * 300), record(3 + nth, cold.clone())));
+    assert_eq!(changes.collect::<Vec<_>>(), [true, false, true, false, true, false, true]);
+}
+
 /// A copy of the platform's data holds the start of a warm-up that is over: callers would be refused
 /// while all targets seem cold.
 #[test]
