Keep cold targets within their budget while limits or peers are unknown

Causes, found in review: - While routes arrive in parts, limits are unknown, and cold targets got unlimited openings. - The 3 s during which an instance owns nothing counted from its start, so one that joined late or came back from a long partition took shares that others still used. - A known target that restarts or becomes cold again could get openings of the owners of both incarnations, or right after unlimited traffic. - A limit of 0 from a peer admitted no opening at all. - The refusal reason looked at all services of a route. The rank was computed by instances that own nothing, and each opening walked the local targets also when none was cold.

Change: until the routes are complete, no flow is opened to a cold target, and an opening for which only cold ones are left is queued (not_ready). The 3 s count from when the view last became complete. The first opening after a restart or a return of the warm-up is due an interval after that was learned. A limit of 0 is none. The reason is that of the service picked. Targets are ranked only by instances that may own shares and while a target may be cold; the presumed time is looked up once for the domain. The openings of an order that was withdrawn (`presume_cold`) are not delayed: a drained domain got none.

--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -250,9 +250,12 @@
         let reused = previous.filter(|&previous| !self.health.is_unresponsive(now, previous));
         let reused = reused.filter(|&previous| self.targets.get(previous).is_some());
         let reused = reused.filter(|&previous| self.may_repeat(now, packet.flow.id(), previous));
-        let chosen = reused.or_else(|| self.select_for_flow(now, &packet.flow, &services));
-        let Some(chosen) = chosen else {
-            return Verdict::Reset(self.refusal_reason(now, &services));
+        let chosen = match reused {
+            Some(reused) => reused,
+            None => match self.select_for_flow(now, &packet.flow, &services) {
+                Ok(chosen) => chosen,
+                Err(refusal) => return refusal,
+            },
         };
         self.flows.record(now, packet, chosen);
         match self.targets.get(chosen) {
@@ -261,23 +264,27 @@
         }
     }
 
-    /// Selects the target of a new flow. Of two targets with equal tokens, the later one gets none.
+    /// Selects the target of a new flow, or returns the verdict if there is none. Of two targets with
+    /// equal tokens, the later one gets none.
     fn select_for_flow(
         &mut self,
         now: Duration,
         flow: &FlowKey,
         services: &[super::WeightedService],
-    ) -> Option<TargetIncarnation> {
+    ) -> Result<TargetIncarnation, Verdict<'static>> {
         let state = (self.targets.change_count(), self.routes.version());
         let of_route = services.iter().flat_map(|s| self.targets.of_service(&s.service));
         self.tokens.survey(flow.service, state, of_route);
-        let service = pick_service(services, &mut self.rng)?;
+        let no_target = Verdict::Reset(ResetReason::NoTarget);
+        let service = pick_service(services, &mut self.rng).ok_or(no_target)?;
         let mut excluded = Vec::new();
         loop {
-            let chosen = self.select_of_service(now, service, &excluded)?;
+            let Some(chosen) = self.select_of_service(now, service, &excluded) else {
+                return Err(self.refusal(now, service));
+            };
             if self.tokens.is_usable(flow.service, chosen) {
                 self.count_opening(now, flow.id(), chosen);
-                return Some(chosen);
+                return Ok(chosen);
             }
             excluded.push(chosen);
         }
--- a/src/steering/forwarder/warm_up.rs
+++ b/src/steering/forwarder/warm_up.rs
@@ -5,10 +5,10 @@
 
 use metrics::counter;
 
-use super::{Forwarder, ResetReason};
+use super::{DropReason, Forwarder, ResetReason, Verdict};
 use crate::ids::{FlowId, InstanceId};
 use crate::steering::policy::warm_up::InstanceView;
-use crate::steering::{Target, TargetIncarnation, WarmUp, WeightedService};
+use crate::steering::{Target, TargetIncarnation, WarmUp};
 
 /// The cold targets of the local failure domain whose services have a limit.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -19,7 +19,7 @@
     pub owned: usize,
     /// Openings per second that this instance may send to them.
     pub budget_per_s: f64,
-    /// Whether this instance may own shares: it has run for a time and knows the other instances.
+    /// Whether this instance may own shares: its view of the others has been complete for a time.
     pub is_owner: bool,
     /// Number of flows that this instance has opened to cold targets since its start.
     pub openings: u64,
@@ -33,8 +33,8 @@
     }
 
     /// Updates what this instance knows about itself and the other instances.
-    pub fn set_instance_view(&mut self, view: InstanceView) {
-        self.warm_up.set_view(view);
+    pub fn set_instance_view(&mut self, now: Duration, view: InstanceView) {
+        self.warm_up.set_view(now, view);
     }
 
     /// Records the IDs of the live instances in the local failure domain, this one included.
@@ -52,14 +52,15 @@
         let Some(raw) = self.routes.raw().filter(|raw| !raw.warm_ups.is_empty()) else {
             return cold;
         };
-        for service in raw.warm_ups.iter().map(|warm_up| warm_up.service.as_str()) {
-            let Some(limit) = self.routes.warm_up(service) else { continue };
+        let services: Vec<_> = raw.warm_ups.iter().map(|limit| limit.service.clone()).collect();
+        for service in &services {
+            let Some(limit) = self.prepare_limit(now, service) else { continue };
+            let presumed = self.warm_up.presumed_left(now, limit, &self.local_domain);
             for (target, left) in self.targets.eligible_in(now, service, &self.local_domain) {
-                if self.warm_up.cold_left(now, limit, &target.failure_domain, left).is_zero() {
+                if left.max(presumed).is_zero() {
                     continue;
                 }
                 let incarnation = (target.key, target.incarnation);
-                self.warm_up.rank(now, incarnation);
                 let share = self.warm_up.share(now, limit, incarnation);
                 cold.targets += 1;
                 cold.owned += usize::from(share > 0.0);
@@ -72,9 +73,14 @@
     /// Returns the limit of a service, and prepares the decisions about its cold targets.
     pub(super) fn prepare_limit(&mut self, now: Duration, service: &str) -> Option<WarmUp> {
         let limit = self.routes.warm_up(service)?;
-        for (target, left) in self.targets.eligible_in(now, service, &self.local_domain) {
-            if !self.warm_up.cold_left(now, limit, &target.failure_domain, left).is_zero() {
-                self.warm_up.rank(now, (target.key, target.incarnation));
+        let presumed = self.warm_up.presumed_left(now, limit, &self.local_domain);
+        let may_be_cold = !presumed.is_zero() || self.targets.may_be_cold(now);
+        if may_be_cold && self.warm_up.is_owner(now) {
+            for (target, left) in self.targets.eligible_in(now, service, &self.local_domain) {
+                if !left.max(presumed).is_zero() {
+                    let since = self.targets.cold_again_at(target.key);
+                    self.warm_up.rank(now, limit, (target.key, target.incarnation), since);
+                }
             }
         }
         Some(limit)
@@ -82,7 +88,8 @@
 
     /// Returns the remaining time until a target is warm, given that of its record, or `None` if
     /// there is no budget to open a flow to it now. Only targets of the local failure domain have
-    /// been ranked, so there is none for cold targets of others.
+    /// been ranked, so there is none for cold targets of others. While routes arrive in parts, limits
+    /// are unknown, and there is no budget for any cold target.
     pub(super) fn warm_up_left(
         &self,
         now: Duration,
@@ -90,7 +97,10 @@
         target: &Target,
         recorded: Duration,
     ) -> Option<Duration> {
-        let Some(limit) = limit else { return Some(recorded) };
+        let Some(limit) = limit else {
+            let is_usable = self.routes.is_complete() || !self.is_recorded_cold(target, recorded);
+            return is_usable.then_some(recorded);
+        };
         let left = self.warm_up.cold_left(now, limit, &target.failure_domain, recorded);
         let incarnation = (target.key, target.incarnation);
         (left.is_zero() || self.warm_up.may_open(now, limit, incarnation)).then_some(left)
@@ -119,26 +129,39 @@
         flow: FlowId,
         incarnation: TargetIncarnation,
     ) -> bool {
+        if !self.routes.is_complete() {
+            let left = self.targets.warm_up_left(now, incarnation.0);
+            return self
+                .targets
+                .get(incarnation)
+                .is_some_and(|target| !self.is_recorded_cold(target, left));
+        }
         self.limit_of(now, incarnation).is_none_or(|(_, left)| {
             !self.targets.has_restarted(incarnation)
                 && (left.is_zero() || self.warm_up.is_recorded(incarnation, flow))
         })
     }
 
-    /// Returns why a caller gets no target of any of these services.
-    pub(super) fn refusal_reason(
-        &self,
-        now: Duration,
-        services: &[WeightedService],
-    ) -> ResetReason {
-        let has_cold = |service: &WeightedService| {
-            let Some(limit) = self.routes.warm_up(&service.service) else { return false };
-            let mut targets = self.targets.eligible(now, &service.service);
-            targets.any(|(target, left)| {
+    /// Returns the verdict about a caller that gets no target of a service. Until limits are known,
+    /// it waits if there are cold targets: they may turn out to have no limit.
+    pub(super) fn refusal(&self, now: Duration, service: &str) -> Verdict<'static> {
+        let limit = self.routes.warm_up(service);
+        let has_cold = self.targets.eligible(now, service).any(|(target, left)| match limit {
+            Some(limit) => {
                 !self.warm_up.cold_left(now, limit, &target.failure_domain, left).is_zero()
-            })
-        };
-        if services.iter().any(has_cold) { ResetReason::ColdTargets } else { ResetReason::NoTarget }
+            }
+            None => !self.routes.is_complete() && self.is_recorded_cold(target, left),
+        });
+        match (has_cold, limit) {
+            (true, Some(_)) => Verdict::Reset(ResetReason::ColdTargets),
+            (true, None) => Verdict::Drop(DropReason::NotReady),
+            (false, _) => Verdict::Reset(ResetReason::NoTarget),
+        }
+    }
+
+    /// Returns whether a target is cold as far as can be told without a limit.
+    fn is_recorded_cold(&self, target: &Target, recorded: Duration) -> bool {
+        !recorded.is_zero() || self.warm_up.is_presumed_cold(&target.failure_domain)
     }
 
     /// Removes expired state of the budgets.
--- a/src/steering/node/cold_targets.rs
+++ b/src/steering/node/cold_targets.rs
@@ -47,8 +47,8 @@
         let is_complete = membership.has_joined()
             && !membership.is_refreshing(now)
             && !membership.is_isolated(now);
-        let view = InstanceView { me: membership.me().id, started: self.started, is_complete };
-        self.forwarder.set_instance_view(view);
+        let view = InstanceView { me: membership.me().id, is_complete };
+        self.forwarder.set_instance_view(now, view);
     }
 
     /// Updates the metrics and the log; to be called about once per second.
--- a/src/steering/route_change.rs
+++ b/src/steering/route_change.rs
@@ -38,7 +38,7 @@
     /// What the requests of the changed routes need, in order. Earlier releases do not send this
     /// field and the one below; they cannot be read then, and the routes come from the platform.
     pub classes: Vec<RequestClass>,
-    /// All services whose cold targets bear only a limited rate of new flows.
+    /// All services whose cold targets accept only a limited rate of new flows.
     pub warm_ups: Vec<ServiceWarmUp>,
 }
 
--- a/src/steering/routes.rs
+++ b/src/steering/routes.rs
@@ -35,14 +35,14 @@
     pub repeatable: bool,
 }
 
-/// A service whose targets bear only a limited rate of new flows while they are cold.
+/// A service whose targets accept only a limited rate of new flows while they are cold.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceWarmUp {
     /// Name of the service.
     pub service: ServiceName,
     /// Time after its start for which a target is cold, in milliseconds.
     pub duration_ms: u64,
-    /// New flows that a cold target bears in 1,000 seconds.
+    /// New flows that a cold target accepts in 1,000 seconds.
     pub flows_per_1000_s: u64,
 }
 
@@ -51,7 +51,7 @@
 pub struct WarmUp {
     /// Time after its start for which a target is cold.
     pub duration: Duration,
-    /// New flows per second that a cold target bears, from all instances together.
+    /// New flows per second that a cold target accepts, from all instances together.
     pub flows_per_s: f64,
 }
 
@@ -82,7 +82,7 @@
     /// What the requests of each route need, in order.
     #[serde(default)]
     pub classes: Vec<RequestClass>,
-    /// Services whose cold targets bear only a limited rate of new flows.
+    /// Services whose cold targets accept only a limited rate of new flows.
     #[serde(default)]
     pub warm_ups: Vec<ServiceWarmUp>,
 }
@@ -244,10 +244,17 @@
         self.removed.contains_key(&address)
     }
 
-    /// Returns the limit on new flows to cold targets of a service, if there is one.
+    /// Returns whether complete routes have been received, and with them the limits of all services.
+    pub fn is_complete(&self) -> bool {
+        self.raw.is_some()
+    }
+
+    /// Returns the limit on new flows to cold targets of a service, if there is one. A limit of 0,
+    /// which an earlier release may send, is none.
     pub fn warm_up(&self, service: &str) -> Option<WarmUp> {
         let warm_ups = self.raw.as_ref().map(|raw| raw.warm_ups.as_slice()).unwrap_or_default();
-        let warm_up = warm_ups.iter().find(|warm_up| warm_up.service == service)?;
+        let mut limited = warm_ups.iter().filter(|warm_up| warm_up.flows_per_1000_s > 0);
+        let warm_up = limited.find(|warm_up| warm_up.service == service)?;
         Some(WarmUp {
             duration: Duration::from_millis(warm_up.duration_ms),
             flows_per_s: warm_up.flows_per_1000_s as f64 / 1_000.0,
