--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -1,26 +1,26 @@
 //! Decides for each packet whether it is forwarded to a target, answered with a reset, or dropped.
 
 mod eligibility;
-mod lookup;
+mod opening;
+mod token_lookup;
+mod warm_up;
 
 use std::net::{SocketAddr, SocketAddrV4};
-use std::sync::Arc;
 use std::time::Duration;
 
 use derive_more::Display;
 use metrics::histogram;
-use rand::Rng;
 use rand::rngs::SmallRng;
 
-use self::lookup::find_target;
+use self::token_lookup::find_target;
+pub use self::warm_up::ColdTargets;
 use super::policy::overdue::OverdueResponses;
+use super::policy::warm_up::WarmUpBudget;
 use super::token::TargetIncarnation;
 use super::{
-    Candidate, DomainDrains, DomainLoad, FlowPacket, FlowSignal, FlowTable, Health, Load,
-    PacketKind, RouteLoad, RouteTable, Target, TargetDirectory, TargetKey, Token, Tokens,
-    local_targets_suffice, select_target, yields,
+    Candidate, DomainDrains, DomainLoad, FlowPacket, FlowSignal, FlowTable, Health, PacketKind,
+    RouteLoad, RouteTable, Target, TargetDirectory, TargetKey, Token, Tokens, yields,
 };
-use crate::flow::FlowKey;
 use crate::ids::FailureDomain;
 use crate::peer::KeyRing;
 
@@ -45,6 +45,9 @@
     /// All targets of the route's services that accept new flows are in drained failure domains.
     #[display("domain_drained")]
     DomainDrained,
+    /// Only cold targets without an opening budget are left.
+    #[display("cold_targets")]
+    ColdTargets,
     /// The target has restarted and lost the flow.
     #[display("target_restarted")]
     TargetRestarted,
@@ -112,6 +115,7 @@
     health: Health,
     overdue: OverdueResponses,
     domain_load: DomainLoad,
+    warm_up: WarmUpBudget,
     /// Number of instances in the local failure domain, this one included.
     local_instances: usize,
     /// Number of instances in all failure domains, this one included.
@@ -134,6 +138,7 @@
             health: Health::default(),
             overdue: OverdueResponses::default(),
             domain_load: DomainLoad::default(),
+            warm_up: WarmUpBudget::default(),
             local_instances: 1,
             instances: 1,
             tokens: Tokens::new(keys),
@@ -235,95 +240,7 @@
         self.targets.expire(now);
         self.health.expire(now, idle);
         self.overdue.expire(now);
-    }
-
-    fn open(&mut self, now: Duration, packet: &FlowPacket, repeats: u32) -> Verdict<'_> {
-        let service = packet.flow.service;
-        let previous = self.flows.half_open(packet.flow.id()).filter(|_| repeats > 0);
-        if let Some((previous, since)) = previous {
-            let waited = now.saturating_sub(since);
-            self.record_unanswered(now, previous, packet, waited);
-        }
-        let previous = previous.map(|(previous, _)| previous);
-        let Some(route) = self.routes.get(service) else {
-            return Verdict::Reset(ResetReason::NoRoute);
-        };
-        let services = Arc::clone(&route.services);
-        let reused = previous.filter(|&previous| !self.health.is_unresponsive(now, previous));
-        let reused = reused.filter(|&previous| self.may_get_flow(previous));
-        let chosen = reused.or_else(|| self.select_for_flow(now, &packet.flow, &services));
-        let Some(chosen) = chosen else {
-            return Verdict::Reset(self.no_target_reason(now, &services));
-        };
-        self.flows.record(now, packet, chosen);
-        match self.targets.get(chosen) {
-            Some(target) => Verdict::Forward(target, Some(self.tokens.mint(service, target))),
-            None => Verdict::Reset(ResetReason::NoTarget),
-        }
-    }
-
-    /// Selects the target of a new flow. Of two targets with equal tokens, the later one gets none.
-    fn select_for_flow(
-        &mut self,
-        now: Duration,
-        flow: &FlowKey,
-        services: &[super::WeightedService],
-    ) -> Option<TargetIncarnation> {
-        let state = (self.targets.change_count(), self.routes.version());
-        let of_route = services.iter().flat_map(|s| self.targets.of_service(&s.service));
-        self.tokens.survey(flow.service, state, of_route);
-        let services = self.undrained_services(now, services);
-        let service = pick_service(&services, &mut self.rng)?;
-        let mut excluded = Vec::new();
-        loop {
-            let chosen = self.select_of_service(now, service, &excluded)?;
-            if self.tokens.is_usable(flow.service, chosen) {
-                return Some(chosen);
-            }
-            excluded.push(chosen);
-        }
-    }
-
-    /// Selects a target of a service that is not excluded. Targets of other failure domains are
-    /// looked at only if the local ones do not suffice: most of a large fleet's are elsewhere.
-    fn select_of_service(
-        &mut self,
-        now: Duration,
-        service: &str,
-        excluded: &[TargetIncarnation],
-    ) -> Option<TargetIncarnation> {
-        let local = self.eligible_locally(now, service);
-        let (mut list, _) = self.candidates(now, local, excluded);
-        let slots = list.iter().map(|(_, candidate)| candidate.slots).sum();
-        let domain_load = self.domain_load.waiting_per_slot(service, self.local_instances, slots);
-        let candidates = |list: &[(_, Candidate)]| -> Vec<_> {
-            list.iter().map(|(_, candidate)| *candidate).collect()
-        };
-        if !local_targets_suffice(&candidates(&list), domain_load) {
-            let all = self.eligible(now, service);
-            let (responsive, unresponsive) = self.candidates(now, all, excluded);
-            // If all seem unresponsive, the cause may be the network rather than the targets.
-            list = if responsive.is_empty() { unresponsive } else { responsive };
-        }
-        select_target(&candidates(&list), domain_load, &mut self.rng).map(|i| list[i].0)
-    }
-
-    /// Returns the responsive and the unresponsive ones of some targets.
-    fn candidates<'a>(
-        &self,
-        now: Duration,
-        targets: impl Iterator<Item = (&'a Target, Duration)>,
-        excluded: &[TargetIncarnation],
-    ) -> (CandidateList, CandidateList) {
-        let candidates = targets.filter_map(|(target, warm_up_left)| {
-            let incarnation = (target.key, target.incarnation);
-            let Load { flows, waiting, .. } = self.flows.load(incarnation);
-            let waiting = waiting + self.overdue.count(incarnation);
-            let local = target.failure_domain == self.local_domain;
-            let candidate = Candidate { local, slots: target.slots, flows, waiting, warm_up_left };
-            (!excluded.contains(&incarnation)).then_some((incarnation, candidate))
-        });
-        candidates.partition(|&(incarnation, _)| !self.health.is_unresponsive(now, incarnation))
+        self.expire_warm_up(now);
     }
 
     /// Decides about a packet of an open flow.
@@ -468,16 +385,3 @@
         }
     }
 }
-
-/// Picks a service at random by weight, or `None` if all weights are 0.
-fn pick_service<'a>(services: &'a [super::WeightedService], rng: &mut SmallRng) -> Option<&'a str> {
-    let total: u32 = services.iter().map(|service| service.weight).sum();
-    let mut drawn = if total == 0 { return None } else { rng.random_range(0..total) };
-    for service in services {
-        if drawn < service.weight {
-            return Some(&service.service);
-        }
-        drawn -= service.weight;
-    }
-    None
-}
--- a/src/steering/forwarder/lookup.rs
+++ b/src/steering/forwarder/token_lookup.rs
@@ -1,4 +1,4 @@
-//! Finds the target of a packet by its token.
+//! Lookup of the target that the token of a packet identifies.
 
 use crate::ids::Version;
 use crate::steering::token::TargetIncarnation;
