Traffic split over services, and ejection of targets that fail repeatedly

Cause: a target that goes down and up gets new flows each time it is back, and requests that may not run twice fail on them. A route split over two services follows its weights even if one service has no target or is full.

Change: policy/service_choice.rs picks among the services that can serve; a full one gives away only the excess over 2.0 requests per slot. policy/steadiness.rs keeps failures by service and address. The directory reports restarts without draining, and an entry whose address a later target of the same service uses counts as replaced: no new flows, open ones reset.

--- a/src/steering.rs
+++ b/src/steering.rs
@@ -22,7 +22,7 @@
 
 pub use directory::{TargetDirectory, TargetRecord};
 pub use flows::{FlowSignal, FlowTable, Load};
-pub use forwarder::{DropReason, Forwarder, HealthChange, ResetReason, Verdict};
+pub use forwarder::{DropReason, Forwarder, HealthChange, ResetReason, UnsteadyTarget, Verdict};
 pub use gossip::Gossip;
 pub use list_watch::{INSTANCES_PREFIX, Interest, ListWatches, ROUTES_PREFIX, TARGETS_PREFIX};
 pub use message::Message;
@@ -32,6 +32,8 @@
 pub use policy::health::Health;
 pub use policy::late_openings::{RouteLoad, yields};
 pub use policy::selection::{Candidate, local_targets_suffice, select_target};
+pub use policy::service_choice::{ServiceState, pick_service};
+pub use policy::steadiness::{FailureRecords, Steadiness};
 pub use route_change::{ChangeError, ChangedRoute, RouteChange};
 pub use routes::{
     Priority, RawRoute, RawRoutes, RequestClass, Route, RouteTable, ServiceWarmUp, WarmUp,
--- a/src/steering/directory.rs
+++ b/src/steering/directory.rs
@@ -9,6 +9,8 @@
 //! last: a later incarnation wins, and a target that drains never becomes ready again in the same
 //! incarnation. Entries that the new era does not confirm expire.
 
+mod takeovers;
+
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::ops::{Bound, RangeBounds};
@@ -16,6 +18,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use self::takeovers::Takeovers;
 use super::target::ServiceName;
 use super::token::TargetIncarnation;
 use super::{Target, TargetKey, TargetState};
@@ -52,6 +55,8 @@
     removed: bool,
     /// End of the time for which the target is still used after its removal.
     grace_until: Duration,
+    /// Whether a later target of the same service runs at the address.
+    replaced: bool,
 }
 
 /// Table of all known targets.
@@ -76,6 +81,7 @@
     changes: u64,
     /// Keys of the targets of each service, by failure domain.
     by_service: HashMap<ServiceName, BTreeMap<FailureDomain, Vec<TargetKey>>>,
+    takeovers: Takeovers,
 }
 
 impl TargetDirectory {
@@ -269,7 +275,8 @@
     ) -> impl Iterator<Item = (&'a Target, Duration)> {
         let entries = keys.filter_map(|key| self.entries.get(key));
         let eligible = entries.filter(move |entry| !entry.removed || now < entry.grace_until);
-        let ready = eligible.filter(|entry| entry.target.state == TargetState::Ready);
+        let current = eligible.filter(|entry| !entry.replaced);
+        let ready = current.filter(|entry| entry.target.state == TargetState::Ready);
         ready.map(move |entry| {
             let age = now.saturating_sub(entry.updated_at);
             (&entry.target, entry.target.warm_up_left.saturating_sub(age))
@@ -353,6 +360,7 @@
             if let Some(entry) = self.entries.remove(&key) {
                 self.removals_since = self.removals_since.max(entry.position);
                 self.remove_from_service(&entry.target);
+                self.takeovers.remove(&entry.target);
             }
         }
     }
@@ -399,6 +407,7 @@
     /// Moves an unchanged entry to the position of a record, so that no removal before it counts.
     fn confirm(&mut self, record: &TargetRecord) {
         if let Some(entry) = self.entries.get_mut(&record.key) {
+            entry.replaced &= record.position <= entry.position;
             entry.position = entry.position.max(record.position);
         }
     }
@@ -420,15 +429,22 @@
         let key = target.key;
         if let Some(previous) = self.entries.remove(&key) {
             self.remove_from_service(&previous.target);
+            self.takeovers.remove(&previous.target);
             if previous.target.incarnation < target.incarnation {
+                if previous.target.service == target.service {
+                    self.takeovers.record_restart(&previous.target);
+                }
                 let incarnation = (key, previous.target.incarnation);
                 self.replaced.insert(incarnation, (previous.target, now));
             }
         }
+        self.mark_replaced(position, &target);
+        self.takeovers.insert(&target);
         let domains = self.by_service.entry(target.service.clone()).or_default();
         domains.entry(target.failure_domain.clone()).or_default().push(key);
         let grace_until = Duration::ZERO;
-        let entry = Entry { position, target, updated_at: now, removed: false, grace_until };
+        let (removed, replaced) = (false, false);
+        let entry = Entry { position, target, updated_at: now, removed, grace_until, replaced };
         self.entries.insert(key, entry);
     }
 
--- /dev/null
+++ b/src/steering/directory/takeovers.rs
@@ -0,0 +1,82 @@
+//! Targets that start again at the address of an earlier one, before the platform has removed it.
+
+use std::net::SocketAddrV4;
+
+use super::TargetDirectory;
+use crate::hash::HashMap;
+use crate::platform::Position;
+use crate::steering::token::TargetIncarnation;
+use crate::steering::{Target, TargetKey, TargetState};
+
+/// Maximum number of restarts that wait to be taken; the caller takes them ten times per second.
+const MAX_RESTARTS: usize = 1_024;
+
+/// Keys of the targets at each address, and the restarts among them.
+#[derive(Debug, Default)]
+pub(super) struct Takeovers {
+    by_address: HashMap<SocketAddrV4, Vec<TargetKey>>,
+    /// Incarnations that started again without having drained, as they were before.
+    restarts: Vec<Target>,
+}
+
+impl Takeovers {
+    pub(super) fn insert(&mut self, target: &Target) {
+        self.by_address.entry(target.address).or_default().push(target.key);
+    }
+
+    pub(super) fn remove(&mut self, target: &Target) {
+        let Some(keys) = self.by_address.get_mut(&target.address) else { return };
+        keys.retain(|&key| key != target.key);
+        if keys.is_empty() {
+            self.by_address.remove(&target.address);
+        }
+    }
+
+    /// Records that another target of the service runs at the address of a target now, if the
+    /// target had not drained.
+    pub(super) fn record_restart(&mut self, previous: &Target) {
+        if previous.state == TargetState::Ready && self.restarts.len() < MAX_RESTARTS {
+            self.restarts.push(previous.clone());
+        }
+    }
+}
+
+impl TargetDirectory {
+    /// Removes and returns the targets that have started again without having drained, as they were
+    /// before, in the order of their restarts.
+    pub fn take_restarts(&mut self) -> Vec<Target> {
+        std::mem::take(&mut self.takeovers.restarts)
+    }
+
+    /// Returns whether a later target of the same service runs at this target's address. The
+    /// platform takes seconds to remove the entry of a target that has failed.
+    pub fn is_replaced(&self, (key, incarnation): TargetIncarnation) -> bool {
+        let entry = self.entries.get(&key).filter(|entry| entry.target.incarnation == incarnation);
+        entry.is_some_and(|entry| entry.replaced)
+    }
+
+    /// Marks the earlier targets of the service at the address of a target whose record has arrived.
+    /// The last one has restarted, unless one of another service had the address meanwhile.
+    pub(super) fn mark_replaced(&mut self, position: Position, target: &Target) {
+        let Some(keys) = self.takeovers.by_address.get(&target.address) else { return };
+        let (mut last, mut restarted) = (0, None);
+        for key in keys {
+            let Some(entry) = self.entries.get_mut(key) else { continue };
+            // An entry that has been written since then is of a target that still runs.
+            let is_earlier =
+                entry.target.incarnation < target.incarnation && entry.position < position;
+            if !is_earlier {
+                continue;
+            }
+            let is_same_service = entry.target.service == target.service;
+            if entry.target.incarnation >= last {
+                last = entry.target.incarnation;
+                restarted = (is_same_service && !entry.replaced).then(|| entry.target.clone());
+            }
+            entry.replaced |= is_same_service;
+        }
+        if let Some(restarted) = restarted {
+            self.takeovers.record_restart(&restarted);
+        }
+    }
+}
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -1,15 +1,17 @@
 //! Decides for each packet whether it is forwarded to a target, answered with a reset, or dropped.
 
+mod failures;
+
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
 
 use derive_more::Display;
-use metrics::histogram;
-use rand::Rng;
 use rand::rngs::SmallRng;
 
+pub use self::failures::UnsteadyTarget;
 use super::policy::overdue::OverdueResponses;
+use super::policy::steadiness::FailureRecords;
 use super::token::TargetIncarnation;
 use super::{
     Candidate, DomainLoad, FlowPacket, FlowSignal, FlowTable, Health, Load, NO_TOKEN, PacketKind,
@@ -17,6 +19,7 @@
     local_targets_suffice, select_target, yields,
 };
 use crate::flow::FlowKey;
+use crate::hash::HashMap;
 use crate::ids::{FailureDomain, Version};
 use crate::peer::KeyRing;
 
@@ -102,6 +105,10 @@
     pub flows: FlowTable,
     health: Health,
     overdue: OverdueResponses,
+    failures: FailureRecords,
+    unsteady: Vec<UnsteadyTarget>,
+    /// Local slots of the services that share a route.
+    local_slots: HashMap<String, u32>,
     domain_load: DomainLoad,
     /// Number of instances in the local failure domain, this one included.
     local_instances: usize,
@@ -123,6 +130,9 @@
             flows: FlowTable::default(),
             health: Health::default(),
             overdue: OverdueResponses::default(),
+            failures: FailureRecords::default(),
+            unsteady: Vec::new(),
+            local_slots: HashMap::default(),
             domain_load: DomainLoad::default(),
             local_instances: 1,
             instances: 1,
@@ -193,6 +203,7 @@
             Some((target.service.as_str(), load.waiting))
         });
         self.domain_load.sample(now, loads);
+        self.record_restarts(now);
     }
 
     /// Decides about a packet and records it.
@@ -221,6 +232,8 @@
         self.targets.expire(now);
         self.health.expire(now, idle);
         self.overdue.expire(now);
+        self.failures.expire(now);
+        self.count_local_slots(now);
     }
 
     fn open(&mut self, now: Duration, packet: &FlowPacket, repeats: u32) -> Verdict<'_> {
@@ -236,7 +249,9 @@
         };
         let services = Arc::clone(&route.services);
         let reused = previous.filter(|&previous| !self.health.is_unresponsive(now, previous));
-        let reused = reused.filter(|&previous| self.targets.get(previous).is_some());
+        let reused = reused.filter(|&previous| {
+            self.targets.get(previous).is_some() && !self.targets.is_replaced(previous)
+        });
         let chosen = reused.or_else(|| self.select_for_flow(now, &packet.flow, &services));
         let Some(chosen) = chosen else { return Verdict::Reset(ResetReason::NoTarget) };
         self.flows.record(now, packet, chosen);
@@ -256,10 +271,10 @@
         let state = (self.targets.change_count(), self.routes.version());
         let of_route = services.iter().flat_map(|s| self.targets.of_service(&s.service));
         self.tokens.survey(flow.service, state, of_route);
-        let service = pick_service(services, &mut self.rng)?;
+        let service = self.pick_service(now, services)?;
         let mut excluded = Vec::new();
         loop {
-            let chosen = self.select_of_service(now, service, &excluded)?;
+            let chosen = self.select_of_service(now, flow.service, service, &excluded)?;
             if self.tokens.is_usable(flow.service, chosen) {
                 return Some(chosen);
             }
@@ -272,11 +287,13 @@
     fn select_of_service(
         &mut self,
         now: Duration,
+        address: SocketAddrV4,
         service: &str,
         excluded: &[TargetIncarnation],
     ) -> Option<TargetIncarnation> {
         let local = self.targets.eligible_in(now, service, &self.local_domain);
-        let (mut list, _) = self.candidates(now, local, excluded);
+        let (responsive, unresponsive) = self.candidates(now, local, excluded);
+        let mut list = self.steady(now, address, responsive, &unresponsive);
         let slots = list.iter().map(|(_, candidate)| candidate.slots).sum();
         let domain_load = self.domain_load.waiting_per_slot(service, self.local_instances, slots);
         let candidates = |list: &[(_, Candidate)]| -> Vec<_> {
@@ -285,6 +302,7 @@
         if !local_targets_suffice(&candidates(&list), domain_load) {
             let all = self.targets.eligible(now, service);
             let (responsive, unresponsive) = self.candidates(now, all, excluded);
+            let responsive = self.steady(now, address, responsive, &unresponsive);
             // If all seem unresponsive, the cause may be the network rather than the targets.
             list = if responsive.is_empty() { unresponsive } else { responsive };
         }
@@ -349,6 +367,9 @@
     /// Returns whether a target is known to be dead. Requests a connection check if the platform
     /// has removed the target.
     fn check_dead(&mut self, now: Duration, incarnation: TargetIncarnation) -> bool {
+        if self.targets.is_replaced(incarnation) {
+            return true;
+        }
         if self.targets.is_removed(now, incarnation) {
             let Some(target) = self.targets.get(incarnation) else { return false };
             if self.targets.is_address_reused(target) {
@@ -368,6 +389,7 @@
         accepted: bool,
     ) -> Vec<TargetIncarnation> {
         let dead = self.health.record_connection_check(now, address, accepted);
+        self.record_check(now, address, accepted, &dead);
         self.health_changes.extend(dead.iter().map(|&(key, _)| HealthChange::Dead(key)));
         dead
     }
@@ -379,15 +401,6 @@
         }
     }
 
-    /// Handles a report by another instance that a target is dead. It gets no new flows for a time,
-    /// and its connection is checked if it has open flows here.
-    pub fn doubt_target(&mut self, now: Duration, incarnation: TargetIncarnation) {
-        self.health.doubt(now, incarnation);
-        if self.flows.load(incarnation).flows > 0 {
-            self.suspect_target(now, incarnation);
-        }
-    }
-
     /// Records an overdue response of a target that another instance reports.
     pub fn record_overdue(&mut self, now: Duration, incarnation: TargetIncarnation) {
         self.overdue.record(now, incarnation);
@@ -421,48 +434,6 @@
     pub fn take_connection_checks(&mut self) -> Vec<SocketAddr> {
         self.health.take_connection_checks()
     }
-
-    fn record_response(
-        &mut self,
-        now: Duration,
-        target: TargetIncarnation,
-        waited: Option<Duration>,
-    ) {
-        if let Some(waited) = waited {
-            histogram!("limpetdeck_answer_seconds").record(waited);
-        }
-        if self.health.record_response(now, target) {
-            self.health_changes.push(HealthChange::Recovered(target.0));
-        }
-    }
-
-    fn record_unanswered(
-        &mut self,
-        now: Duration,
-        target: TargetIncarnation,
-        packet: &FlowPacket,
-        waited: Duration,
-    ) {
-        if self.health.record_unanswered(now, target, packet.flow.id(), waited) {
-            self.health_changes.push(HealthChange::Unresponsive(target.0));
-        }
-        if self.health.has_unanswered(target) {
-            self.suspect_target(now, target);
-        }
-    }
-}
-
-/// Picks a service at random by weight, or `None` if all weights are 0.
-fn pick_service<'a>(services: &'a [super::WeightedService], rng: &mut SmallRng) -> Option<&'a str> {
-    let total: u32 = services.iter().map(|service| service.weight).sum();
-    let mut drawn = if total == 0 { return None } else { rng.random_range(0..total) };
-    for service in services {
-        if drawn < service.weight {
-            return Some(&service.service);
-        }
-        drawn -= service.weight;
-    }
-    None
 }
 
 /// Finds the target that a packet's token identifies: among the known tokens, then among the targets
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -287,6 +287,7 @@
             self.next_expiry = now + EXPIRY_INTERVAL;
             self.forwarder.expire(now);
             gauge!("limpetdeck_flows_known").set(self.forwarder.flows.len() as f64);
+            gauge!("limpetdeck_targets_unsteady").set(self.forwarder.unsteady_targets(now) as f64);
             gauge!("limpetdeck_targets_known").set(self.forwarder.targets.len() as f64);
             gauge!("limpetdeck_routes_version").set(self.forwarder.routes.version() as f64);
         }
@@ -296,6 +297,7 @@
             self.announce_overdue(now, out);
         }
         self.log_health_changes();
+        self.log_unsteady(now);
         self.release_held(now, out);
         self.finish_shutdown(now, out);
     }
--- a/src/steering/node/logging.rs
+++ b/src/steering/node/logging.rs
@@ -78,6 +78,22 @@
         }
     }
 
+    pub(super) fn log_unsteady(&mut self, now: Duration) {
+        for unsteady in self.forwarder.take_unsteady() {
+            let event = "target_unsteady";
+            counter!("limpetdeck_target_beliefs_total", "event" => event).increment(1);
+            let Some(unlogged) = self.log.try_acquire(now) else { continue };
+            log::info!(
+                target = format!("{:x}", unsteady.target.key).as_str(),
+                address = unsteady.target.address.to_string().as_str(),
+                service = unsteady.target.service.as_str(),
+                failures = unsteady.failures,
+                unlogged = unlogged;
+                "{event}"
+            );
+        }
+    }
+
     pub(super) fn log_health_changes(&mut self) {
         for change in self.forwarder.take_health_changes() {
             let (target, event) = match change {
--- a/src/steering/policy.rs
+++ b/src/steering/policy.rs
@@ -9,3 +9,5 @@
 pub(super) mod late_openings;
 pub(super) mod overdue;
 pub(super) mod selection;
+pub(super) mod service_choice;
+pub(super) mod steadiness;
--- a/src/steering/policy/health.rs
+++ b/src/steering/policy/health.rs
@@ -127,14 +127,16 @@
         self.targets.get(&target).is_some_and(|health| now < health.dead_until)
     }
 
-    /// Records that another instance reports a target as dead.
-    pub fn doubt(&mut self, now: Duration, target: TargetIncarnation) {
+    /// Records that another instance reports a target as dead. Returns whether that is credible: the
+    /// target has not responded here just now.
+    pub fn doubt(&mut self, now: Duration, target: TargetIncarnation) -> bool {
         let health = self.targets.entry(target).or_default();
         let responded_recently =
             health.last_response.is_some_and(|response| now < response + CONNECTION_CHECK_DELAY);
         if !responded_recently {
             health.doubted_until = now + DOUBT_TIME;
         }
+        !responded_recently
     }
 
     /// Requests a connection check of a target, unless there was one recently or the target has
