--- a/src/steering.rs
+++ b/src/steering.rs
@@ -24,7 +24,9 @@
 pub use directory::{TargetDirectory, TargetRecord};
 pub use domain_drains::{DomainDrains, DrainOrders, DrainSnapshot, DrainedDomain};
 pub use flows::{FlowSignal, FlowTable, Load};
-pub use forwarder::{ColdTargets, DropReason, Forwarder, HealthChange, ResetReason, Verdict};
+pub use forwarder::{
+    ColdTargets, DropReason, Forwarder, HealthChange, ResetReason, UnsteadyTarget, Verdict,
+};
 pub use gossip::Gossip;
 pub use list_watch::{
     DOMAIN_DRAINS_PREFIX, INSTANCES_PREFIX, Interest, ListWatches, ROUTES_PREFIX, TARGETS_PREFIX,
@@ -36,6 +38,8 @@
 pub use policy::health::Health;
 pub use policy::late_openings::{RouteLoad, yields};
 pub use policy::selection::{Candidate, local_targets_suffice, select_target};
+pub use policy::service_choice::{ServiceState, pick_service};
+pub use policy::steadiness::{FailureRecords, Steadiness};
 pub use policy::warm_up::InstanceView;
 pub use route_change::{ChangeError, ChangedRoute, RouteChange};
 pub use routes::{
--- a/src/steering/directory.rs
+++ b/src/steering/directory.rs
@@ -10,6 +10,7 @@
 //! incarnation. Entries that the new era does not confirm expire.
 
 mod cold_time;
+mod takeovers;
 
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
@@ -19,6 +20,7 @@
 use serde::{Deserialize, Serialize};
 
 use self::cold_time::ColdTime;
+use self::takeovers::Takeovers;
 use super::target::ServiceName;
 use super::token::TargetIncarnation;
 use super::{Target, TargetKey, TargetState};
@@ -56,6 +58,8 @@
     removed: bool,
     /// End of the time for which the target is still used after its removal.
     grace_until: Duration,
+    /// Whether a later target of the same service runs at the address.
+    replaced: bool,
 }
 
 /// Table of all known targets.
@@ -82,6 +86,7 @@
     cold_until: Duration,
     /// Keys of the targets of each service, by failure domain.
     by_service: HashMap<ServiceName, BTreeMap<FailureDomain, Vec<TargetKey>>>,
+    takeovers: Takeovers,
 }
 
 impl TargetDirectory {
@@ -287,7 +292,8 @@
     ) -> impl Iterator<Item = (&'a Target, Duration)> {
         let entries = keys.filter_map(|key| self.entries.get(key));
         let eligible = entries.filter(move |entry| !entry.removed || now < entry.grace_until);
-        let ready = eligible.filter(|entry| entry.target.state == TargetState::Ready);
+        let current = eligible.filter(|entry| !entry.replaced);
+        let ready = current.filter(|entry| entry.target.state == TargetState::Ready);
         ready.map(move |entry| (&entry.target, entry.cold.until.saturating_sub(now)))
     }
 
@@ -384,6 +390,7 @@
             if let Some(entry) = self.entries.remove(&key) {
                 self.removals_since = self.removals_since.max(entry.position);
                 self.remove_from_service(&entry.target);
+                self.takeovers.remove(&entry.target);
             }
         }
     }
@@ -434,6 +441,7 @@
         // A copy of the platform's data may hold the start of a warm-up that is long over.
         let is_copied =
             record.position.era != entry.position.era && record.position <= self.copied_up_to;
+        entry.replaced &= record.position <= entry.position;
         entry.position = entry.position.max(record.position);
         let warm_up_left = record.target.as_ref().map(|target| target.warm_up_left);
         let warm_up_left = warm_up_left.unwrap_or_default();
@@ -468,16 +476,30 @@
         if let Some(previous) = self.entries.remove(&key) {
             self.remove_from_service(&previous.target);
             cold.follow(now, &previous.cold, previous.target.incarnation != target.incarnation);
+            self.takeovers.remove(&previous.target);
             if previous.target.incarnation < target.incarnation {
+                if previous.target.service == target.service {
+                    self.takeovers.record_restart(&previous.target);
+                }
                 let incarnation = (key, previous.target.incarnation);
                 self.replaced.insert(incarnation, (previous.target, now));
             }
         }
+        self.mark_replaced(position, &target);
+        self.takeovers.insert(&target);
         let domains = self.by_service.entry(target.service.clone()).or_default();
         domains.entry(target.failure_domain.clone()).or_default().push(key);
         let grace_until = Duration::ZERO;
         self.cold_until = self.cold_until.max(cold.until);
-        let entry = Entry { position, target, updated_at: now, cold, removed: false, grace_until };
+        let entry = Entry {
+            position,
+            target,
+            updated_at: now,
+            cold,
+            removed: false,
+            grace_until,
+            replaced: false,
+        };
         self.entries.insert(key, entry);
     }
 
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -1,6 +1,7 @@
 //! Decides for each packet whether it is forwarded to a target, answered with a reset, or dropped.
 
 mod eligibility;
+mod failures;
 mod opening;
 mod token_lookup;
 mod warm_up;
@@ -9,18 +10,20 @@
 use std::time::Duration;
 
 use derive_more::Display;
-use metrics::histogram;
 use rand::rngs::SmallRng;
 
+pub use self::failures::UnsteadyTarget;
 use self::token_lookup::find_target;
 pub use self::warm_up::ColdTargets;
 use super::policy::overdue::OverdueResponses;
+use super::policy::steadiness::FailureRecords;
 use super::policy::warm_up::WarmUpBudget;
 use super::token::TargetIncarnation;
 use super::{
     Candidate, DomainDrains, DomainLoad, FlowPacket, FlowSignal, FlowTable, Health, PacketKind,
     RouteLoad, RouteTable, Target, TargetDirectory, TargetKey, Token, Tokens, yields,
 };
+use crate::hash::HashMap;
 use crate::ids::FailureDomain;
 use crate::peer::KeyRing;
 
@@ -114,6 +117,10 @@
     pub flows: FlowTable,
     health: Health,
     overdue: OverdueResponses,
+    failures: FailureRecords,
+    unsteady: Vec<UnsteadyTarget>,
+    /// Local slots of the services that share a route.
+    local_slots: HashMap<String, u32>,
     domain_load: DomainLoad,
     warm_up: WarmUpBudget,
     /// Number of instances in the local failure domain, this one included.
@@ -137,6 +144,9 @@
             flows: FlowTable::default(),
             health: Health::default(),
             overdue: OverdueResponses::default(),
+            failures: FailureRecords::default(),
+            unsteady: Vec::new(),
+            local_slots: HashMap::default(),
             domain_load: DomainLoad::default(),
             warm_up: WarmUpBudget::default(),
             local_instances: 1,
@@ -209,6 +219,7 @@
             Some((target.service.as_str(), load.waiting))
         });
         self.domain_load.sample(now, loads);
+        self.record_restarts(now);
     }
 
     /// Decides about a packet and records it.
@@ -241,6 +252,8 @@
         self.health.expire(now, idle);
         self.overdue.expire(now);
         self.expire_warm_up(now);
+        self.failures.expire(now);
+        self.count_local_slots(now);
     }
 
     /// Decides about a packet of an open flow.
@@ -283,6 +296,9 @@
     /// Returns whether a target is known to be dead. Requests a connection check if the platform
     /// has removed the target.
     fn check_dead(&mut self, now: Duration, incarnation: TargetIncarnation) -> bool {
+        if self.targets.is_replaced(incarnation) {
+            return true;
+        }
         if self.targets.is_removed(now, incarnation) {
             let Some(target) = self.targets.get(incarnation) else { return false };
             if self.targets.is_address_reused(target) {
@@ -302,6 +318,7 @@
         accepted: bool,
     ) -> Vec<TargetIncarnation> {
         let dead = self.health.record_connection_check(now, address, accepted);
+        self.record_check(now, address, accepted, &dead);
         self.health_changes.extend(dead.iter().map(|&(key, _)| HealthChange::Dead(key)));
         dead
     }
@@ -313,15 +330,6 @@
         }
     }
 
-    /// Handles a report by another instance that a target is dead. It gets no new flows for a time,
-    /// and its connection is checked if it has open flows here.
-    pub fn doubt_target(&mut self, now: Duration, incarnation: TargetIncarnation) {
-        self.health.doubt(now, incarnation);
-        if self.flows.load(incarnation).flows > 0 {
-            self.suspect_target(now, incarnation);
-        }
-    }
-
     /// Records an overdue response of a target that another instance reports.
     pub fn record_overdue(&mut self, now: Duration, incarnation: TargetIncarnation) {
         self.overdue.record(now, incarnation);
@@ -355,33 +363,4 @@
     pub fn take_connection_checks(&mut self) -> Vec<SocketAddr> {
         self.health.take_connection_checks()
     }
-
-    fn record_response(
-        &mut self,
-        now: Duration,
-        target: TargetIncarnation,
-        waited: Option<Duration>,
-    ) {
-        if let Some(waited) = waited {
-            histogram!("limpetdeck_answer_seconds").record(waited);
-        }
-        if self.health.record_response(now, target) {
-            self.health_changes.push(HealthChange::Recovered(target.0));
-        }
-    }
-
-    fn record_unanswered(
-        &mut self,
-        now: Duration,
-        target: TargetIncarnation,
-        packet: &FlowPacket,
-        waited: Duration,
-    ) {
-        if self.health.record_unanswered(now, target, packet.flow.id(), waited) {
-            self.health_changes.push(HealthChange::Unresponsive(target.0));
-        }
-        if self.health.has_unanswered(target) {
-            self.suspect_target(now, target);
-        }
-    }
 }
--- a/src/steering/forwarder/eligibility.rs
+++ b/src/steering/forwarder/eligibility.rs
@@ -1,6 +1,5 @@
 //! Which targets may get new flows: not those in drained failure domains.
 
-use std::borrow::Cow;
 use std::time::Duration;
 
 use super::{Forwarder, ResetReason};
@@ -31,24 +30,10 @@
 
     /// Returns whether the target that a flow already had may get its opening packet again.
     pub(super) fn may_get_flow(&self, previous: TargetIncarnation) -> bool {
-        let target = self.targets.get(previous);
+        let target = self.targets.get(previous).filter(|_| !self.targets.is_replaced(previous));
         target.is_some_and(|target| !self.drains.is_drained(&target.failure_domain))
     }
 
-    /// Returns the services that have targets outside drained failure domains, so that a route with
-    /// several of them uses the others. Without drained failure domains, these are all services.
-    pub(super) fn undrained_services<'s>(
-        &self,
-        now: Duration,
-        services: &'s [WeightedService],
-    ) -> Cow<'s, [WeightedService]> {
-        if !self.drains.any() || services.len() == 1 {
-            return Cow::Borrowed(services);
-        }
-        let has_targets = |s: &&WeightedService| self.eligible(now, &s.service).next().is_some();
-        services.iter().filter(has_targets).cloned().collect()
-    }
-
     /// Returns why no target of a route's services can get a flow.
     pub(super) fn no_target_reason(
         &self,
--- a/src/steering/forwarder/opening.rs
+++ b/src/steering/forwarder/opening.rs
@@ -1,11 +1,10 @@
 //! Selection of the target of a new flow.
 
+use std::iter;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::Rng;
-use rand::rngs::SmallRng;
-
 use super::{CandidateList, Forwarder, ResetReason, Verdict};
 use crate::flow::FlowKey;
 use crate::steering::token::TargetIncarnation;
@@ -44,8 +43,8 @@
         }
     }
 
-    /// Selects the target of a new flow, or returns the verdict if there is none. Of two targets with
-    /// equal tokens, the later one gets none.
+    /// Selects the target of a new flow, or returns the verdict if there is none. If the service that
+    /// was picked has none, the other services of the route are tried.
     fn select_for_flow(
         &mut self,
         now: Duration,
@@ -55,18 +54,31 @@
         let state = (self.targets.change_count(), self.routes.version());
         let of_route = services.iter().flat_map(|s| self.targets.of_service(&s.service));
         self.tokens.survey(flow.service, state, of_route);
-        let undrained = self.undrained_services(now, services);
-        let Some(service) = pick_service(&undrained, &mut self.rng) else {
-            return Err(Verdict::Reset(self.no_target_reason(now, services)));
+        let Some(picked) = self.pick_service(now, services) else {
+            return Err(Verdict::Reset(ResetReason::NoTarget));
         };
+        let others = services.iter().map(|s| s.service.as_str()).filter(|&other| other != picked);
+        for service in iter::once(picked).chain(others) {
+            if let Some(chosen) = self.select_usable(now, flow, service) {
+                self.count_opening(now, flow.id(), chosen);
+                return Ok(chosen);
+            }
+        }
+        Err(self.refusal(now, picked, services))
+    }
+
+    /// Selects a target of a service. Of two targets with equal tokens, the later one gets no flow.
+    fn select_usable(
+        &mut self,
+        now: Duration,
+        flow: &FlowKey,
+        service: &str,
+    ) -> Option<TargetIncarnation> {
         let mut excluded = Vec::new();
         loop {
-            let Some(chosen) = self.select_of_service(now, service, &excluded) else {
-                return Err(self.refusal(now, service));
-            };
+            let chosen = self.select_of_service(now, flow.service, service, &excluded)?;
             if self.tokens.is_usable(flow.service, chosen) {
-                self.count_opening(now, flow.id(), chosen);
-                return Ok(chosen);
+                return Some(chosen);
             }
             excluded.push(chosen);
         }
@@ -77,12 +89,14 @@
     fn select_of_service(
         &mut self,
         now: Duration,
+        address: SocketAddrV4,
         service: &str,
         excluded: &[TargetIncarnation],
     ) -> Option<TargetIncarnation> {
         let limit = self.prepare_limit(now, service);
         let local = self.eligible_locally(now, service);
-        let (mut list, _) = self.candidates(now, limit, local, excluded);
+        let (responsive, unresponsive) = self.candidates(now, limit, local, excluded);
+        let mut list = self.steady(now, address, responsive, &unresponsive);
         let slots = list.iter().map(|(_, candidate)| candidate.slots).sum();
         let domain_load = self.domain_load.waiting_per_slot(service, self.local_instances, slots);
         let candidates = |list: &[(_, Candidate)]| -> Vec<_> {
@@ -91,6 +105,7 @@
         if !local_targets_suffice(&candidates(&list), domain_load) {
             let all = self.eligible(now, service);
             let (responsive, unresponsive) = self.candidates(now, limit, all, excluded);
+            let responsive = self.steady(now, address, responsive, &unresponsive);
             // If all seem unresponsive, the cause may be the network rather than the targets.
             list = if responsive.is_empty() { unresponsive } else { responsive };
         }
@@ -118,16 +133,3 @@
         candidates.partition(|&(incarnation, _)| !self.health.is_unresponsive(now, incarnation))
     }
 }
-
-/// Picks a service at random by weight, or `None` if all weights are 0.
-fn pick_service<'a>(services: &'a [WeightedService], rng: &mut SmallRng) -> Option<&'a str> {
-    let total: u32 = services.iter().map(|service| service.weight).sum();
-    let mut drawn = if total == 0 { return None } else { rng.random_range(0..total) };
-    for service in services {
-        if drawn < service.weight {
-            return Some(&service.service);
-        }
-        drawn -= service.weight;
-    }
-    None
-}
--- a/src/steering/forwarder/warm_up.rs
+++ b/src/steering/forwarder/warm_up.rs
@@ -8,7 +8,7 @@
 use super::{DropReason, Forwarder, ResetReason, Verdict};
 use crate::ids::{FlowId, InstanceId};
 use crate::steering::policy::warm_up::InstanceView;
-use crate::steering::{Target, TargetIncarnation, WarmUp};
+use crate::steering::{Target, TargetIncarnation, WarmUp, WeightedService};
 
 /// The cold targets of the local failure domain whose services have a limit.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -142,11 +142,16 @@
         })
     }
 
-    /// Returns the verdict about a caller that gets no target of a service. Until limits are known,
+    /// Returns the verdict about a caller that gets no target; `service` was picked for it. Until limits are known,
     /// it waits if there are cold targets: they may turn out to have no limit.
-    pub(super) fn refusal(&self, now: Duration, service: &str) -> Verdict<'static> {
+    pub(super) fn refusal(
+        &self,
+        now: Duration,
+        service: &str,
+        services: &[WeightedService],
+    ) -> Verdict<'static> {
         let limit = self.routes.warm_up(service);
-        let has_cold = self.targets.eligible(now, service).any(|(target, left)| match limit {
+        let has_cold = self.eligible(now, service).any(|(target, left)| match limit {
             Some(limit) => {
                 !self.warm_up.cold_left(now, limit, &target.failure_domain, left).is_zero()
             }
@@ -155,7 +160,7 @@
         match (has_cold, limit) {
             (true, Some(_)) => Verdict::Reset(ResetReason::ColdTargets),
             (true, None) => Verdict::Drop(DropReason::NotReady),
-            (false, _) => Verdict::Reset(ResetReason::NoTarget),
+            (false, _) => Verdict::Reset(self.no_target_reason(now, services)),
         }
     }
 
--- a/src/steering/policy.rs
+++ b/src/steering/policy.rs
@@ -10,4 +10,6 @@
 pub(super) mod overdue;
 pub(super) mod seen_instances;
 pub(super) mod selection;
+pub(super) mod service_choice;
+pub(super) mod steadiness;
 pub(super) mod warm_up;
