Let targets count as cold once the order to drain their domain is withdrawn

Cause: the opening budget knew nothing of withdrawn orders, so flows returned to a domain before the entries of its targets said that they are cold. Change: a withdrawal known for less than the warm-up makes the domain's targets cold for services with a limit.

--- a/src/steering/domain_drains.rs
+++ b/src/steering/domain_drains.rs
@@ -172,9 +172,10 @@
         !self.in_force.is_empty()
     }
 
-    /// Returns when this instance learned that the last order for a failure domain was withdrawn.
-    pub fn withdrawn_at(&self, domain: &str) -> Option<Duration> {
-        self.withdrawn.get(domain).copied()
+    /// Returns the failure domains whose last order was withdrawn recently, each with the time at
+    /// which this instance learned of it.
+    pub fn withdrawn(&self) -> impl Iterator<Item = (&str, Duration)> {
+        self.withdrawn.iter().map(|(domain, &at)| (domain.as_str(), at))
     }
 
     /// Returns the drained failure domains, with the ages of the orders.
--- a/src/steering/forwarder/warm_up.rs
+++ b/src/steering/forwarder/warm_up.rs
@@ -32,6 +32,13 @@
         self.warm_up.presume_cold(now, domain);
     }
 
+    /// Lets the targets of failure domains whose order to drain was withdrawn count as cold from then.
+    pub(in crate::steering) fn start_warm_ups(&mut self) {
+        for (domain, at) in self.drains.withdrawn() {
+            self.warm_up.presume_cold(at, domain);
+        }
+    }
+
     /// Updates what this instance knows about itself and the other instances.
     pub fn set_instance_view(&mut self, now: Duration, view: InstanceView) {
         self.warm_up.set_view(now, view);
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -257,7 +257,7 @@
                 self.update_peers(now);
             }
             Body::Steering(message) => {
-                let was_ready = self.forwarder.drains.ready();
+                let drains_ready = self.forwarder.drains.ready();
                 let changed =
                     self.gossip.on_message(now, from, message, &mut self.forwarder, &mut outbox);
                 if self.forwarder.routes.version() > routes_before {
@@ -266,7 +266,8 @@
                     self.gossip.note_changes(now, &self.forwarder, since, &mut outbox);
                 }
                 self.enter_era(now, self.forwarder.targets.era(), "peer");
-                if changed || self.forwarder.drains.ready() != was_ready {
+                self.forwarder.start_warm_ups();
+                if changed || self.forwarder.drains.ready() != drains_ready {
                     self.release_queued(now, out);
                 }
             }
--- a/src/steering/node/domain_drains.rs
+++ b/src/steering/node/domain_drains.rs
@@ -27,6 +27,7 @@
             let mut outbox = self.link.outbox(now, out);
             self.gossip.push_domain_drains(&self.forwarder, &mut outbox);
         }
+        self.forwarder.start_warm_ups();
     }
 
     /// Continues without knowing the orders if nobody sends them.
--- a/tests/domain_drains.rs
+++ b/tests/domain_drains.rs
@@ -12,7 +12,8 @@
 use limpetdeck::instance::{Core, Event};
 use limpetdeck::platform::{Call, Position};
 use limpetdeck::steering::{
-    DOMAIN_DRAINS_PREFIX, DomainDrains, Forwarder, Node, ResetReason, Verdict,
+    DOMAIN_DRAINS_PREFIX, DomainDrains, Forwarder, Node, RawRoutes, ResetReason, ServiceWarmUp,
+    Verdict,
 };
 use support::*;
 use world::*;
@@ -90,6 +91,27 @@
     assert!(open_flows(&mut world, 4).contains(&Some(LOCAL)));
 }
 
+/// Flows return to a failure domain before the entries of its targets say that they are cold: instances
+/// that take them for warm send them more flows than they accept.
+#[test]
+fn cold_return() {
+    let mut world = world(&[true; 12]);
+    let limit =
+        ServiceWarmUp { service: STATION.to_owned(), duration_ms: 3_000, flows_per_1000_s: 2_000 };
+    let limited = RawRoutes { warm_ups: vec![limit], ..routes(9, &[STATION]) };
+    world.store.put_routes(&limited);
+    world.run_until(Duration::from_secs(5), |node| node.forwarder().routes.version() == 9);
+    world.store.drain(LOCAL);
+    world.run_until(ms(500), drains(LOCAL));
+    world.store.withdraw(LOCAL);
+    world.run_until(ms(500), |node| !drains(LOCAL)(node));
+    let openings = (0..12).flat_map(|i| open_flows(&mut world, i));
+    let local = openings.filter(|domain| *domain == Some(LOCAL)).count();
+    assert!(local <= 4 * 2, "{local} openings at once to four targets that accept two a second");
+    world.run(Duration::from_secs(4));
+    assert!(open_flows(&mut world, 0).contains(&Some(LOCAL)));
+}
+
 /// A repeated opening packet does not go to the target that its flow got before the order.
 #[test]
 fn repeated_opening() {
@@ -142,7 +164,7 @@
     assert_eq!(forwarder.drains.drained(ms(1)).len(), 3);
     order(&mut forwarder, &[REMOTE, "gt-norte"]);
     assert!(place(&mut forwarder, ms(1), &opening(8, 1)).0 < 10);
-    assert_eq!(forwarder.drains.withdrawn_at(LOCAL), Some(ms(0)));
+    assert_eq!(forwarder.drains.withdrawn().collect::<Vec<_>>(), [(LOCAL, ms(0))]);
 }
 
 /// A route with two services uses the one that has targets outside the drained failure domain.
