limpetdeck-lab limit: best possible result of a burst

Cause: admission control has to be judged against what slots and deadlines permit, and so far nothing computed that bound for several classes.

Conclusion: a bound for any scheduling; what an instance without knowledge of the future reaches is lower.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod emulator;
 pub mod fabric;
 pub mod fuzz;
+pub mod limit;
 pub mod measure;
 pub mod place;
 pub mod platform;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -4,7 +4,8 @@
 
 use limpetdeck_lab::arguments::{Args, CommandError};
 use limpetdeck_lab::{
-    account, caller, fabric, fuzz, measure, place, platform, report, result, slopes, soak, target,
+    account, caller, fabric, fuzz, limit, measure, place, platform, report, result, slopes, soak,
+    target,
 };
 
 /// Text for `--help`.
@@ -26,6 +27,7 @@
   place      compares target selection policies under load, in virtual time
   soak       runs real instances under injected faults and checks the promises
   account    says from the bench's reports where the credit of a day was lost
+  limit      computes the best possible result of a burst of requests
   report     measures policies under faults in each deployment, and writes a page
 
   COMMAND --help    arguments of a command
@@ -46,6 +48,7 @@
         Some("place") => place::main(args),
         Some("soak") => soak::main(args),
         Some("account") => account::main(args),
+        Some("limit") => limit::main(args),
         Some("report") => report::main(args),
         _ if args.flag("--version") => {
             println!("limpetdeck-lab {}", env!("CARGO_PKG_VERSION"));
