--- a/src/steering/gossip.rs
+++ b/src/steering/gossip.rs
@@ -7,6 +7,7 @@
 
 mod changes;
 mod dedup;
+mod domain_drains;
 mod listing;
 mod removed;
 mod route_changes;
@@ -79,6 +80,7 @@
     peers: Peers,
     next_digest: Duration,
     next_push: Duration,
+    next_drains_request: Duration,
     /// Position after which changes are still to be pushed.
     unpushed: Option<Position>,
     route_changes: RouteChanges,
@@ -99,6 +101,7 @@
             peers: Peers::default(),
             next_digest: Duration::ZERO,
             next_push: Duration::ZERO,
+            next_drains_request: Duration::ZERO,
             unpushed: None,
             route_changes: RouteChanges::default(),
             route_transfer: RouteTransfer::default(),
@@ -225,8 +228,10 @@
             let known = digest(forwarder);
             for to in self.digest_peers() {
                 send(to, Message::Digest { known, wants_reply: !forwarder.ready() }, out);
+                domain_drains::remind(to, forwarder, out);
             }
         }
+        self.request_domain_drains(now, forwarder, out);
         self.push(now, forwarder, out);
         self.push_routes(now, forwarder, out);
         self.request_removed(now, forwarder, out);
@@ -312,6 +317,10 @@
                 self.route_changes.on_announced(now, version, forwarder, peers, rng, out);
                 false
             }
+            Message::DomainDrains { snapshot, wants_reply } => {
+                self.on_domain_drains(now, from, snapshot, wants_reply, forwarder, out);
+                false
+            }
         }
     }
 
@@ -374,7 +383,8 @@
         | Message::PullChanges { .. }
         | Message::PullRouteChange { .. }
         | Message::RouteChange(_)
-        | Message::NewRoutes { .. } => Class::Liveness,
+        | Message::NewRoutes { .. }
+        | Message::DomainDrains { .. } => Class::Liveness,
         // A lost announcement costs only a few flows.
         Message::Overdue(_) => Class::Lists,
         Message::PullRemoved { .. }
