soak: orders to drain failure domains, cold servers, and an earlier release beside

They are withdrawn by removal, or are marked as being deleted first. The generator of the orders is separate, so a seed keeps its other faults. The drill domain-drain puts an order in the middle of two kills of all instances, a partition, an outage of the store with kills, and a restore from a copy without the order. Promises: domain_drain (no opening reaches a drained domain later than 5 s after the order from an instance that the store has answered for 5 s; just started instances are included), domain_returns (each domain has new flows again at the end) and cold_limit (openings of a cold server in a sliding second). The store emulator serves objects that are marked as being deleted.

--- a/lab/src/emulator/fleet.rs
+++ b/lab/src/emulator/fleet.rs
@@ -50,6 +50,8 @@
     hosts: Vec<Host>,
     /// Times of the last and the next heartbeat of each server, by key and incarnation.
     heartbeats: HashMap<(TargetKey, u64), (Duration, Duration)>,
+    /// Time for which a server is cold after its start, except at the start of the run.
+    cold_start: Duration,
     /// Servers to be started, with the time.
     restarts: Vec<(Duration, RawTarget)>,
     next_key: TargetKey,
@@ -71,6 +73,7 @@
             servers: Vec::new(),
             hosts,
             heartbeats: HashMap::default(),
+            cold_start: Duration::ZERO,
             restarts: Vec::new(),
             next_key: 0x10,
             ex,
@@ -86,6 +89,30 @@
         fleet
     }
 
+    /// Sets the time for which servers that start from now on are cold.
+    pub fn set_cold_start(&mut self, time: Duration) {
+        self.cold_start = time;
+    }
+
+    /// Makes all servers of a failure domain cold, as after a time without requests.
+    pub fn cool_domain(&mut self, now: Duration, domain: &str) {
+        let time = self.cold_start;
+        for server in self.servers.iter_mut().filter(|s| s.entry.failure_domain == domain) {
+            server.cold_until = now + time;
+            if let Some((_, next)) =
+                self.heartbeats.get_mut(&(server.entry.key, server.entry.incarnation))
+            {
+                *next = now;
+            }
+        }
+    }
+
+    fn start(&mut self, now: Duration, entry: RawTarget) {
+        let mut server = Server::new(now, entry, fork_rng(&mut self.rng));
+        server.cold_until = now + self.cold_start;
+        self.servers.push(server);
+    }
+
     /// Starts a server at a free address.
     pub fn add(&mut self, now: Duration, service: &str, domain: &str) {
         let taken = |host: &Host| self.servers.iter().any(|s| s.is_at(host.address));
@@ -107,8 +134,7 @@
             state: TargetState::Ready,
             cold_ms: 0,
         };
-        let rng = fork_rng(&mut self.rng);
-        self.servers.push(Server::new(now, entry, rng));
+        self.start(now, entry);
     }
 
     /// Returns the server at an address, unless it has ended.
@@ -204,8 +230,7 @@
                 continue;
             }
             let incarnation = EPOCH_MS + now.as_millis() as u64;
-            let rng = fork_rng(&mut self.rng);
-            self.servers.push(Server::new(now, RawTarget { incarnation, ..entry }, rng));
+            self.start(now, RawTarget { incarnation, ..entry });
         }
     }
 
@@ -218,7 +243,7 @@
             let (last, next) = self.heartbeats.entry(id).or_insert(first);
             if !down && server.is_running() && (!known || now >= *next) {
                 (*last, *next) = (now, now + HEARTBEAT_INTERVAL);
-                let value = target_entry(&server.entry, server.entry_sequence);
+                let value = target_entry(&server.current_entry(now), server.entry_sequence);
                 store.borrow_mut().put(&object_name(server.entry.key), value);
             }
             let expired = now >= *last + ENTRY_TTL;
--- a/lab/src/emulator/server.rs
+++ b/lab/src/emulator/server.rs
@@ -74,6 +74,8 @@
     pub draining_since: Option<Duration>,
     /// End of the last fault that hit the server; may lie in the future.
     pub last_fault: Duration,
+    /// Time until which the server is cold.
+    pub cold_until: Duration,
     flows: HashMap<FlowKey, Flow>,
     ended_flows: HashSet<FlowKey>,
     running: Vec<(Duration, Request)>,
@@ -90,6 +92,7 @@
             run_state: RunState::Running,
             draining_since: None,
             last_fault: now,
+            cold_until: Duration::ZERO,
             flows: HashMap::default(),
             ended_flows: HashSet::default(),
             running: Vec::new(),
@@ -113,6 +116,12 @@
         self.flows.get(&flow_key).is_some_and(|flow| flow.stream.is_some())
     }
 
+    /// Returns the entry with the time for which the server is still cold.
+    pub fn current_entry(&self, now: Duration) -> RawTarget {
+        let cold_ms = self.cold_until.saturating_sub(now).as_millis() as u64;
+        RawTarget { cold_ms, ..self.entry.clone() }
+    }
+
     /// Puts the server into the draining state.
     pub fn drain(&mut self, now: Duration) {
         self.entry.state = TargetState::Draining;
--- a/lab/src/emulator/store.rs
+++ b/lab/src/emulator/store.rs
@@ -4,11 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use limpetdeck::hash::HashSet;
 use limpetdeck::http::{HandlerFuture, Request, Response};
 use limpetdeck::platform::{Era, Object, Revision};
 use limpetdeck_platform::emulator::{
-    StoreCall, conflict_response, decode_call, events_response, object_response, page_response,
-    status_response, with_era,
+    MarkedObject, StoreCall, conflict_response, decode_call, events_response, object_response,
+    page_response, status_response, with_era,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -41,15 +42,23 @@
     WritesLate(Duration),
 }
 
+/// What the store holds.
+#[derive(Debug, Clone, Default)]
+struct Contents {
+    objects: Store,
+    /// Names of the objects whose removal has begun.
+    deleting: HashSet<String>,
+}
+
 /// The emulated store.
 #[derive(Debug)]
 pub struct ObjectStore {
-    objects: Store,
+    contents: Contents,
     /// Revision of the last compaction; earlier changes are no longer available.
     compacted_revision: Revision,
     /// Number of restores from a copy.
     era: Era,
-    copy: Option<Store>,
+    copy: Option<Contents>,
     /// Mode for the calls of each instance. Writes by the operator and the servers bypass the
     /// modes.
     modes: Vec<StoreMode>,
@@ -62,7 +71,7 @@
     /// Creates an empty store for a number of instances.
     pub fn new(instances: usize) -> Self {
         let modes = vec![StoreMode::Well; instances];
-        Self { objects: Store::default(), compacted_revision: 0, era: 0, copy: None, modes }
+        Self { contents: Contents::default(), compacted_revision: 0, era: 0, copy: None, modes }
     }
 
     /// Sets the mode for the calls of an instance.
@@ -70,6 +79,11 @@
         self.modes[instance] = mode;
     }
 
+    /// Returns the mode for the calls of an instance.
+    pub fn mode(&self, instance: usize) -> StoreMode {
+        self.modes[instance]
+    }
+
     /// Returns whether all instances are in [`StoreMode::Silent`].
     pub fn is_down(&self) -> bool {
         self.modes.iter().all(|mode| *mode == StoreMode::Silent)
@@ -77,61 +91,87 @@
 
     /// Compacts the history: watches from earlier revisions get status 410.
     pub fn compact(&mut self) {
-        self.compacted_revision = self.objects.revision();
+        self.compacted_revision = self.contents.objects.revision();
     }
 
     /// Copies all objects, for a later restore.
     pub fn take_copy(&mut self) {
-        self.copy = Some(self.objects.clone());
+        self.copy = Some(self.contents.clone());
     }
 
     /// Replaces all objects by the copy, if there is one. Later writes get revisions that were
     /// given out before, and no watch can continue from a revision that the copy does not have.
     pub fn restore_copy(&mut self) {
         if let Some(copy) = self.copy.take() {
-            self.objects = copy;
+            self.contents = copy;
             self.era += 1;
         }
     }
 
     /// Writes an object. An equal value does not change its revision.
     pub fn put(&mut self, name: &str, value: Value) {
-        if self.objects.get(name).is_some_and(|current| current.value == value) {
-            return;
+        let unmarked = self.contents.deleting.remove(name);
+        let current = self.contents.objects.get(name);
+        if unmarked || current.is_none_or(|current| current.value != value) {
+            self.write_value(name, value);
         }
-        if let Err(e) = self.objects.put(name, None, value) {
+    }
+
+    /// Marks an object as being deleted, as the platform does before it removes the object.
+    pub fn mark_deleting(&mut self, name: &str) {
+        let current = self.contents.objects.get(name);
+        if let Some(value) = current.map(|current| current.value.clone()) {
+            self.contents.deleting.insert(name.to_owned());
+            self.write_value(name, value);
+        }
+    }
+
+    /// Returns whether an object exists and its removal has not begun.
+    pub fn has(&self, name: &str) -> bool {
+        self.contents.objects.get(name).is_some() && !self.contents.deleting.contains(name)
+    }
+
+    fn write_value(&mut self, name: &str, value: Value) {
+        if let Err(e) = self.contents.objects.put(name, None, value) {
             log::error!(name = name, problem = format!("{e:?}").as_str(); "object_unwritten");
         }
     }
 
     /// Deletes an object, if it exists.
     pub fn remove(&mut self, name: &str) {
-        if self.objects.get(name).is_some() {
+        if self.contents.objects.get(name).is_some() {
             self.put(name, Value::Null);
         }
     }
 
     fn object(&self, name: &str) -> Option<Object> {
-        let revision = self.objects.revision_of(name)?;
-        let current = self.objects.get(name)?;
+        let revision = self.contents.objects.revision_of(name)?;
+        let current = self.contents.objects.get(name)?;
         Some(Object { version: revision, ..current.clone() })
     }
 
-    fn changes_since(&self, prefix: &str, after: Revision) -> Vec<Object> {
-        let mut changed = self.objects.changed_since(prefix, after).objects;
+    fn marked(&self, object: Object) -> MarkedObject {
+        let deleting = self.contents.deleting.contains(&object.name);
+        (object, deleting)
+    }
+
+    fn changes_since(&self, prefix: &str, after: Revision) -> Vec<MarkedObject> {
+        let objects = &self.contents.objects;
+        let mut changed = objects.changed_since(prefix, after).objects;
         for object in &mut changed {
-            object.version = self.objects.revision_of(&object.name).unwrap_or(after);
+            object.version = objects.revision_of(&object.name).unwrap_or(after);
         }
         changed.sort_by_key(|object| object.version);
-        changed
+        changed.into_iter().map(|object| self.marked(object)).collect()
     }
 
     fn list(&self, prefix: &str, after: &str) -> Response {
-        let mut rest = self.objects.list(prefix).objects;
+        let mut rest = self.contents.objects.list(prefix).objects;
         rest.retain(|object| object.name.as_str() > after);
         let more = rest.len() > PAGE_OBJECTS;
         let listed = rest.into_iter().take(PAGE_OBJECTS).filter_map(|o| self.object(&o.name));
-        page_response(&listed.collect::<Vec<_>>(), more, self.objects.revision())
+        let listed: Vec<_> = listed.map(|object| self.marked(object)).collect();
+        page_response(&listed, more, self.contents.objects.revision())
     }
 
     fn write(&mut self, name: &str, if_revision: Option<Revision>, value: Value) -> Response {
@@ -221,12 +261,12 @@
             if store.era != era {
                 return with_era(status_response(503), store.era);
             }
-            if after < store.compacted_revision || after > store.objects.revision() {
+            if after < store.compacted_revision || after > store.contents.objects.revision() {
                 return with_era(status_response(410), era);
             }
             let changes = store.changes_since(prefix, after);
             if !changes.is_empty() || remaining.is_zero() {
-                return with_era(events_response(&changes, store.objects.revision()), era);
+                return with_era(events_response(&changes, store.contents.objects.revision()), era);
             }
         }
         smol::Timer::after(WATCH_POLL_INTERVAL).await;
--- a/lab/src/soak.rs
+++ b/lab/src/soak.rs
@@ -5,6 +5,9 @@
 
 mod addresses;
 mod checks;
+mod cold_targets;
+mod domain_checks;
+mod domain_orders;
 mod environment;
 mod faults;
 mod instances;
@@ -49,13 +52,19 @@
 /// Text for `soak --help`.
 const HELP: &str = "\
 usage: limpetdeck-lab soak --seed N [--minutes M] [--instances N] [--node FILE]
+                           [--earlier-node FILE] [--cold-limit N]
                            [--drill NAME] [--report FILE] [--keep]
 
   --seed N        seed of the random numbers; determines the faults
   --minutes M     length of the run (default 2)
   --instances N   instances in three failure domains (default 9)
   --node FILE     program to run (default limpetdeck-node next to this program)
-  --drill NAME    one kind of fault instead of all: restore
+  --earlier-node FILE
+                  program of an earlier release, run as every third instance
+  --cold-limit N  new flows per second that a server bears while it is cold, which it is after a
+                  start and after its failure domain was drained (default 0: no limit)
+  --drill NAME    one kind of fault instead of all: restore, or domain-drain (orders to drain a
+                  failure domain, each in the middle of another fault)
   --report FILE   write an HTML report with a plot
   --keep          keep the logs even if no promise was broken
 
@@ -85,13 +94,23 @@
 /// Size of the receive buffer.
 const MAX_DATAGRAM_BYTES: usize = 65_536;
 
+/// Which faults a run has.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Drill {
+    All,
+    Restore,
+    DomainDrain,
+}
+
 #[derive(Debug)]
 struct Options {
     seed: u64,
     length: Duration,
     instances: usize,
     node: PathBuf,
-    restore_drill: bool,
+    earlier_node: Option<PathBuf>,
+    cold_limit: f64,
+    drill: Drill,
     report: Option<PathBuf>,
     keep: bool,
 }
@@ -101,13 +120,18 @@
         let minutes: f64 = args.value_or("--minutes", 2.0)?;
         let default_node =
             std::env::current_exe().map_err(CommandError::new)?.with_file_name("limpetdeck-node");
-        let restore_drill = match args.value_or("--drill", String::new())?.as_str() {
-            "" => false,
-            "restore" => true,
+        let drill = match args.value_or("--drill", String::new())?.as_str() {
+            "" => Drill::All,
+            "restore" => Drill::Restore,
+            "domain-drain" => Drill::DomainDrain,
             other => return Err(CommandError::new(format!("--drill {other} is not known"))),
         };
         let options = Self {
-            restore_drill,
+            drill,
+            earlier_node: args
+                .value_or("--earlier-node", String::new())
+                .map(|f| (!f.is_empty()).then(|| f.into()))?,
+            cold_limit: args.value_or("--cold-limit", 0.0)?,
             seed: args.value("--seed")?,
             length: Duration::from_secs_f64(minutes.clamp(MIN_MINUTES, 600.0) * 60.0),
             instances: args.value_or("--instances", 9)?,
@@ -153,8 +177,17 @@
 async fn run(ex: Rc<LocalExecutor<'static>>, options: &Options, dir: &Path) -> io::Result<bool> {
     fs::create_dir_all(dir)?;
     let mut rng = SmallRng::seed_from_u64(options.seed);
-    let generate = if options.restore_drill { plan::restore_drill } else { plan::schedule };
-    let schedule = generate(options.length, &mut fork_rng(&mut rng));
+    let generate = match options.drill {
+        Drill::All => plan::schedule,
+        Drill::Restore => plan::restore_drill,
+        Drill::DomainDrain => plan::domain_drill,
+    };
+    let mut schedule = generate(options.length, &mut fork_rng(&mut rng));
+    if options.drill == Drill::All {
+        // A generator of their own, so that a seed keeps the faults that it had before.
+        let mut rng = SmallRng::seed_from_u64(!options.seed);
+        schedule.extend(plan::domain_orders(options.length, &mut rng));
+    }
     let env = start_environment(&ex, options, dir, &mut rng).await?;
     let mut faults = FaultInjector::new(schedule.clone(), fork_rng(&mut rng));
     let completed = run_until_stopped(options, &env, &mut faults).await;
@@ -249,6 +282,7 @@
         network: Network::new(fork_rng(rng)),
         socket,
         addresses,
+        cold_flows_per_s: options.cold_limit,
     })));
     for (at, socket) in sockets {
         ex.spawn(receive(Rc::clone(&env), at, socket)).detach();
@@ -269,9 +303,12 @@
         store_address: addresses.store_proxy(i),
         seeds: (0..3).map(|seed| addresses.peer_proxy(seed)).collect(),
         grace: Duration::from_secs(6),
-        domain_drains: false,
+        domain_drains: true,
     };
-    Instance::new(&options.node, dir, domain, settings, addresses.peer_proxy(i))
+    // Every third one after the first of each domain, so that each domain has both releases.
+    let earlier = options.earlier_node.as_ref().filter(|_| i / DOMAINS.len() % 3 == 1);
+    let program = earlier.unwrap_or(&options.node);
+    Instance::new(program, dir, domain, settings, addresses.peer_proxy(i), earlier.is_some())
 }
 
 fn callers(addresses: &Addresses, rng: &mut SmallRng) -> Vec<Caller> {
@@ -341,6 +378,7 @@
         let seen = format!("served={} failed={}", counts.served, counts.failed);
         env.checks.record(length, "recovery", seen, None);
     }
+    env.check_domains_returned(length, RECOVERY_SAMPLE_TIME);
 }
 
 /// Prints the violations and the summary. Returns whether there was no violation.
@@ -359,7 +397,8 @@
     let counts = env.checks.counts;
     let summary = format!(
         "result={} seed={} seconds={} instances={} starts={} faults={} served={} refused={} \
-         failed={} openings={} changes_tested={} drains_tested={} sales={} not_run={} \
+         failed={} openings={} changes_tested={} drains_tested={} \
+         orders_tested={} cold_most={} sales={} not_run={} \
          most_memory_kb={} most_descriptors={} driver_lag_ms={} violations={}",
         if kept { "ok" } else { "broken" },
         options.seed,
@@ -373,6 +412,8 @@
         counts.openings,
         counts.changes,
         counts.drains,
+        counts.orders,
+        env.cold_targets.most,
         counts.sales,
         counts.not_executed,
         env.peak.0,
--- a/lab/src/soak/checks.rs
+++ b/lab/src/soak/checks.rs
@@ -71,6 +71,8 @@
     pub changes: u64,
     /// Opening packets checked against drains that had to be known.
     pub drains: u64,
+    /// Opening packets from instances that had to obey an order to drain a failure domain.
+    pub orders: u64,
     /// Sales that were executed.
     pub sales: u64,
     /// Requests that a server reported as not executed.
--- a/lab/src/soak/environment.rs
+++ b/lab/src/soak/environment.rs
@@ -15,6 +15,9 @@
 
 use super::addresses::Addresses;
 use super::checks::{Checks, Opening, REQUIRED_FLOW_LIFETIME};
+use super::cold_targets::{COLD_START, ColdTargets};
+use super::domain_checks::warm_ups;
+use super::domain_orders::DomainOrders;
 use super::instances::Instance;
 use super::proxy::SharedLinkMode;
 use super::tally::{Outcome, Tally};
@@ -86,6 +89,14 @@
     pub entries_expire: bool,
     /// End of the last fault other than maintenance, of any component.
     pub last_fault: Duration,
+    /// Orders to drain failure domains.
+    pub orders: DomainOrders,
+    /// Check of the limit on new flows to cold servers.
+    pub cold_targets: ColdTargets,
+    /// Time since which each instance has been in contact with the store.
+    pub contact_since: Vec<Duration>,
+    /// Time of the last opening that reached a server of each failure domain.
+    pub last_openings: [Duration; DOMAINS.len()],
     /// Checks of the promises.
     pub checks: Checks,
     /// Request outcomes.
@@ -120,6 +131,8 @@
     pub network: Network<Datagram>,
     /// Socket that sends datagrams to the instances.
     pub socket: Arc<Async<UdpSocket>>,
+    /// New flows per second that a cold server bears; 0 if no limit is announced.
+    pub cold_flows_per_s: f64,
 }
 
 impl Environment {
@@ -127,6 +140,7 @@
     pub fn new(parts: Parts) -> Self {
         let mut environment = Self {
             now: Duration::ZERO,
+            contact_since: vec![Duration::ZERO; parts.instances.len()],
             router: Router::new(parts.instances.iter().map(|instance| instance.domain)),
             instances: parts.instances,
             fleet: parts.fleet,
@@ -138,6 +152,9 @@
             partitions: Vec::new(),
             entries_expire: false,
             last_fault: Duration::ZERO,
+            orders: DomainOrders::default(),
+            cold_targets: ColdTargets::new(parts.cold_flows_per_s),
+            last_openings: [Duration::ZERO; DOMAINS.len()],
             checks: Checks::default(),
             tally: Tally::default(),
             max_lag: Duration::ZERO,
@@ -147,6 +164,10 @@
             opened: HashMap::default(),
             next_resource_check: Duration::ZERO,
         };
+        if parts.cold_flows_per_s > 0.0 {
+            environment.fleet.set_cold_start(COLD_START);
+            environment.routes.warm_ups = warm_ups(parts.cold_flows_per_s);
+        }
         environment.write_routes();
         environment
     }
@@ -184,6 +205,7 @@
             self.last_fault = self.last_fault.max(now);
         }
         self.tick_instances()?;
+        self.record_contact();
         for datagram in self.network.arrived(now) {
             self.deliver(datagram);
         }
@@ -357,6 +379,7 @@
 
     fn check_opening(&mut self, i: usize, instance: Option<usize>, flow: FlowKey) {
         let Some(instance) = instance else { return };
+        self.check_domain(i, instance, flow);
         let sent = self.opened.get(&flow).copied().unwrap_or(self.now);
         let server = &self.fleet.servers[i];
         let opening = Opening {
--- a/lab/src/soak/faults.rs
+++ b/lab/src/soak/faults.rs
@@ -6,7 +6,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::{IndexedRandom, IteratorRandom};
 
-use super::environment::{Environment, Partition};
+use super::environment::{DOMAINS, Environment, Partition};
 use super::plan::{Fault, ScheduledFault};
 use super::proxy::LinkMode;
 use crate::emulator::network::Impairment;
@@ -19,6 +19,11 @@
 /// Longest time after a restore of the store until the operator writes again.
 const MAX_REWRITE_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Time after which an order that was marked as being deleted is removed.
+const MARKED_TIME: Duration = Duration::from_millis(800);
+/// Time until the next attempt to withdraw an order from a store that is down.
+const ORDER_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
 /// A fault to be reverted later.
 #[derive(Debug, Clone)]
 enum Undo {
@@ -29,6 +34,19 @@
     Link(Vec<usize>),
     Partition(usize),
     Impairment,
+    /// The order to drain the domain, and whether it is marked before it is removed.
+    DomainOrder(usize, bool),
+    MarkedOrders,
+}
+
+impl Undo {
+    /// Returns whether no bound is suspended until this is done.
+    fn is_harmless(&self) -> bool {
+        matches!(
+            self,
+            Self::Impairment | Self::Restore | Self::DomainOrder(..) | Self::MarkedOrders
+        )
+    }
 }
 
 /// The faults of a run that are still to be injected or reverted.
@@ -54,7 +72,7 @@
             std::mem::take(&mut self.undos).into_iter().partition(|(at, _)| now >= *at);
         self.undos = rest;
         for (_, undo) in due {
-            revert(env, &undo);
+            self.revert(env, &undo);
         }
         while let Some(scheduled) = self.schedule.pop_if(|scheduled| now >= scheduled.at) {
             log::info!(
@@ -65,7 +83,7 @@
             );
             self.inject(env, scheduled);
         }
-        if !self.undos.iter().all(|(_, undo)| matches!(undo, Undo::Impairment | Undo::Restore))
+        if !self.undos.iter().all(|(_, undo)| undo.is_harmless())
             || env.network.impairment != Impairment::default()
         {
             env.last_fault = now;
@@ -131,6 +149,11 @@
                 env.set_impairment(Impairment { loss, duplication: doubled, max_delay: delay });
                 self.undos.push((until, Undo::Impairment));
             }
+            Fault::DrainDomain { domain, marked } => {
+                if env.orders.give(now, domain, &mut env.store.borrow_mut()) {
+                    self.undos.push((until, Undo::DomainOrder(domain, marked)));
+                }
+            }
             Fault::Crash => env.fleet.crash(now),
             Fault::Restart => env.fleet.restart(now),
             Fault::FreezeServer => {
@@ -162,6 +185,16 @@
         }
     }
 
+    fn revert(&mut self, env: &mut Environment, undo: &Undo) {
+        let &Undo::DomainOrder(domain, marked) = undo else { return revert(env, undo) };
+        if env.store.borrow().is_down() {
+            return self.undos.push((env.now + ORDER_RETRY_INTERVAL, undo.clone()));
+        }
+        env.orders.withdraw(domain, marked, &mut env.store.borrow_mut());
+        env.fleet.cool_domain(env.now, DOMAINS[domain]);
+        self.undos.push((env.now + MARKED_TIME, Undo::MarkedOrders));
+    }
+
     /// Picks a random share of the instances, at least one.
     fn random_instances(&mut self, env: &Environment, share: f64) -> Vec<usize> {
         let total = env.instances.len();
@@ -194,8 +227,19 @@
     match undo {
         Undo::Store(instances) => set_store(env, instances, StoreMode::Well),
         Undo::EntryExpiry => env.entries_expire = false,
-        Undo::Restore => env.store.borrow_mut().restore_copy(),
-        Undo::Rewrite => env.write_routes_again(),
+        Undo::Restore => {
+            env.store.borrow_mut().restore_copy();
+            env.orders.record_restore(env.now, &env.store.borrow());
+        }
+        Undo::Rewrite => {
+            env.write_routes_again();
+            env.orders.write_again(env.now, &mut env.store.borrow_mut());
+        }
+        // Withdrawn in `FaultInjector::revert`.
+        Undo::DomainOrder(..) => return,
+        Undo::MarkedOrders => {
+            return env.orders.remove_marked(&mut env.store.borrow_mut());
+        }
         Undo::Link(instances) => instances.iter().for_each(|&i| env.links[i].set(LinkMode::Whole)),
         Undo::Partition(domain) => {
             if let Some(i) = env.partitions.iter().position(|partition| partition.domain == *domain)
--- a/lab/src/soak/instances.rs
+++ b/lab/src/soak/instances.rs
@@ -43,7 +43,10 @@
     pub starts: u32,
     /// End of the last fault that hit the instance; may lie in the future.
     pub last_fault: Duration,
-    started_at: Duration,
+    /// Time of the last start.
+    pub started_at: Duration,
+    /// Whether the program is an earlier release, which knows no orders to drain failure domains.
+    pub earlier_release: bool,
     /// File with the output of the process.
     pub log_path: PathBuf,
     announce_address: SocketAddr,
@@ -61,6 +64,7 @@
         domain: usize,
         settings: NodeSettings,
         announce_address: SocketAddr,
+        earlier_release: bool,
     ) -> Self {
         let name = settings.packet_address.ip();
         Self {
@@ -69,6 +73,7 @@
             starts: 0,
             last_fault: Duration::ZERO,
             started_at: Duration::ZERO,
+            earlier_release,
             log_path: dir.join(format!("{name}.log")),
             announce_address,
             program: program.to_owned(),
@@ -83,6 +88,11 @@
         self.state == State::Running
     }
 
+    /// Returns whether the process is paused.
+    pub fn is_paused(&self) -> bool {
+        matches!(self.state, State::Paused(_))
+    }
+
     /// Writes the settings file atomically.
     ///
     /// # Errors
--- a/lab/src/soak/plan.rs
+++ b/lab/src/soak/plan.rs
@@ -5,6 +5,7 @@
 
 use rand::Rng;
 use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
 
 use super::proxy::{LinkMode, random_link_mode};
 use crate::emulator::store::StoreMode;
@@ -27,6 +28,11 @@
 const DRAINS_AFTER_RESTORE: Range<Duration> =
     Duration::from_millis(1_500)..Duration::from_millis(5_000);
 
+/// Time for which an order of a drill is in force: 3 s longer than it may take to be obeyed.
+const DRILL_ORDER: Duration = Duration::from_secs(8);
+/// Time between two orders of a drill.
+const DRILL_ROUND: Duration = Duration::from_secs(9);
+
 /// A kind of fault or maintenance. The names go to the log through `Debug`.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Fault {
@@ -85,6 +91,13 @@
         /// Maximum delay.
         delay: Duration,
     },
+    /// The operator orders a failure domain to be drained, and withdraws the order.
+    DrainDomain {
+        /// Index of the domain.
+        domain: usize,
+        /// Whether the order is marked as being deleted before it is removed.
+        marked: bool,
+    },
     /// A server crashes, and a server of a random service takes over its address.
     Crash,
     /// A server crashes and restarts with the same key.
@@ -96,7 +109,14 @@
 impl Fault {
     /// Returns whether this is planned maintenance, which must not break open flows.
     pub fn is_maintenance(self) -> bool {
-        matches!(self, Self::Roll | Self::Reload { .. } | Self::Routes { .. } | Self::Drain)
+        matches!(
+            self,
+            Self::Roll
+                | Self::Reload { .. }
+                | Self::Routes { .. }
+                | Self::Drain
+                | Self::DrainDomain { .. }
+        )
     }
 
     /// Returns the name used in logs and in the report.
@@ -115,6 +135,7 @@
             Self::Link { .. } => "link",
             Self::Cut { .. } => "cut",
             Self::Weather { .. } => "weather",
+            Self::DrainDomain { .. } => "drain-domain",
             Self::Crash => "crash",
             Self::Restart => "restart",
             Self::FreezeServer => "freeze-server",
@@ -168,6 +189,65 @@
     faults
 }
 
+/// Generates orders to drain a failure domain. Most are in force for longer than the time within
+/// which they have to be obeyed, and they overlap at times.
+pub fn domain_orders(length: Duration, rng: &mut SmallRng) -> Vec<ScheduledFault> {
+    let end = length.saturating_sub(RECOVERY_TIME + RECOVERY_SAMPLE_TIME);
+    let mut orders = Vec::new();
+    let mut at = STARTUP_TIME;
+    while at < end {
+        let duration = Duration::from_millis(rng.random_range(3_000..14_000)).min(end - at);
+        orders.push(drain_domain(at, duration, rng));
+        at += Duration::from_millis(rng.random_range(6_000..16_000));
+    }
+    orders
+}
+
+fn drain_domain(at: Duration, duration: Duration, rng: &mut SmallRng) -> ScheduledFault {
+    let fault = Fault::DrainDomain { domain: rng.random_range(0..3), marked: rng.random() };
+    ScheduledFault { at, duration, fault }
+}
+
+/// Generates orders to drain a failure domain, each in the middle of one other fault: all instances
+/// are killed, a partition, an outage of the store with kills, or a restore of the store from a copy
+/// without the order.
+pub fn domain_drill(length: Duration, rng: &mut SmallRng) -> Vec<ScheduledFault> {
+    let end = length.saturating_sub(RECOVERY_TIME + RECOVERY_SAMPLE_TIME);
+    let seconds = Duration::from_secs_f64;
+    let mut faults = Vec::new();
+    let mut kinds = [0, 1, 2, 3];
+    let (mut at, mut round) = (STARTUP_TIME, 0);
+    while at + DRILL_ROUND <= end {
+        if round % kinds.len() == 0 {
+            kinds.shuffle(rng);
+        }
+        faults.push(drain_domain(at + seconds(0.5), DRILL_ORDER, rng));
+        // Each fault with its start in the round and its duration, in seconds.
+        let beside: &[(f64, f64, Fault)] = match kinds[round % kinds.len()] {
+            0 => &[
+                (rng.random_range(0.5..2.0), 0.0, Fault::Kill { share: 1.0 }),
+                (6.0, 0.0, Fault::Kill { share: 1.0 }),
+            ],
+            1 => &[(rng.random_range(0.0..1.5), 7.0, Fault::Cut { one_way: rng.random() })],
+            2 => &[
+                (0.6, 1.0, Fault::Store { mode: StoreMode::Silent, share: 1.0 }),
+                (1.0, 0.0, Fault::Kill { share: 0.4 }),
+            ],
+            _ => &[
+                (0.0, 6.0, Fault::Restore),
+                (rng.random_range(1.0..8.0), 0.0, Fault::Kill { share: 0.4 }),
+            ],
+        };
+        for &(start, time, fault) in beside {
+            let (at, duration) = (at + seconds(start), seconds(time));
+            faults.push(ScheduledFault { at, duration, fault });
+        }
+        at += DRILL_ROUND;
+        round += 1;
+    }
+    faults
+}
+
 /// Generates the faults of a run of the given length.
 pub fn schedule(length: Duration, rng: &mut SmallRng) -> Vec<ScheduledFault> {
     let end = length.saturating_sub(RECOVERY_TIME + RECOVERY_SAMPLE_TIME);
--- a/lab/tests/emulated_store.rs
+++ b/lab/tests/emulated_store.rs
@@ -6,7 +6,7 @@
 
 use limpetdeck::http;
 use limpetdeck::platform::{Call, Platform, PlatformError, Position, Reply};
-use limpetdeck::steering::{ROUTES_PREFIX, RawRoutes, TARGETS_PREFIX};
+use limpetdeck::steering::{DOMAIN_DRAINS_PREFIX, ROUTES_PREFIX, RawRoutes, TARGETS_PREFIX};
 use limpetdeck_lab::emulator::store::{ObjectStore, SharedStore, StoreMode, handler};
 use limpetdeck_platform::ObjectStore as Client;
 use limpetdeck_platform::emulator::routes_entry;
@@ -76,6 +76,28 @@
     assert!(changed.objects[0].value.is_null());
 }
 
+/// An order to drain a failure domain is withdrawn as soon as its removal begins, before its object
+/// is gone. Guards against an order that stays in force for the time between the two.
+#[test]
+fn withdrawn_order() {
+    const ORDER: &str = "domain-drains/domain-a";
+    let outcomes = run_steps(vec![
+        (|store| store.borrow_mut().put(ORDER, json!({})), list(DOMAIN_DRAINS_PREFIX)),
+        (|store| store.borrow_mut().mark_deleting(ORDER), watch(DOMAIN_DRAINS_PREFIX, 1)),
+        (unchanged, list(DOMAIN_DRAINS_PREFIX)),
+        (|store| store.borrow_mut().remove(ORDER), watch(DOMAIN_DRAINS_PREFIX, 2)),
+        (|store| store.borrow_mut().put(ORDER, json!({})), list(DOMAIN_DRAINS_PREFIX)),
+    ]);
+    let orders = |outcome: &Outcome| {
+        let Ok(Reply::Changes(changes)) = outcome else { panic!("{outcomes:?}") };
+        let objects = changes.objects.iter();
+        objects.map(|o| (o.name.clone(), o.value.is_null())).collect::<Vec<_>>()
+    };
+    for (outcome, withdrawn) in outcomes.iter().zip([false, true, true, true, false]) {
+        assert_eq!(orders(outcome), [(ORDER.to_owned(), withdrawn)], "{outcomes:?}");
+    }
+}
+
 #[test]
 fn history_gone() {
     let outcomes = run_steps(vec![
--- a/lab/tests/short_soak.rs
+++ b/lab/tests/short_soak.rs
@@ -26,6 +26,13 @@
     }
 }
 
+/// Orders to drain a failure domain are obeyed while all instances are killed, a domain is cut off,
+/// the store is down or comes back from a copy without the order.
+#[test]
+fn domain_drill() {
+    soak(&["--drill", "domain-drain", "--seed", "902", "--minutes", "0.98"]);
+}
+
 /// Drains soon after the store has come back from an old copy are known in time.
 #[test]
 fn restore_drill() {
