Let an instance that starts in a restored platform wait for orders of its era

Its queued packets could go to a drained failure domain.

A stray blank line between two constants goes too.

Evidence: tests/drain_model.rs now requires that a ready instance obeys the order if it has read it, or if it has started in the restored platform while its peer keeps the order. Before, it failed after Order, Read(0), Restore, Restart(1), Read(1), Send(0), Deliver(0), and kept_orders failed on its new case; both pass now, with the rest of tests/domain_drains.rs.

Conclusion: the start in a restored platform obeys what peers have kept.

--- a/src/steering/domain_drains.rs
+++ b/src/steering/domain_drains.rs
@@ -24,7 +24,6 @@
 /// Time for which an instance that knows routes and targets waits for a snapshot before it continues
 /// without one: peers of an earlier release send none.
 const MAX_SNAPSHOT_WAIT: Duration = Duration::from_secs(2);
-
 /// Time for which an instance that starts in a restored platform waits for a peer's snapshot, which
 /// may hold orders that the platform has lost. Longer than it takes to find peers (300 ms).
 const MAX_KEPT_ORDERS_WAIT: Duration = Duration::from_millis(500);
@@ -250,8 +249,18 @@
             return false;
         }
         self.heard_peer = true;
-        self.may_lack_orders = false;
-        self.merge(now, snapshot, "peer")
+        if snapshot.position.era >= self.snapshot.position.era {
+            self.may_lack_orders = false;
+            return self.merge(now, snapshot, "peer");
+        }
+        if !self.may_lack_orders || self.snapshot.settled || self.snapshot.earlier.is_some() {
+            return false;
+        }
+        // The peer does not know the new era yet. Until one that does answers, its orders are the
+        // best known.
+        let mut kept = self.snapshot.clone();
+        kept.earlier = Some((snapshot.position, snapshot.in_force()));
+        self.merge(now, kept, "peer")
     }
 
     /// Returns whether a peer that has sent a snapshot, which was merged, lacks something.
--- a/tests/domain_drains.rs
+++ b/tests/domain_drains.rs
@@ -261,7 +261,8 @@
 }
 
 /// What is kept of an earlier era is not confused by snapshots from peers that know less or more:
-/// one that has settled in the era before drops nothing, and an order that was confirmed and then
+/// one that has settled in the era before drops nothing, one of an instance that does not know the
+/// new era yet does not end the wait for what the others have kept, and an order that was confirmed and then
 /// withdrawn in the new era is not kept.
 #[test]
 fn kept_orders() {
@@ -282,6 +283,12 @@
     drains.on_peer_snapshot(now, settled.snapshot().clone());
     assert!(drains.is_drained(LOCAL));
 
+    // An instance that starts in the new era hears only of a peer that is still in the earlier one.
+    let earlier = instance(&[(0, 90, true)]);
+    let mut drains = instance(&[(1, 60, false)]);
+    drains.on_peer_snapshot(now, earlier.snapshot().clone());
+    assert!(drains.is_drained(LOCAL) && !drains.ready());
+
     let withdrawn = instance(&[(0, 90, true), (1, 62, true), (1, 70, false)]);
     let mut drains = instance(&[(0, 90, true), (1, 60, false)]);
     assert!(drains.is_drained(LOCAL));
--- a/tests/drain_model.rs
+++ b/tests/drain_model.rs
@@ -41,7 +41,11 @@
     withdrawn: bool,
     /// When the platform was restored without an order in force, until that is written again.
     lost_at: Option<Duration>,
+    /// Whether instance 0 obeyed the order when the platform was restored without it.
+    kept: bool,
     instances: [DomainDrains; 2],
+    /// Era of the first snapshot that instance 1 has known since its start.
+    started_in_era: u64,
     /// Whether an instance has drained the domain since its start.
     obeyed: [bool; 2],
     messages: Vec<(usize, DrainSnapshot)>,
@@ -56,7 +60,9 @@
             ordered: false,
             withdrawn: false,
             lost_at: None,
+            kept: false,
             instances: [DomainDrains::enabled(), DomainDrains::enabled()],
+            started_in_era: 0,
             obeyed: [false; 2],
             messages: Vec::new(),
         };
@@ -83,6 +89,7 @@
 
     /// Returns false if the action is not possible now.
     fn act(&mut self, action: Action) -> bool {
+        let known = self.instances[1].snapshot().position.is_known();
         match action {
             Action::Order if !self.ordered => {
                 self.ordered = true;
@@ -96,6 +103,7 @@
                 self.position = Position::new(1, 10);
                 self.stored = None;
                 self.lost_at = (self.ordered && !self.withdrawn).then_some(self.now);
+                self.kept = self.lost_at.is_some() && self.obeyed[0];
             }
             Action::Rewrite if self.lost_at == Some(self.now) && !self.withdrawn => {
                 self.lost_at = None;
@@ -113,6 +121,10 @@
             Action::Deliver(n) if n < self.messages.len() => self.deliver(n),
             _ => return false,
         }
+        let position = self.instances[1].snapshot().position;
+        if !position.is_known() || !known || matches!(action, Action::Restart(1)) {
+            self.started_in_era = position.era;
+        }
         for (obeyed, instance) in self.obeyed.iter_mut().zip(&self.instances) {
             *obeyed |= instance.is_drained(DOMAIN);
         }
@@ -128,6 +140,18 @@
         in_force && !given_up && !(kept(0) && kept(1))
     }
 
+    /// An instance that is ready obeys the order if it has read it, and also if it has started in the
+    /// restored platform while its peer keeps the order.
+    fn ignored(&self) -> bool {
+        let in_force =
+            self.ordered && !self.withdrawn && self.lost_at.is_none_or(|at| self.now == at);
+        let ignores = |i: usize| self.instances[i].ready() && !self.instances[i].is_drained(DOMAIN);
+        let has_read =
+            |i: usize| self.stored.is_some_and(|at| self.instances[i].snapshot().position >= at);
+        let started_late = self.kept && self.started_in_era == 1;
+        in_force && (0..2).any(|i| ignores(i) && (has_read(i) || (i == 1 && started_late)))
+    }
+
     /// Lets time pass and both read the platform. Returns whether they agree with it, whatever
     /// message still arrives.
     fn settles(&mut self) -> bool {
@@ -144,8 +168,10 @@
 
     /// What later actions depend on, as text.
     fn fingerprint(&self) -> String {
-        let Self { now, position, stored, ordered, withdrawn, lost_at, .. } = self;
-        let flags = (now, position, stored, ordered, withdrawn, lost_at);
+        let Self {
+            now, position, stored, ordered, withdrawn, lost_at, kept, started_in_era, ..
+        } = self;
+        let flags = (now, position, stored, ordered, withdrawn, lost_at, kept, started_in_era);
         format!("{flags:?} {:?} {:?} {:?}", self.instances, self.obeyed, self.messages)
     }
 }
@@ -179,6 +205,7 @@
                 continue;
             }
             assert!(!world.forgotten(), "forgotten after {longer:?}");
+            assert!(!world.ignored(), "ignored after {longer:?}");
             assert!(world.settles(), "not settled after {longer:?}");
             if longer.len() < DEPTH {
                 open.push_back(longer);
