Merge drain orders that were read at the same position

Change: the orders of equal positions are united, with the later position of each order. A withdrawal counts by a later position, as before.

Evidence: equal_positions in tests/domain_drains.rs failed before (answered without end); it passes now with the rest of that file and drain_model.

Conclusion: peers with equal positions agree after one exchange.

--- a/src/steering/domain_drains.rs
+++ b/src/steering/domain_drains.rs
@@ -87,6 +87,13 @@
         if theirs.position > self.position {
             self.position = theirs.position;
             self.orders = mem::take(&mut theirs.orders);
+        } else if theirs.position == self.position {
+            // A list of several pages may hold orders that are later than its position. Without a
+            // common result, peers that hold different ones would answer each other without end.
+            for (domain, order) in mem::take(&mut theirs.orders) {
+                let known = self.orders.entry(domain).or_insert(order);
+                *known = order.max(*known);
+            }
         }
         self.settled |= theirs.settled;
         self.earlier = match (self.earlier.take(), theirs.earlier) {
--- a/tests/domain_drains.rs
+++ b/tests/domain_drains.rs
@@ -296,6 +296,38 @@
     assert!(!drains.is_drained(LOCAL));
 }
 
+/// Instances that have read different orders at the same position, as a list of several pages can be,
+/// agree after one exchange instead of answering each other without end. A later position decides.
+#[test]
+fn equal_positions() {
+    let reader = |domains: &[&str]| {
+        let mut drains = DomainDrains::enabled();
+        let orders = domains.iter().map(|domain| ((*domain).to_owned(), Some(at(3))));
+        drains.on_read(ms(0), at(9), true, orders.collect());
+        drains
+    };
+    for known in [&[REMOTE][..], &[]] {
+        let (mut one, mut other) = (reader(&[LOCAL]), reader(known));
+        let mut snapshot = one.snapshot().clone();
+        let mut answers = 0;
+        loop {
+            other.on_peer_snapshot(ms(1), snapshot.clone());
+            if !other.is_behind(&snapshot) {
+                break;
+            }
+            snapshot = other.snapshot().clone();
+            std::mem::swap(&mut one, &mut other);
+            answers += 1;
+            assert!(answers < 4, "answered without end");
+        }
+        assert!([&one, &other].iter().all(|drains| drains.is_drained(LOCAL)));
+        assert!(known.iter().all(|domain| one.is_drained(domain) && other.is_drained(domain)));
+        one.on_read(ms(2), at(10), true, Vec::new());
+        other.on_peer_snapshot(ms(3), one.snapshot().clone());
+        assert!(!one.any() && !other.any());
+    }
+}
+
 /// A store that comes back from a copy without the order: the order is kept while entries are
 /// written again, obeyed if it is written again, and dropped otherwise. An instance that starts
 /// meanwhile obeys it too.
