--- a/src/steering/domain_drains.rs
+++ b/src/steering/domain_drains.rs
@@ -30,6 +30,13 @@
 /// Time for which it is known that an order was withdrawn: longer than targets take to become warm.
 const WITHDRAWN_RETENTION: Duration = Duration::from_secs(60);
 
+/// Longest name of a failure domain in an order.
+const MAX_NAME_BYTES: usize = 64;
+/// Largest size of all orders of a snapshot, so that it fits one datagram of 1,200 bytes.
+const MAX_ORDERS_BYTES: usize = 1_000;
+/// Largest size of an encoded order without the name: the length of the name and a position.
+const ORDER_OVERHEAD_BYTES: usize = 11;
+
 /// Failure domains with the position of the order to drain each.
 pub type DrainOrders = BTreeMap<FailureDomain, Position>;
 
@@ -77,11 +84,12 @@
         }
     }
 
-    fn merge(&mut self, mut theirs: Self) {
+    /// Merges another snapshot. Returns the failure domains for which there is no room.
+    fn merge(&mut self, mut theirs: Self) -> Vec<FailureDomain> {
         // A snapshot of an earlier era says nothing about the current one, and what was kept of that
         // era may be later than what it holds.
         if theirs.position.era < self.position.era {
-            return;
+            return Vec::new();
         }
         self.enter_era(theirs.position);
         if theirs.position > self.position {
@@ -105,6 +113,37 @@
             (ours, theirs) => ours.max(theirs),
         };
         self.drop_confirmed();
+        self.limit()
+    }
+
+    /// Drops what is beyond the limits, and returns the names. The first orders by name are kept, so
+    /// that all instances keep the same ones; those of the earlier era get the rest of the room.
+    fn limit(&mut self) -> Vec<FailureDomain> {
+        let mut dropped = Vec::new();
+        let mut room = MAX_ORDERS_BYTES;
+        let earlier = self.earlier.as_mut().map(|(_, orders)| orders);
+        for orders in [Some(&mut self.orders), earlier].into_iter().flatten() {
+            orders.retain(|domain, _| {
+                let has_name = domain.len() <= MAX_NAME_BYTES;
+                let left = room.checked_sub(order_bytes(domain)).filter(|_| has_name);
+                if left.is_none() {
+                    dropped.push(domain.clone());
+                }
+                if has_name {
+                    // After the first order without room, shorter ones are not kept either.
+                    room = left.unwrap_or(0);
+                }
+                left.is_some()
+            });
+        }
+        dropped
+    }
+
+    /// Returns whether there may be orders that were dropped for lack of room.
+    fn is_full(&self) -> bool {
+        let earlier = self.earlier.iter().flat_map(|(_, orders)| orders.keys());
+        let bytes: usize = self.orders.keys().chain(earlier).map(|name| order_bytes(name)).sum();
+        bytes + MAX_NAME_BYTES + ORDER_OVERHEAD_BYTES > MAX_ORDERS_BYTES
     }
 
     /// Drops the orders of the earlier era that are in the current one: from now on, their absence
@@ -116,6 +155,10 @@
     }
 }
 
+fn order_bytes(domain: &str) -> usize {
+    domain.len() + ORDER_OVERHEAD_BYTES
+}
+
 /// A drained failure domain, as shown to operators.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DrainedDomain {
@@ -200,6 +243,12 @@
         &self.snapshot
     }
 
+    /// Returns whether orders may have been dropped for lack of room. After a withdrawal, only a list
+    /// tells them.
+    pub fn is_full(&self) -> bool {
+        self.snapshot.is_full()
+    }
+
     /// Returns whether peers are to be told of the orders from time to time: there are some.
     pub fn has_news(&self) -> bool {
         self.enabled && !self.snapshot.is_empty()
@@ -284,7 +333,10 @@
             self.era_since = now;
         }
         let before = self.snapshot.clone();
-        self.snapshot.merge(snapshot);
+        let dropped = self.snapshot.merge(snapshot);
+        if !dropped.is_empty() {
+            log::warn!(source = source, orders = dropped.len(), failure_domains = dropped.join(" ").as_str(); "domain_drains_over_limit");
+        }
         let kept = |snapshot: &DrainSnapshot| snapshot.earlier.clone().unwrap_or_default().1;
         let changed =
             before.orders != self.snapshot.orders || kept(&before) != kept(&self.snapshot);
--- a/src/steering/list_watch.rs
+++ b/src/steering/list_watch.rs
@@ -250,6 +250,12 @@
         }
     }
 
+    /// Lists the orders to drain failure domains again.
+    pub fn relist_domain_drains(&mut self, now: Duration) {
+        self.domain_drains.position = None;
+        self.domain_drains.backoff.set_due(now);
+    }
+
     /// Returns whether the platform is unreachable for this instance.
     pub fn in_outage(&self) -> bool {
         self.in_outage
--- a/src/steering/node/domain_drains.rs
+++ b/src/steering/node/domain_drains.rs
@@ -23,6 +23,10 @@
             let order = Position::new(position.era, object.version);
             Some((domain.to_owned(), (!object.value.is_null()).then_some(order)))
         });
+        let withdrawn = changes.objects.iter().any(|object| object.value.is_null());
+        if !all && withdrawn && self.forwarder.drains.is_full() {
+            self.list_watches.relist_domain_drains(now);
+        }
         if self.forwarder.drains.on_read(now, position, all, named.collect()) {
             let mut outbox = self.link.outbox(now, out);
             self.gossip.push_domain_drains(&self.forwarder, &mut outbox);
--- a/tests/domain_drains.rs
+++ b/tests/domain_drains.rs
@@ -12,8 +12,8 @@
 use limpetdeck::instance::{Core, Event};
 use limpetdeck::platform::{Call, Position};
 use limpetdeck::steering::{
-    DOMAIN_DRAINS_PREFIX, DomainDrains, Forwarder, Node, RawRoutes, ResetReason, ServiceWarmUp,
-    Verdict,
+    DOMAIN_DRAINS_PREFIX, DomainDrains, Forwarder, Message, Node, RawRoutes, ResetReason,
+    ServiceWarmUp, Verdict,
 };
 use support::*;
 use world::*;
@@ -328,6 +328,36 @@
     }
 }
 
+/// A snapshot that does not fit one datagram does not reach peers. All instances keep the same orders
+/// of those beyond the limit, whichever were read first, also once there is room again.
+#[test]
+fn too_many_orders() {
+    let mut world = world(&[true; 6]);
+    world.store.drain(&"x".repeat(65));
+    let names = |n: u32| format!("{n:03}{}", "y".repeat(30));
+    for n in (0..40).rev() {
+        world.store.drain(&names(n));
+        if n % 8 == 0 {
+            world.run(ms(300));
+        }
+    }
+    world.run(Duration::from_secs(2));
+    let orders = |i: usize| &world.node(i).forwarder().drains.snapshot().orders;
+    let kept = orders(0).len() as u32;
+    println!("kept={kept}");
+    assert!((10..40).contains(&kept));
+    for i in 0..6 {
+        assert!(orders(i).keys().cloned().eq((0..kept).map(names)), "instance {i}");
+    }
+    let message = Message::DomainDrains(world.node(0).forwarder().drains.snapshot().clone());
+    let bytes = postcard::to_stdvec(&message).expect("encoded").len();
+    println!("bytes={bytes}");
+    assert!(bytes <= 1_100);
+    world.store.withdraw(&names(3));
+    world.run_until(ms(2_000), drains(&names(kept)));
+    assert!(world.all(|node| !drains(&names(3))(node)));
+}
+
 /// A store that comes back from a copy without the order: the order is kept while entries are
 /// written again, obeyed if it is written again, and dropped otherwise. An instance that starts
 /// meanwhile obeys it too.
