--- a/tests/domain_drains.rs
+++ b/tests/domain_drains.rs
@@ -12,8 +12,8 @@
 use limpetdeck::instance::{Core, Event};
 use limpetdeck::platform::{Call, Position};
 use limpetdeck::steering::{
-    DOMAIN_DRAINS_PREFIX, DomainDrains, Forwarder, Node, RawRoutes, ResetReason, ServiceWarmUp,
-    Verdict,
+    DOMAIN_DRAINS_PREFIX, DomainDrains, Forwarder, Message, Node, RawRoutes, ResetReason,
+    ServiceWarmUp, Verdict,
 };
 use support::*;
 use world::*;
@@ -261,7 +261,8 @@
 }
 
 /// What is kept of an earlier era is not confused by snapshots from peers that know less or more:
-/// one that has settled in the era before drops nothing, and an order that was confirmed and then
+/// one that has settled in the era before drops nothing, one of an instance that does not know the
+/// new era yet does not end the wait for what the others have kept, and an order that was confirmed and then
 /// withdrawn in the new era is not kept.
 #[test]
 fn kept_orders() {
@@ -282,6 +283,12 @@
     drains.on_peer_snapshot(now, settled.snapshot().clone());
     assert!(drains.is_drained(LOCAL));
 
+    // An instance that starts in the new era hears only of a peer that is still in the earlier one.
+    let earlier = instance(&[(0, 90, true)]);
+    let mut drains = instance(&[(1, 60, false)]);
+    drains.on_peer_snapshot(now, earlier.snapshot().clone());
+    assert!(drains.is_drained(LOCAL) && !drains.ready());
+
     let withdrawn = instance(&[(0, 90, true), (1, 62, true), (1, 70, false)]);
     let mut drains = instance(&[(0, 90, true), (1, 60, false)]);
     assert!(drains.is_drained(LOCAL));
@@ -289,6 +296,68 @@
     assert!(!drains.is_drained(LOCAL));
 }
 
+/// Instances that have read different orders at the same position, as a list of several pages can be,
+/// agree after one exchange instead of answering each other without end. A later position decides.
+#[test]
+fn equal_positions() {
+    let reader = |domains: &[&str]| {
+        let mut drains = DomainDrains::enabled();
+        let orders = domains.iter().map(|domain| ((*domain).to_owned(), Some(at(3))));
+        drains.on_read(ms(0), at(9), true, orders.collect());
+        drains
+    };
+    for known in [&[REMOTE][..], &[]] {
+        let (mut one, mut other) = (reader(&[LOCAL]), reader(known));
+        let mut snapshot = one.snapshot().clone();
+        let mut answers = 0;
+        loop {
+            other.on_peer_snapshot(ms(1), snapshot.clone());
+            if !other.is_behind(&snapshot) {
+                break;
+            }
+            snapshot = other.snapshot().clone();
+            std::mem::swap(&mut one, &mut other);
+            answers += 1;
+            assert!(answers < 4, "answered without end");
+        }
+        assert!([&one, &other].iter().all(|drains| drains.is_drained(LOCAL)));
+        assert!(known.iter().all(|domain| one.is_drained(domain) && other.is_drained(domain)));
+        one.on_read(ms(2), at(10), true, Vec::new());
+        other.on_peer_snapshot(ms(3), one.snapshot().clone());
+        assert!(!one.any() && !other.any());
+    }
+}
+
+/// A snapshot that does not fit one datagram does not reach peers. All instances keep the same orders
+/// of those beyond the limit, whichever were read first, also once there is room again.
+#[test]
+fn too_many_orders() {
+    let mut world = world(&[true; 6]);
+    world.store.drain(&"x".repeat(65));
+    let names = |n: u32| format!("{n:03}{}", "y".repeat(30));
+    for n in (0..40).rev() {
+        world.store.drain(&names(n));
+        if n % 8 == 0 {
+            world.run(ms(300));
+        }
+    }
+    world.run(Duration::from_secs(2));
+    let orders = |i: usize| &world.node(i).forwarder().drains.snapshot().orders;
+    let kept = orders(0).len() as u32;
+    println!("kept={kept}");
+    assert!((10..40).contains(&kept));
+    for i in 0..6 {
+        assert!(orders(i).keys().cloned().eq((0..kept).map(names)), "instance {i}");
+    }
+    let message = Message::DomainDrains(world.node(0).forwarder().drains.snapshot().clone());
+    let bytes = postcard::to_stdvec(&message).expect("encoded").len();
+    println!("bytes={bytes}");
+    assert!(bytes <= 1_100);
+    world.store.withdraw(&names(3));
+    world.run_until(ms(2_000), drains(&names(kept)));
+    assert!(world.all(|node| !drains(&names(3))(node)));
+}
+
 /// A store that comes back from a copy without the order: the order is kept while entries are
 /// written again, obeyed if it is written again, and dropped otherwise. An instance that starts
 /// meanwhile obeys it too.
