Count a crash once if its address accepts connections before the new entry

Cause: a crashed target falls silent, which counts. Its next process accepts a pending connection check before its entry arrives, so the record no longer said that the target was down, and the restart was counted as a second failure, which makes the target unsteady. Evidence: accepted_before_entry counted 2 failures after 4 s before and 1 now, and still 2 if the restart is 10 s after the silence. unsteady_targets and unsteady_fleet pass. Conclusion: reports of silence by other instances still rely on the record of the return.

--- a/src/steering/policy/steadiness.rs
+++ b/src/steering/policy/steadiness.rs
@@ -22,6 +22,9 @@
 const RETENTION: Duration = Duration::from_secs(30);
 /// Minimum time between two failures of a target; reports that arrive sooner are of the same one.
 const MIN_FAILURE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time after a failure within which a restart of the incarnation is that failure. The entry of the
+/// next process arrives 1 s or more after the crash, and its address accepts connections before.
+const RESTART_TIME: Duration = Duration::from_secs(5);
 /// Time without new flows after the first and the second failure; doubles with each further one.
 const FIRST_AVOID_TIME: Duration = Duration::from_secs(2);
 /// Number of failures from which on that time no longer grows; it is 16 s then.
@@ -79,10 +82,12 @@
         }
     }
 
-    /// Returns whether this failure of an incarnation is not known yet.
-    fn is_new(&self, now: Duration, failed: TargetIncarnation) -> bool {
-        let is_known = failed == self.failed && self.down;
-        !is_known && self.failures.last().is_none_or(|(at, _)| now >= *at + MIN_FAILURE_INTERVAL)
+    /// Returns whether this failure of an incarnation, by its silence or else its restart, is not
+    /// known yet.
+    fn is_new(&self, now: Duration, failed: TargetIncarnation, silent: bool) -> bool {
+        let Some(&(at, _)) = self.failures.last() else { return true };
+        let is_known = failed == self.failed && (self.down || !silent && now < at + RESTART_TIME);
+        !is_known && now >= at + MIN_FAILURE_INTERVAL
     }
 
     fn add(&mut self, now: Duration, failed: TargetIncarnation, silent: bool) {
@@ -255,7 +260,7 @@
             down: false,
             since: now,
         });
-        if !record.is_new(now, failed) {
+        if !record.is_new(now, failed, silent) {
             return false;
         }
         record.add(now, failed, silent);
