Mark the entries of dead targets in whichever order entries are merged

Cause: a dead target whose entry was merged after that of the live one at its address was never marked as replaced, and got flows. Complete lists come in the order of keys. A target that had moved was taken for restarted if the next one at its earlier address came first in the list. Change: a target that is inserted is marked if a later one with a higher position is at its address, and a complete list is merged in ascending position. Conclusion: parts of a list still come in the order of keys, which the check on insertion covers.

--- a/src/steering/directory.rs
+++ b/src/steering/directory.rs
@@ -177,9 +177,11 @@
         &mut self,
         now: Duration,
         position: Position,
-        records: Vec<TargetRecord>,
+        mut records: Vec<TargetRecord>,
     ) -> usize {
         self.enter_era(now, position);
+        // A target that has moved has to be merged before the next one at its earlier address.
+        records.sort_by_key(|record| record.position);
         let listed: HashSet<_> = records.iter().map(|record| record.key).collect();
         let mut changes = self.remove_unlisted(now, position, .., &listed);
         changes += records.into_iter().filter(|record| self.merge(now, record.clone())).count();
@@ -486,6 +488,7 @@
             }
         }
         self.mark_replaced(position, &target);
+        let replaced = self.has_successor(position, &target);
         self.takeovers.insert(&target);
         let domains = self.by_service.entry(target.service.clone()).or_default();
         domains.entry(target.failure_domain.clone()).or_default().push(key);
@@ -498,7 +501,7 @@
             cold,
             removed: false,
             grace_until,
-            replaced: false,
+            replaced,
         };
         self.entries.insert(key, entry);
     }
--- a/src/steering/directory/takeovers.rs
+++ b/src/steering/directory/takeovers.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use super::TargetDirectory;
+use super::{Entry, TargetDirectory};
 use crate::hash::HashMap;
 use crate::platform::Position;
 use crate::steering::token::TargetIncarnation;
@@ -55,6 +55,19 @@
         entry.is_some_and(|entry| entry.replaced)
     }
 
+    /// Returns whether a later target of the service is at the address of a target whose record has
+    /// arrived: records may arrive in any order.
+    pub(super) fn has_successor(&self, position: Position, target: &Target) -> bool {
+        let keys = self.takeovers.by_address.get(&target.address).into_iter().flatten();
+        let is_successor = |entry: &Entry| {
+            !entry.removed
+                && entry.target.service == target.service
+                && entry.target.incarnation > target.incarnation
+                && entry.position > position
+        };
+        keys.filter_map(|key| self.entries.get(key)).any(is_successor)
+    }
+
     /// Marks the earlier targets of the service at the address of a target whose record has arrived.
     /// The last one has restarted, unless one of another service had the address meanwhile.
     pub(super) fn mark_replaced(&mut self, position: Position, target: &Target) {
--- a/tests/unsteady_targets.rs
+++ b/tests/unsteady_targets.rs
@@ -239,6 +239,36 @@
     }
 }
 
+/// The entry of a dead target is merged after that of the live one at its address.
+#[test]
+fn dead_entry_last() {
+    let dead = Target { key: 200, ..target(1, STATION) };
+    let live = Target { incarnation: 2_000, ..target(1, STATION) };
+    let mut forwarder = forwarder(&[STATION], &[]);
+    let list = vec![record(18, live.clone()), record(15, dead.clone())];
+    forwarder.targets.replace_all(ms(100), at(20), list);
+    assert!(forwarder.targets.is_replaced((200, 1_000)));
+    assert!(!forwarder.targets.is_replaced((1, 2_000)));
+    assert_eq!(flows_to(&mut forwarder, ms(200), 200), 0);
+    // One record at a time, as changes are.
+    let mut forwarder = self::forwarder(&[STATION], &[]);
+    merge(&mut forwarder, 100, vec![record(18, live), record(15, dead)]);
+    assert!(forwarder.targets.is_replaced((200, 1_000)));
+}
+
+/// A target moves, and another one gets its address. A list holds both, the new one first.
+#[test]
+fn moved_target() {
+    let mut forwarder = forwarder(&[STATION], &[target(50, STATION)]);
+    let old = target(50, STATION).address;
+    let moved = Target { address: target(60, STATION).address, ..target(50, STATION) };
+    let next = Target { key: 2, incarnation: 2_000, address: old, ..target(2, STATION) };
+    forwarder.targets.replace_all(ms(100), at(20), vec![record(18, next), record(15, moved)]);
+    assert!(forwarder.targets.take_restarts().is_empty(), "it has not restarted");
+    assert!(!forwarder.targets.is_replaced((50, 1_000)));
+    assert!(flows_to(&mut forwarder, ms(2_000), 50) > 0);
+}
+
 /// Reports of one failure by several instances count once, and those after the target's next start
 /// do not count.
 #[test]
