Keep the marks of replaced entries when the store comes back from a copy

Cause: the copied record of a dead target cleared its mark, as any record of a new era has a higher position; the entry of the live target is written again unchanged and never marked it again. A dead target from the copy could mark the live one if the clock had gone back between their starts. Change: marks are cleared and set only by records after the first known position of the era, and also by a record that confirms an unchanged entry. Such a record adds no restart. Evidence: replaced_in_copy failed before at the mark after the copied record, and passes now with the cases of a re-inserted entry and of a clock that went back; unsteady_targets, unsteady_fleet, steering_restore, steering_directory and steering_listing pass.

--- a/src/steering/directory.rs
+++ b/src/steering/directory.rs
@@ -162,7 +162,12 @@
             self.removals_since = self.removals_since.max(record.position);
         }
         if self.is_unchanged(&record) {
-            return self.confirm(now, &record);
+            let is_changed = self.confirm(now, &record);
+            if let Some(target) = &record.target {
+                // A restart was recorded when the target was inserted.
+                self.mark_replaced(record.position, target);
+            }
+            return is_changed;
         }
         match record.target {
             Some(target) => self.insert(now, record.position, target),
@@ -443,7 +448,7 @@
         // A copy of the platform's data may hold the start of a warm-up that is long over.
         let is_copied =
             record.position.era != entry.position.era && record.position <= self.copied_up_to;
-        entry.replaced &= record.position <= entry.position;
+        entry.replaced &= record.position <= entry.position.max(self.copied_up_to);
         entry.position = entry.position.max(record.position);
         let warm_up_left = record.target.as_ref().map(|target| target.warm_up_left);
         let warm_up_left = warm_up_left.unwrap_or_default();
@@ -487,7 +492,9 @@
                 self.replaced.insert(incarnation, (previous.target, now));
             }
         }
-        self.mark_replaced(position, &target);
+        if let Some(restarted) = self.mark_replaced(position, &target) {
+            self.takeovers.record_restart(&restarted);
+        }
         let replaced = self.has_successor(position, &target);
         self.takeovers.insert(&target);
         let domains = self.by_service.entry(target.service.clone()).or_default();
--- a/src/steering/directory/takeovers.rs
+++ b/src/steering/directory/takeovers.rs
@@ -63,15 +63,20 @@
             !entry.removed
                 && entry.target.service == target.service
                 && entry.target.incarnation > target.incarnation
-                && entry.position > position
+                && entry.position > position.max(self.copied_up_to)
         };
         keys.filter_map(|key| self.entries.get(key)).any(is_successor)
     }
 
     /// Marks the earlier targets of the service at the address of a target whose record has arrived.
-    /// The last one has restarted, unless one of another service had the address meanwhile.
-    pub(super) fn mark_replaced(&mut self, position: Position, target: &Target) {
-        let Some(keys) = self.takeovers.by_address.get(&target.address) else { return };
+    /// Returns the last one, which has restarted, unless one of another service had the address
+    /// meanwhile. A record from a copy of the platform's data marks none: its position says nothing
+    /// about entries of earlier eras.
+    pub(super) fn mark_replaced(&mut self, position: Position, target: &Target) -> Option<Target> {
+        if position <= self.copied_up_to {
+            return None;
+        }
+        let keys = self.takeovers.by_address.get(&target.address)?;
         let (mut last, mut restarted) = (0, None);
         for key in keys {
             let Some(entry) = self.entries.get_mut(key) else { continue };
@@ -88,8 +93,6 @@
             }
             entry.replaced |= is_same_service;
         }
-        if let Some(restarted) = restarted {
-            self.takeovers.record_restart(&restarted);
-        }
+        restarted
     }
 }
--- a/tests/unsteady_targets.rs
+++ b/tests/unsteady_targets.rs
@@ -269,6 +269,43 @@
     assert!(flows_to(&mut forwarder, ms(2_000), 50) > 0);
 }
 
+/// A store that is restored from a copy lists the entry of a dead target again, at a higher position
+/// than the entry of the live one, which is written again unchanged.
+#[test]
+fn replaced_in_copy() {
+    let dead = Target { key: 200, ..target(1, STATION) };
+    let live = Target { incarnation: 2_000, ..target(1, STATION) };
+    let copied = |key, revision, target| TargetRecord {
+        key,
+        position: Position::new(1, revision),
+        target: Some(target),
+    };
+    for is_removed in [false, true] {
+        let mut forwarder = forwarder(&[STATION], std::slice::from_ref(&dead));
+        forwarder.targets.merge(ms(100), record(18, live.clone()));
+        if is_removed {
+            forwarder.targets.merge(ms(200), removal(19, 200));
+            forwarder.expire(ms(62_000));
+        }
+        let now = 63_000;
+        forwarder.targets.enter_era(ms(now), Position::new(1, 15));
+        forwarder.targets.merge(ms(now), copied(200, 12, dead.clone()));
+        assert_eq!(forwarder.targets.is_replaced((200, 1_000)), !is_removed);
+        forwarder.targets.merge(ms(now + 500), copied(1, 20, live.clone()));
+        assert!(forwarder.targets.is_replaced((200, 1_000)), "is_removed={is_removed}");
+        assert!(!forwarder.targets.is_replaced((1, 2_000)));
+        let last = Target { state: TargetState::Draining, ..dead.clone() };
+        forwarder.targets.merge(ms(now + 600), copied(200, 13, last));
+        assert!(!forwarder.targets.is_replaced((1, 2_000)));
+    }
+    // The clock went back between the starts.
+    let dead = Target { incarnation: 3_000, ..dead };
+    let mut forwarder = forwarder(&[STATION], std::slice::from_ref(&live));
+    forwarder.targets.enter_era(ms(100), Position::new(1, 15));
+    forwarder.targets.merge(ms(200), copied(200, 12, dead));
+    assert!(!forwarder.targets.is_replaced((1, 2_000)), "the live target was marked");
+}
+
 /// Reports of one failure by several instances count once, and those after the target's next start
 /// do not count.
 #[test]
