--- a/src/steering/directory.rs
+++ b/src/steering/directory.rs
@@ -162,7 +162,12 @@
             self.removals_since = self.removals_since.max(record.position);
         }
         if self.is_unchanged(&record) {
-            return self.confirm(now, &record);
+            let is_changed = self.confirm(now, &record);
+            if let Some(target) = &record.target {
+                // A restart was recorded when the target was inserted.
+                self.mark_replaced(record.position, target);
+            }
+            return is_changed;
         }
         match record.target {
             Some(target) => self.insert(now, record.position, target),
@@ -177,9 +182,11 @@
         &mut self,
         now: Duration,
         position: Position,
-        records: Vec<TargetRecord>,
+        mut records: Vec<TargetRecord>,
     ) -> usize {
         self.enter_era(now, position);
+        // A target that has moved has to be merged before the next one at its earlier address.
+        records.sort_by_key(|record| record.position);
         let listed: HashSet<_> = records.iter().map(|record| record.key).collect();
         let mut changes = self.remove_unlisted(now, position, .., &listed);
         changes += records.into_iter().filter(|record| self.merge(now, record.clone())).count();
@@ -441,7 +448,7 @@
         // A copy of the platform's data may hold the start of a warm-up that is long over.
         let is_copied =
             record.position.era != entry.position.era && record.position <= self.copied_up_to;
-        entry.replaced &= record.position <= entry.position;
+        entry.replaced &= record.position <= entry.position.max(self.copied_up_to);
         entry.position = entry.position.max(record.position);
         let warm_up_left = record.target.as_ref().map(|target| target.warm_up_left);
         let warm_up_left = warm_up_left.unwrap_or_default();
@@ -485,7 +492,10 @@
                 self.replaced.insert(incarnation, (previous.target, now));
             }
         }
-        self.mark_replaced(position, &target);
+        if let Some(restarted) = self.mark_replaced(position, &target) {
+            self.takeovers.record_restart(&restarted);
+        }
+        let replaced = self.has_successor(position, &target);
         self.takeovers.insert(&target);
         let domains = self.by_service.entry(target.service.clone()).or_default();
         domains.entry(target.failure_domain.clone()).or_default().push(key);
@@ -498,7 +508,7 @@
             cold,
             removed: false,
             grace_until,
-            replaced: false,
+            replaced,
         };
         self.entries.insert(key, entry);
     }
