Log waiting_released only for packets that are not queued again

Cause: with targets known and the drain orders still missing, each answer of the platform took the queued packets out, logged them as released, and queued them again.

Change: the line is written afterwards, with the number of packets that have left the queue.

Conclusion: one line for each release.

--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -240,10 +240,14 @@
             return;
         }
         let packets = self.startup_queue.take(now, self.format.as_ref());
-        log::info!(packets = packets.len(); "waiting_released");
+        let taken = packets.len();
         for (arrived, buf) in packets {
             self.handle_packet(now, arrived, buf, out);
         }
+        let released = taken - self.startup_queue.len();
+        if released > 0 {
+            log::info!(packets = released; "waiting_released");
+        }
     }
 
     fn handle_peer_message(&mut self, now: Duration, buf: &[u8], out: &mut Vec<Action>) {
--- a/src/steering/node/startup_queue.rs
+++ b/src/steering/node/startup_queue.rs
@@ -25,6 +25,11 @@
         self.packets.is_empty()
     }
 
+    /// Returns the number of queued packets.
+    pub(super) fn len(&self) -> usize {
+        self.packets.len()
+    }
+
     /// Queues a packet in place of the oldest one if there are too many.
     pub(super) fn push(&mut self, arrived: Duration, buf: Vec<u8>) {
         if self.packets.len() >= MAX_PACKETS {
