Test that a message of an unknown kind is dropped without harm

Cause: earlier_peers in tests/domain_drains.rs stands in for an earlier release by the current one with the orders switched off, so no test covered a message that the receiver cannot decode.

Change: unknown_variant in tests/peer_seal.rs.

Conclusion: the sender's other messages are received.

--- a/tests/peer_seal.rs
+++ b/tests/peer_seal.rs
@@ -4,6 +4,7 @@
 
 use limpetdeck::membership::{MemberUpdate, Message};
 use limpetdeck::peer::{Body, MemberInfo, MemberState, OpenError, Sealer};
+use limpetdeck::steering::{self, DrainSnapshot};
 use quickcheck::TestResult;
 use support::checker;
 
@@ -129,6 +130,26 @@
     assert_eq!(Sealer::new(KEY, 2, 5).open(&sealed(&[0xff; 40])), Err(OpenError::Malformed));
 }
 
+/// A message of a kind that only a later release knows, as orders to drain failure domains are to an
+/// earlier one, is dropped and does not block the sender's other messages.
+#[test]
+fn unknown_variant() {
+    let (mut from, mut to) = (Sealer::new(KEY, 1, 5), Sealer::new(KEY, 2, 5));
+    let known = Body::Steering(steering::Message::DomainDrains(DrainSnapshot::default()));
+    let mut encoded = from.seal(&known);
+    encoded.truncate(encoded.len() - 16);
+    // Sender, incarnation, sequence and component are before the kind, one byte each.
+    let kind = 4;
+    assert!(to.open(&sealed(&encoded)).is_ok_and(|(_, body)| body == known));
+    let mut later = from.seal(&known);
+    later.truncate(later.len() - 16);
+    later[kind] = 120;
+    assert_eq!(to.open(&sealed(&later)), Err(OpenError::Malformed));
+    later[kind] = encoded[kind];
+    assert!(to.open(&sealed(&later)).is_ok(), "the dropped message counts as received");
+    assert!(to.open(&from.seal(&body())).is_ok());
+}
+
 #[test]
 fn bounded_senders() {
     let mut to = Sealer::new(KEY, 0, 5);
