Cover reads of changes in the search over drain orders

Cause: tests/drain_model.rs read full lists only.

Change: instance 1 can also read what has changed since its last read.

--- a/tests/drain_model.rs
+++ b/tests/drain_model.rs
@@ -25,6 +25,8 @@
     /// Time passes.
     Wait,
     Read(usize),
+    /// Instance 1 reads what has changed since its last read.
+    Watch,
     Restart(usize),
     /// An instance sends its snapshot to the other one.
     Send(usize),
@@ -44,6 +46,8 @@
     /// Whether instance 0 obeyed the order when the platform was restored without it.
     kept: bool,
     instances: [DomainDrains; 2],
+    /// Position of the last read of instance 1, after which it watches.
+    watched: Option<Position>,
     /// Era of the first snapshot that instance 1 has known since its start.
     started_in_era: u64,
     /// Whether an instance has drained the domain since its start.
@@ -62,6 +66,7 @@
             lost_at: None,
             kept: false,
             instances: [DomainDrains::enabled(), DomainDrains::enabled()],
+            watched: None,
             started_in_era: 0,
             obeyed: [false; 2],
             messages: Vec::new(),
@@ -80,6 +85,20 @@
         let orders = self.stored.map(|at| (DOMAIN.to_owned(), Some(at)));
         let orders = orders.into_iter().collect();
         self.instances[i].on_read(self.now, self.position, true, orders);
+        if i == 1 {
+            self.watched = Some(self.position);
+        }
+    }
+
+    /// Returns false if there is nothing to watch after. Each write concerns the one order.
+    fn watch(&mut self) -> bool {
+        let Some(after) = self.watched.filter(|after| after.era == self.position.era) else {
+            return false;
+        };
+        let changed = (self.position > after).then(|| (DOMAIN.to_owned(), self.stored));
+        self.instances[1].on_read(self.now, self.position, false, Vec::from_iter(changed));
+        self.watched = Some(self.position);
+        true
     }
 
     fn deliver(&mut self, n: usize) {
@@ -111,9 +130,11 @@
             }
             Action::Wait if self.now < 2 * SETTLING => self.now += SETTLING,
             Action::Read(i) => self.read(i),
+            Action::Watch if self.watch() => {}
             Action::Restart(i) => {
                 self.instances[i] = DomainDrains::enabled();
                 self.obeyed[i] = false;
+                self.watched = self.watched.filter(|_| i != 1);
             }
             Action::Send(i) if self.messages.len() < 2 => {
                 self.messages.push((1 - i, self.instances[i].snapshot().clone()));
@@ -169,9 +190,19 @@
     /// What later actions depend on, as text.
     fn fingerprint(&self) -> String {
         let Self {
-            now, position, stored, ordered, withdrawn, lost_at, kept, started_in_era, ..
+            now,
+            position,
+            stored,
+            ordered,
+            withdrawn,
+            lost_at,
+            kept,
+            started_in_era,
+            watched,
+            ..
         } = self;
-        let flags = (now, position, stored, ordered, withdrawn, lost_at, kept, started_in_era);
+        let flags =
+            (now, position, stored, ordered, withdrawn, lost_at, kept, started_in_era, watched);
         format!("{flags:?} {:?} {:?} {:?}", self.instances, self.obeyed, self.messages)
     }
 }
@@ -187,6 +218,7 @@
         Wait,
         Read(0),
         Read(1),
+        Watch,
         Restart(1),
         Send(0),
         Send(1),
