Count crashes and silence after a common cause of silence has passed

Cause: when most targets fall silent at once, their failures are removed, but the records still said that they were down, so that a crash confirmed by the next entry was lost. Every further silence prolonged the window in which silence does not count. Change: the removal also clears the failed incarnation and the down state. Silence that was removed is kept for 1.5 s to judge the condition, and the window is prolonged only while the condition holds. Evidence: crash_after_common_cause failed before (the crash was not counted) and passes now; unsteady_targets and unsteady_fleet pass. Conclusion: silence that other instances report after the window counts.

--- a/src/steering/policy/steadiness.rs
+++ b/src/steering/policy/steadiness.rs
@@ -55,8 +55,10 @@
 struct Record {
     /// Times of the last failures, at most [`MAX_FAILURES`], with whether each showed in silence.
     failures: Vec<(Duration, bool)>,
-    /// Incarnation that failed last.
-    failed: TargetIncarnation,
+    /// Incarnation that failed last, unless that failure had a common cause.
+    failed: Option<TargetIncarnation>,
+    /// When the target last fell silent, whether or not that counts, unless it has restarted since.
+    silent_at: Option<Duration>,
     /// Whether the target has not returned since its last failure.
     down: bool,
     /// When the target returned from its last failure, or failed if its return is not known.
@@ -86,7 +88,8 @@
     /// known yet.
     fn is_new(&self, now: Duration, failed: TargetIncarnation, silent: bool) -> bool {
         let Some(&(at, _)) = self.failures.last() else { return true };
-        let is_known = failed == self.failed && (self.down || !silent && now < at + RESTART_TIME);
+        let is_known =
+            Some(failed) == self.failed && (self.down || !silent && now < at + RESTART_TIME);
         !is_known && now >= at + MIN_FAILURE_INTERVAL
     }
 
@@ -95,11 +98,20 @@
             self.failures.remove(0);
         }
         self.failures.push((now, silent));
-        (self.failed, self.since, self.down) = (failed, now, true);
+        (self.failed, self.since, self.down) = (Some(failed), now, true);
+        if silent {
+            self.silent_at = Some(now);
+        }
     }
 
     fn fell_silent_since(&self, since: Duration) -> bool {
-        self.failures.last().is_some_and(|&(at, silent)| silent && at >= since)
+        self.silent_at.is_some_and(|at| at >= since)
+    }
+
+    /// Removes the silence since a time, which has a common cause. What follows is a new failure.
+    fn remove_silence(&mut self, since: Duration) {
+        self.failures.retain(|&(at, silent)| !silent || at < since);
+        (self.failed, self.down) = (None, false);
     }
 }
 
@@ -166,10 +178,10 @@
         if !is_common && now >= records.common_cause_until {
             return is_unsteady;
         }
-        records.common_cause_until = now + COMMON_CAUSE_WINDOW;
-        for record in records.targets.values_mut().filter(is_silent) {
-            record.failures.retain(|&(at, silent)| !silent || at < since);
+        if is_common {
+            records.common_cause_until = now + COMMON_CAUSE_WINDOW;
         }
+        records.targets.values_mut().filter(is_silent).for_each(|r| r.remove_silence(since));
         false
     }
 
@@ -184,7 +196,7 @@
             if let Some((_, silent)) = record.failures.last_mut() {
                 *silent = false;
             }
-            (record.down, record.since) = (false, now);
+            (record.down, record.since, record.silent_at) = (false, now, None);
         }
         is_unsteady
     }
@@ -229,7 +241,11 @@
     /// Removes the records of targets without a recent failure.
     pub fn expire(&mut self, now: Duration) {
         for records in self.services.values_mut() {
-            records.targets.retain(|_, record| record.recent_failures(now) > 0);
+            let since = now.saturating_sub(COMMON_CAUSE_WINDOW);
+            let is_needed = |record: &Record| {
+                record.recent_failures(now) > 0 || record.fell_silent_since(since)
+            };
+            records.targets.retain(|_, record| is_needed(record));
         }
         self.services.retain(|_, records| !records.targets.is_empty());
     }
@@ -256,7 +272,8 @@
         }
         let record = records.targets.entry(address).or_insert_with(|| Record {
             failures: Vec::new(),
-            failed,
+            failed: None,
+            silent_at: None,
             down: false,
             since: now,
         });
--- a/tests/unsteady_targets.rs
+++ b/tests/unsteady_targets.rs
@@ -239,6 +239,24 @@
     }
 }
 
+/// Most targets fall silent together, which does not count. A crash that is confirmed by the next
+/// entry does, and so does the silence of a single target more than 1.5 s later.
+#[test]
+fn crash_after_common_cause() {
+    let mut records = FailureRecords::default();
+    let targets = ten_targets();
+    targets[..6].iter().for_each(|silent| _ = records.record_silence(ms(2_000), silent, 10));
+    targets.iter().for_each(|target| assert_eq!(records.count(ms(2_000), target), 0));
+    records.record_restart(ms(2_500), &targets[0]);
+    assert_eq!(records.count(ms(2_500), &targets[0]), 1, "the crash was lost");
+    // The window ends, as the condition does not hold any more.
+    for (i, at) in [3_000, 4_000, 5_000].into_iter().enumerate() {
+        records.record_silence(ms(at), &targets[6 + i], 10);
+    }
+    assert_eq!(records.count(ms(5_000), &targets[6]), 0);
+    assert_eq!(records.count(ms(5_000), &targets[8]), 1, "the window was prolonged");
+}
+
 /// The entry of a dead target is merged after that of the live one at its address.
 #[test]
 fn dead_entry_last() {
