Admission of opening packets by priority under overload

Cause: at four times the load, targets refuse requests of any priority at random.

Change: openings of routes whose targets serve several priorities are admitted below 3.0 (urgent), 2.0 and 1.5 (late) requests in flight per slot, else held, and refused with the reset reason `overloaded` if they cannot be released in time and two peers report that they are full too. Other routes are served as before. The load is sampled with each tick; an opening below the limits costs two lookups and no scan.

Ruled out: refusing a caller once it has waited for half of its latency target.

--- a/src/steering.rs
+++ b/src/steering.rs
@@ -16,6 +16,7 @@
 mod policy;
 mod registration;
 mod route_change;
+mod route_classes;
 mod routes;
 mod target;
 mod token;
@@ -28,6 +29,10 @@
 pub use message::Message;
 pub use node::{Node, NodeConfig};
 pub use packet::{FlowPacket, PacketError, PacketFormat, PacketKind};
+pub use policy::admission::{
+    ExpectedWait, FullPeers, LoadMeter, OpeningClass, Queueing, RefusedCallers, ReleaseRates,
+    ServiceLoad,
+};
 pub use policy::domain_load::DomainLoad;
 pub use policy::health::Health;
 pub use policy::late_openings::{RouteLoad, yields};
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -10,6 +10,7 @@
 use rand::rngs::SmallRng;
 
 use super::policy::overdue::OverdueResponses;
+use super::route_classes::RouteClasses;
 use super::token::TargetIncarnation;
 use super::{
     Candidate, DomainLoad, FlowPacket, FlowSignal, FlowTable, Health, Load, NO_TOKEN, PacketKind,
@@ -45,6 +46,9 @@
     /// used by another target.
     #[display("target_dead")]
     TargetDead,
+    /// The targets are overloaded, and the caller would wait too long for room.
+    #[display("overloaded")]
+    Overloaded,
 }
 
 /// Reason for dropping a packet.
@@ -103,6 +107,8 @@
     health: Health,
     overdue: OverdueResponses,
     domain_load: DomainLoad,
+    /// Routes with classes of different priority.
+    pub(super) classes: RouteClasses,
     /// Number of instances in the local failure domain, this one included.
     local_instances: usize,
     /// Number of instances in all failure domains, this one included.
@@ -124,6 +130,7 @@
             health: Health::default(),
             overdue: OverdueResponses::default(),
             domain_load: DomainLoad::default(),
+            classes: RouteClasses::default(),
             local_instances: 1,
             instances: 1,
             tokens: Tokens::new(keys),
@@ -193,6 +200,8 @@
             Some((target.service.as_str(), load.waiting))
         });
         self.domain_load.sample(now, loads);
+        let instances = (self.local_instances, self.instances);
+        self.classes.sample(now, instances, &self.routes, &self.targets, &self.flows);
     }
 
     /// Decides about a packet and records it.
--- a/src/steering/gossip.rs
+++ b/src/steering/gossip.rs
@@ -8,6 +8,7 @@
 mod changes;
 mod dedup;
 mod listing;
+mod load_reports;
 mod removed;
 mod route_changes;
 mod route_transfer;
@@ -21,6 +22,7 @@
 use self::changes::{apply_changes, changes_since};
 use self::dedup::Dedup;
 use self::listing::{ListingTransfer, listing_after};
+pub(super) use self::load_reports::REPORT_INTERVAL;
 use self::removed::RemovedTargets;
 use self::route_changes::{RouteChanges, describe_change};
 use self::route_transfer::RouteTransfer;
@@ -312,6 +314,10 @@
                 self.route_changes.on_announced(now, version, forwarder, peers, rng, out);
                 false
             }
+            Message::Full(services) => {
+                self.on_load_report(now, from, &services, forwarder);
+                false
+            }
         }
     }
 
@@ -374,7 +380,9 @@
         | Message::PullChanges { .. }
         | Message::PullRouteChange { .. }
         | Message::RouteChange(_)
-        | Message::NewRoutes { .. } => Class::Liveness,
+        | Message::NewRoutes { .. }
+        // Small, and of no use later.
+        | Message::Full(_) => Class::Liveness,
         // A lost announcement costs only a few flows.
         Message::Overdue(_) => Class::Lists,
         Message::PullRemoved { .. }
--- a/src/steering/message.rs
+++ b/src/steering/message.rs
@@ -84,6 +84,9 @@
         /// Position up to which the sender has all changes.
         since: Position,
     },
+    /// Fingerprints of the services at which the sender has too many requests in flight. Sent only
+    /// while there are any.
+    Full(Vec<u32>),
 }
 
 /// All targets with keys in a range that exist at a position.
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -1,6 +1,7 @@
 //! The core of an instance that forwards packets by token. It does no I/O: it takes events and
 //! returns actions.
 
+mod admission;
 mod held_openings;
 mod logging;
 mod members_log;
@@ -15,6 +16,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use self::admission::DecisionCounts;
 use self::members_log::MembersLog;
 use self::startup_queue::StartupQueue;
 use super::gossip::{Gossip, Peers};
@@ -96,6 +98,8 @@
     startup_queue: StartupQueue,
     late_openings: LateOpenings,
     next_release: Duration,
+    next_load_report: Duration,
+    decisions: DecisionCounts,
     started: Duration,
     pauses: PauseDetector,
     last_packet: Duration,
@@ -132,6 +136,8 @@
             startup_queue: StartupQueue::default(),
             late_openings: LateOpenings::default(),
             next_release: now,
+            next_load_report: now,
+            decisions: DecisionCounts::default(),
             started: now,
             pauses: PauseDetector::new(now),
             last_packet: now,
@@ -192,9 +198,9 @@
         );
         if let PacketKind::Opening { repeats } = packet.kind {
             let first_sent = arrived.saturating_sub(self.format.opening_age(repeats));
-            if self.yields(now, &packet, first_sent) {
-                return self.hold_opening(now, &packet, first_sent, buf, out);
-            }
+            let admitted = self.admit(now, &packet, first_sent, buf, out);
+            let Some(buf) = admitted else { return };
+            return self.forward(now, arrived, &packet, buf, out);
         }
         self.forward(now, arrived, &packet, buf, out);
     }
@@ -286,6 +292,7 @@
         if now >= self.next_expiry {
             self.next_expiry = now + EXPIRY_INTERVAL;
             self.forwarder.expire(now);
+            self.decisions.write();
             gauge!("limpetdeck_flows_known").set(self.forwarder.flows.len() as f64);
             gauge!("limpetdeck_targets_known").set(self.forwarder.targets.len() as f64);
             gauge!("limpetdeck_routes_version").set(self.forwarder.routes.version() as f64);
@@ -296,6 +303,7 @@
             self.announce_overdue(now, out);
         }
         self.log_health_changes();
+        self.report_overload(now, out);
         self.release_held(now, out);
         self.finish_shutdown(now, out);
     }
--- /dev/null
+++ b/tests/admission_rules.rs
@@ -0,0 +1,109 @@
+//! Rules of admission by priority, without instances: who waits, and when an opening is refused.
+
+#[path = "support/steering.rs"]
+#[allow(dead_code)]
+mod support;
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use limpetdeck::steering::{
+    ExpectedWait, FullPeers, LoadMeter, OpeningClass, Queueing, RefusedCallers, ServiceLoad,
+};
+use support::*;
+
+fn class(urgent: bool) -> OpeningClass {
+    OpeningClass { urgent, latency_target: ms(500), timeout: Some(ms(2_500)), first_attempt: ms(0) }
+}
+
+/// Load of 24 instances with 240 slots, as one of them sees it.
+fn load(in_flight: u32) -> ServiceLoad {
+    ServiceLoad { in_flight, slots: 240, instances: 24, full: true }
+}
+
+/// The limits of the three kinds of openings: 3.0, 2.0 and 1.5 requests in flight per slot.
+#[test]
+fn limits() {
+    let highest = |urgent, age: u64| {
+        (0..100).take_while(|&n| class(urgent).has_room(ms(age), ms(10), load(n))).count()
+    };
+    assert_eq!([highest(true, 0), highest(false, 0)], [30, 20]);
+    assert_eq!([highest(true, 501), highest(false, 501)], [15, 15]);
+    assert!(class(false).has_room(ms(1_200), ms(1_200), load(99)), "held for too long");
+    assert!(class(false).has_room(ms(0), ms(0), ServiceLoad { full: false, ..load(99) }));
+    // Refused three times over, it is late, but its new packet has not waited.
+    assert!(!class(false).has_room(ms(2_000), ms(10), load(99)));
+    assert!(!load(10).has_free_slot() && load(9).has_free_slot());
+}
+
+/// Urgent openings go first, and within a class those that can still be answered in time.
+#[test]
+fn order() {
+    let ranks = [(true, 0), (true, 400), (false, 0), (false, 400)];
+    let ranks = ranks.map(|(urgent, now)| class(urgent).rank(ms(now)));
+    assert!(ranks.is_sorted_by(|a, b| a < b));
+}
+
+/// One sample says little at an instance with less than one slot; a lasting load does.
+#[test]
+fn single_samples() {
+    let mut meter = LoadMeter::default();
+    for n in 1..100 {
+        // Two or three requests at once in one of ten samples.
+        meter.sample(ms(100 * n), if n % 10 == 0 { 3.75 } else { 0.3 });
+        assert!(!meter.is_full());
+    }
+    let full_after = (1..10).find(|n| {
+        meter.sample(ms(10_000 + 100 * n), 4.0);
+        meter.is_full()
+    });
+    assert!(full_after.is_some_and(|n| n <= 4), "{full_after:?}");
+    let free_after = (1..10).find(|n| {
+        meter.sample(ms(11_000 + 100 * n), 0.3);
+        !meter.is_full()
+    });
+    assert!(free_after.is_some_and(|n| n <= 5), "{free_after:?}");
+}
+
+/// Lost or old reports, and reports about other services, allow no refusals.
+#[test]
+fn lost_reports() {
+    let mut peers = FullPeers::default();
+    assert!(!peers.agree(ms(0), 1, 7));
+    peers.record(ms(0), 1, 2);
+    peers.record(ms(400), 1, 2);
+    assert!(!peers.agree(ms(500), 1, 7), "one peer that reports twice");
+    peers.record(ms(500), 1, 3);
+    assert!(peers.agree(ms(600), 1, 7) && !peers.agree(ms(600), 2, 7));
+    assert!(!peers.agree(ms(1_400), 1, 7), "the first report is old");
+    assert!(peers.agree(ms(1_400), 1, 1), "the only peer is full");
+}
+
+/// An opening is refused only if it is not released while it is in time, nor afterwards.
+#[test]
+fn expected_waits() {
+    let queueing = |ahead, release_rate| Queueing { ahead, release_rate, time: ms(250) };
+    let is_refused = |in_time, late| ExpectedWait { in_time, late }.is_too_long();
+    assert!(!is_refused(queueing(23, 100.0), queueing(0, 0.0)));
+    assert!(is_refused(queueing(25, 100.0), queueing(0, 0.0)));
+    assert!(!is_refused(queueing(25, 100.0), queueing(0, 10.0)));
+    assert_eq!(class(false).patience(ms(2_400), ms(100)), ms(100), "its time-out ends the wait");
+    assert_eq!(class(false).patience(ms(100), ms(100)), ms(1_100));
+}
+
+/// A retry keeps the age of the first attempt for 3 s, and only as many as were refused.
+#[test]
+fn refused_callers() {
+    let mut refused = RefusedCallers::default();
+    let (caller, service) = (Ipv4Addr::new(100, 64, 0, 7), address(1));
+    refused.record(ms(300), caller, service, ms(50));
+    assert_eq!(refused.take(ms(301), caller, address(2)), None);
+    assert_eq!(refused.take(ms(301), caller, service), Some(ms(50)));
+    assert_eq!(refused.take(ms(301), caller, service), None);
+    refused.record(ms(300), caller, service, ms(50));
+    assert_eq!(refused.take(ms(300) + Duration::from_secs(3), caller, service), None);
+    for n in 0..2_000 {
+        refused.record(ms(400 + n), caller, service, ms(n));
+    }
+    assert_eq!(refused.take(ms(2_400), caller, service), Some(ms(976)), "the oldest are evicted");
+}
