Count a service as full only if its responses take longer than usual

Cause: an instance sees only its own requests and compares them with an equal share of the slots. With three times the demand of one failure domain, its instances held and refused openings although slots were free elsewhere.

Change: a service is full only if, besides 2.0 requests in flight per slot, the time from a request on an open flow to its first response is 1.5 times the usual one, on average over the failure domains of the targets (until 1.5 and 1.25). Without a usual time, 3.0 requests in flight per slot decide.

--- a/src/steering/flows.rs
+++ b/src/steering/flows.rs
@@ -23,6 +23,9 @@
 /// Largest distance of sequence numbers within one flow, well above what an end may have in flight.
 const MAX_SEQUENCE_DISTANCE: u32 = 1 << 20;
 
+/// Maximum number of response times kept until they are taken; further ones do not count.
+const MAX_RESPONSE_TIMES: usize = 256;
+
 /// What a packet tells about the target of its flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FlowSignal {
@@ -73,6 +76,7 @@
 pub struct FlowTable {
     flows: HashMap<FlowId, Flow>,
     loads: HashMap<TargetIncarnation, Load>,
+    response_times: Vec<(TargetIncarnation, Duration)>,
 }
 
 impl FlowTable {
@@ -135,6 +139,11 @@
         }
     }
 
+    /// Takes the times from requests on open flows to their first responses since the last call.
+    pub(super) fn take_response_times(&mut self) -> Vec<(TargetIncarnation, Duration)> {
+        std::mem::take(&mut self.response_times)
+    }
+
     /// Returns the targets that have flows.
     pub(super) fn targets(&self) -> impl Iterator<Item = TargetIncarnation> {
         self.loads.keys().copied()
@@ -281,6 +290,11 @@
         let is_retransmission = packet.data_len > 0 && !has_new_data;
         let waited = flow.waiting_since.map(|since| now.saturating_sub(since));
         if has_response {
+            if let Some(waited) = waited.filter(|_| flow.open)
+                && self.response_times.len() < MAX_RESPONSE_TIMES
+            {
+                self.response_times.push((target, waited));
+            }
             flow.open = true;
             flow.ack = packet.ack;
             flow.waiting_since = None;
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -201,7 +201,7 @@
         });
         self.domain_load.sample(now, loads);
         let instances = (self.local_instances, self.instances);
-        self.classes.sample(now, instances, &self.routes, &self.targets, &self.flows);
+        self.classes.sample(now, instances, &self.routes, &self.targets, &mut self.flows);
     }
 
     /// Decides about a packet and records it.
--- a/src/steering/policy.rs
+++ b/src/steering/policy.rs
@@ -9,4 +9,5 @@
 pub(super) mod health;
 pub(super) mod late_openings;
 pub(super) mod overdue;
+pub(super) mod response_times;
 pub(super) mod selection;
--- a/src/steering/policy/admission.rs
+++ b/src/steering/policy/admission.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use super::late_openings::MAX_AGE;
+use super::response_times::ResponseTimes;
 use crate::hash::HashMap;
 use crate::ids::InstanceId;
 
@@ -25,6 +26,9 @@
 /// Requests in flight per slot at which a service no longer counts as full. Admission keeps it near
 /// [`LIMIT`] during overload, so that without this distance it would alternate.
 const FULL_UNTIL: f64 = 1.5;
+/// Requests in flight per slot at which a service counts as full while its usual response time is not
+/// known.
+const LIMIT_ALONE: f64 = 3.0;
 /// Time constant of the moving average: long compared to a request, and short compared to the
 /// 600 ms in which targets fill their queues at four times the load.
 const AVERAGING_TIME: Duration = Duration::from_millis(250);
@@ -95,9 +99,26 @@
     last_sample: Duration,
     average: f64,
     full_since: Option<Duration>,
+    response_times: ResponseTimes,
 }
 
 impl LoadMeter {
+    /// Records the time from a request on an open flow to its first response.
+    pub fn record_response(&mut self, domain: &str, waited: Duration) {
+        let is_normal_load = !self.is_full() && self.average < LIMIT;
+        self.response_times.record(domain, waited, is_normal_load);
+    }
+
+    /// Sets the failure domains that have targets.
+    pub fn set_domains<'a>(&mut self, domains: impl Iterator<Item = &'a str>) {
+        self.response_times.set_domains(domains);
+    }
+
+    /// Returns the usual response time, if it is known.
+    pub fn usual_response_time(&self) -> Option<Duration> {
+        self.response_times.usual()
+    }
+
     /// Records the load now. Returns whether the service has become full or is full no more.
     pub fn sample(&mut self, now: Duration, load: ServiceLoad) -> bool {
         let elapsed = now.saturating_sub(self.last_sample).min(MAX_SAMPLE_TIME);
@@ -106,7 +127,12 @@
         let decay = decay(elapsed, if is_small { LONG_AVERAGING_TIME } else { AVERAGING_TIME });
         self.average = self.average * decay + load.per_slot() * (1.0 - decay);
         let was_full = self.is_full();
-        let is_full = self.average >= if was_full { FULL_UNTIL } else { LIMIT };
+        let is_full = match self.response_times.is_queueing(was_full) {
+            Some(is_queueing) => {
+                is_queueing && self.average >= if was_full { FULL_UNTIL } else { LIMIT }
+            }
+            None => self.average >= if was_full { FULL_UNTIL } else { LIMIT_ALONE },
+        };
         self.full_since = self.full_since.filter(|_| is_full).or_else(|| is_full.then_some(now));
         was_full != is_full
     }
--- a/src/steering/route_classes.rs
+++ b/src/steering/route_classes.rs
@@ -184,8 +184,9 @@
         instances: (usize, usize),
         routes: &RouteTable,
         targets: &TargetDirectory,
-        flows: &FlowTable,
+        flows: &mut FlowTable,
     ) {
+        let response_times = flows.take_response_times();
         if routes.version() != self.version {
             self.version = routes.version();
             self.set_routes(routes);
@@ -199,8 +200,20 @@
         if changed || now >= self.slots_counted + SLOTS_AGE {
             (self.change_count, self.slots_counted) = (targets.change_count(), now);
             for service in &mut self.services {
-                let eligible = targets.eligible(now, &service.name);
-                service.slots = eligible.map(|(target, _)| target.slots).sum();
+                let eligible = || targets.eligible(now, &service.name).map(|(target, _)| target);
+                service.slots = eligible().map(|target| target.slots).sum();
+                let mut domains: Vec<_> =
+                    eligible().map(|target| target.failure_domain.as_str()).collect();
+                domains.sort_unstable();
+                domains.dedup();
+                service.meter.set_domains(domains.into_iter());
+            }
+        }
+        for (incarnation, waited) in response_times {
+            let Some(target) = targets.get(incarnation) else { continue };
+            let service = self.services.iter_mut().find(|service| service.name == target.service);
+            if let Some(service) = service {
+                service.meter.record_response(&target.failure_domain, waited);
             }
         }
         let own = OwnLoads { targets, flows };
--- a/tests/admission_rules.rs
+++ b/tests/admission_rules.rs
@@ -64,6 +64,30 @@
     assert!(free_after.is_some_and(|n| n <= 5), "{free_after:?}");
 }
 
+/// Many requests in flight make no overload while responses take as long as usual, as with one busy
+/// failure domain and free slots elsewhere.
+#[test]
+fn queueing_evidence() {
+    let mut meter = LoadMeter::default();
+    meter.set_domains(["a", "b"].into_iter());
+    let mut now = ms(0);
+    let mut sample = |meter: &mut LoadMeter, in_flight| {
+        now += ms(100);
+        meter.sample(now, ServiceLoad { full: false, ..load(in_flight) });
+        meter.is_full()
+    };
+    (0..30).for_each(|_| meter.record_response("a", ms(60)));
+    assert!((0..20).all(|_| !sample(&mut meter, 40)), "full without queueing");
+    // The busy domain alone, and quick refusals by targets with full queues.
+    (0..50).for_each(|_| meter.record_response("a", ms(100)));
+    (0..50).for_each(|_| meter.record_response("b", ms(60)));
+    (0..50).for_each(|_| meter.record_response("a", ms(1)));
+    assert!(!sample(&mut meter, 40), "full while slots are free elsewhere");
+    (0..10).for_each(|_| meter.record_response("b", ms(120)));
+    assert!(sample(&mut meter, 40));
+    assert_eq!(meter.usual_response_time(), Some(ms(60)), "learned under load");
+}
+
 /// Lost or old reports, and reports about other services, allow no refusals.
 #[test]
 fn lost_reports() {
--- a/tests/steering_admission.rs
+++ b/tests/steering_admission.rs
@@ -112,6 +112,24 @@
     assert!(runs.iter().flatten().all(|&share| share >= SHARE), "{runs:.3?}");
 }
 
+/// One failure domain at three times its demand, as much as its slots, while two thirds of the others
+/// are free: its instances exceed an equal share, but neither refuse nor hold for long.
+#[test]
+fn busy_domain() {
+    for instances in [24, 112] {
+        let mut model = Overload::new(instances, Admission::ByPriority, 7);
+        model.run(3 * SECOND, [1.0; 2]);
+        model.local_share = 0.75;
+        let begin = model.run(BURST, [2.0; 2]);
+        model.run(2 * SECOND, [1.0; 2]);
+        print(&format!("busy domain, {instances} instances"), &model, begin);
+        let begun = || model.begun(begin, BURST);
+        assert!(begun().all(|r| r.refusals == 0), "refused while slots are free");
+        let in_time = begun().filter(|r| r.outcome == Outcome::InTime).count();
+        assert!(in_time * 1_000 >= begun().count() * 995, "{in_time} in time");
+    }
+}
+
 /// Without admission, or with refusals at random, urgent requests fail like the others.
 #[test]
 fn other_policies() {
--- a/tests/support/overload.rs
+++ b/tests/support/overload.rs
@@ -77,6 +77,8 @@
     pub requests: Vec<Request>,
     /// Requests that the targets refused.
     pub shed: usize,
+    /// Part of the callers in the failure domain of the first instance, which has half of the slots.
+    pub local_share: f64,
     admission: Admission,
     /// Load of each class, as a multiple of the normal one.
     factors: [f64; 2],
@@ -118,6 +120,7 @@
             world,
             requests: Vec::new(),
             shed: 0,
+            local_share: 0.5,
             admission,
             factors: [1.0; 2],
             servers,
@@ -188,7 +191,9 @@
                 {
                     return self.end_attempt(n);
                 }
-                let i = self.rng.random_range(0..self.world.nodes.len());
+                // Instances with even numbers are in the same failure domain.
+                let pair = self.rng.random_range(0..self.world.nodes.len() / 2);
+                let i = 2 * pair + usize::from(!self.rng.random_bool(self.local_share));
                 self.requests[n].instance = i;
                 let before = self.requests[n].attempt;
                 self.send(n, PacketKind::Opening { repeats: 0 });
@@ -269,6 +274,8 @@
 
     /// The caller gets an answer and closes the flow.
     fn answer(&mut self, n: usize) {
+        let ack = FlowPacket { ack: 6_000, data_len: 0, ..self.packet(n, PacketKind::Within) };
+        self.world.handle(self.requests[n].instance, Event::Packet(text(&ack)));
         self.send(n, PacketKind::Closing);
     }
 
