--- a/src/steering/directory.rs
+++ b/src/steering/directory.rs
@@ -10,6 +10,7 @@
 //! incarnation. Entries that the new era does not confirm expire.
 
 mod cold_time;
+mod removals;
 mod takeovers;
 
 use std::cmp::Ordering;
@@ -28,14 +29,9 @@
 use crate::ids::FailureDomain;
 use crate::platform::{Era, Position};
 
-/// Time for which removed targets are kept: the maximum lifetime of a flow.
-const REMOVED_RETENTION: Duration = Duration::from_secs(60);
 /// Time after a platform outage for which removed targets stay in use: entries that expired
 /// during the outage are registered again within two seconds.
 const REMOVAL_GRACE: Duration = Duration::from_millis(2_300);
-/// Time after the start of an era within which targets write their entries again, and instances
-/// learn of them. Entries that are still of an earlier era then count as removed.
-const ERA_SETTLING_TIME: Duration = Duration::from_secs(6);
 
 /// The platform's latest record of a target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -344,64 +340,12 @@
         self.entries.get(&key).is_some_and(|entry| entry.target.incarnation > incarnation)
     }
 
-    /// Returns whether the platform has removed this incarnation of a target, and any grace period
-    /// is over.
-    pub fn is_removed(&self, now: Duration, (key, incarnation): TargetIncarnation) -> bool {
-        let entry = self.entries.get(&key).filter(|entry| entry.target.incarnation == incarnation);
-        entry.is_some_and(|entry| entry.removed && now >= entry.grace_until)
-    }
-
-    /// Returns whether the address of a removed target is now used by another one.
-    pub fn is_address_reused(&self, removed: &Target) -> bool {
-        let has_address = |entry: &Entry| {
-            !entry.removed
-                && entry.target.address == removed.address
-                && entry.target.key != removed.key
-        };
-        self.entries.values().any(has_address)
-    }
-
     /// Returns the age of a target's record, and its position.
     pub fn age(&self, now: Duration, key: TargetKey) -> Option<(Duration, Position)> {
         let entry = self.entries.get(&key)?;
         Some((now.saturating_sub(entry.updated_at), entry.position))
     }
 
-    /// Returns the removed targets that may still have flows, in the order of their keys.
-    pub fn removed(&self) -> impl Iterator<Item = &Target> {
-        self.entries.values().filter(|entry| entry.removed).map(|entry| &entry.target)
-    }
-
-    /// Adds a target that was removed before this instance started. Targets that already have an
-    /// entry are left unchanged.
-    pub fn insert_removed(&mut self, now: Duration, target: Target) {
-        if self.entries.contains_key(&target.key) {
-            return;
-        }
-        let key = target.key;
-        self.insert(now, Position::default(), target);
-        if let Some(entry) = self.entries.get_mut(&key) {
-            entry.removed = true;
-        }
-    }
-
-    /// Deletes the entries of targets that can have no flows any more, and removes targets that
-    /// the current era has not confirmed in time.
-    pub fn expire(&mut self, now: Duration) {
-        self.remove_unconfirmed(now);
-        self.replaced.retain(|_, (_, at)| now < *at + REMOVED_RETENTION);
-        let expired = |entry: &Entry| entry.removed && now >= entry.updated_at + REMOVED_RETENTION;
-        let expired: Vec<_> =
-            self.entries.iter().filter(|(_, entry)| expired(entry)).map(|(key, _)| *key).collect();
-        for key in expired {
-            if let Some(entry) = self.entries.remove(&key) {
-                self.removals_since = self.removals_since.max(entry.position);
-                self.remove_from_service(&entry.target);
-                self.takeovers.remove(&entry.target);
-            }
-        }
-    }
-
     /// Returns whether a record changes nothing but the remaining warm-up time.
     fn is_unchanged(&self, record: &TargetRecord) -> bool {
         match (self.entries.get(&record.key), &record.target) {
@@ -464,18 +408,6 @@
         is_cold_again
     }
 
-    fn remove_unconfirmed(&mut self, now: Duration) {
-        let Position { era, .. } = self.complete_up_to;
-        if now < self.era_since + ERA_SETTLING_TIME {
-            return;
-        }
-        let unconfirmed = self.entries.iter().filter(|(_, e)| !e.removed && e.position.era < era);
-        let unconfirmed: Vec<_> = unconfirmed.map(|(key, _)| *key).collect();
-        for key in unconfirmed {
-            self.remove(now, Position::new(era, 0), key);
-        }
-    }
-
     fn insert(&mut self, now: Duration, position: Position, target: Target) {
         self.changes += 1;
         let key = target.key;
@@ -513,17 +445,6 @@
         self.entries.insert(key, entry);
     }
 
-    fn remove(&mut self, now: Duration, position: Position, key: TargetKey) {
-        // There is nothing to keep for a target without an entry.
-        let Some(entry) = self.entries.get_mut(&key) else { return };
-        entry.position = position;
-        if !entry.removed {
-            entry.removed = true;
-            entry.updated_at = now;
-            entry.grace_until = self.removal_grace_until;
-        }
-    }
-
     fn remove_from_service(&mut self, target: &Target) {
         let domains = self.by_service.get_mut(&target.service);
         if let Some(keys) = domains.and_then(|domains| domains.get_mut(&target.failure_domain)) {
