--- a/src/steering/policy/steadiness.rs
+++ b/src/steering/policy/steadiness.rs
@@ -3,8 +3,9 @@
 //! Load pattern: a tenth of the targets go down and up in turn. Each is healthy when it gets a flow
 //! and gone when the next request arrives on it, so a request that may not run twice fails with each
 //! turn. After its second failure, a target gets no new flows for a time that doubles with each
-//! further one. After a first crash it gets none for 2 s, but only if targets with three quarters of the slots are
-//! steady: a quarter to a third of the requests that failed in replays were on flows opened after it.
+//! further one. After a first crash it gets none for 2 s, but only if targets with three quarters of
+//! the slots are steady: a quarter to a third of the requests that failed in replays were on flows
+//! opened after it.
 //!
 //! The record is kept by service and address, because a target that starts again mostly has a new
 //! key. A failure counts once, however it is noticed: by its silence, by reports of other instances,
