Serve callers of a drained failure domain that is partitioned off

A failure domain is drained and then partitioned off.

Change: - policy/domain_reach.rs: the first unanswered packet to another domain has three random targets of it probed. If all fail within 150 ms, the domain is unreachable; peers at home are told, new flows avoid it, one probe per second asks. - policy/last_resort.rs: if all other domains are unreachable, an instance of a drained domain asks the platform for the order. Answered: callers are refused at once (domains_unreachable). Not answered within 500 ms: the local targets serve, until the platform or another domain answers. Openings wait while this is being found out. Peers share a positive answer; a missing one each instance has to see for itself.

--- a/src/steering/directory.rs
+++ b/src/steering/directory.rs
@@ -14,7 +14,7 @@
 mod takeovers;
 
 use std::cmp::Ordering;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::{Bound, RangeBounds};
 use std::time::Duration;
 
@@ -288,6 +288,23 @@
         self.eligible_of(now, keys.into_iter().flatten())
     }
 
+    /// Returns the targets of all services in a failure domain that may get new flows.
+    pub fn eligible_in_domain<'a>(
+        &'a self,
+        now: Duration,
+        domain: &str,
+    ) -> impl Iterator<Item = &'a Target> + use<'a> {
+        let keys: Vec<_> =
+            self.by_service.values().filter_map(|domains| domains.get(domain)).flatten().collect();
+        self.eligible_of(now, keys.into_iter()).map(|(target, _)| target)
+    }
+
+    /// Returns the failure domains that have targets, each once.
+    pub fn failure_domains(&self) -> BTreeSet<&str> {
+        let domains = self.by_service.values().flatten();
+        domains.filter(|(_, keys)| !keys.is_empty()).map(|(domain, _)| domain.as_str()).collect()
+    }
+
     fn eligible_of<'a>(
         &'a self,
         now: Duration,
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -3,6 +3,7 @@
 mod eligibility;
 mod failures;
 mod opening;
+mod reach;
 mod token_lookup;
 mod warm_up;
 
@@ -15,6 +16,8 @@
 pub use self::failures::UnsteadyTarget;
 use self::token_lookup::find_target;
 pub use self::warm_up::ColdTargets;
+use super::policy::domain_reach::DomainReach;
+use super::policy::last_resort::LastResort;
 use super::policy::overdue::OverdueResponses;
 use super::policy::steadiness::FailureRecords;
 use super::policy::warm_up::WarmUpBudget;
@@ -48,6 +51,10 @@
     /// All targets of the route's services that accept new flows are in drained failure domains.
     #[display("domain_drained")]
     DomainDrained,
+    /// All targets of the route's services that accept new flows are in failure domains that this
+    /// instance does not reach.
+    #[display("domains_unreachable")]
+    DomainsUnreachable,
     /// Only cold targets without an opening budget are left.
     #[display("cold_targets")]
     ColdTargets,
@@ -66,6 +73,9 @@
     /// The routes or targets have not been received yet.
     #[display("not_ready")]
     NotReady,
+    /// Whether targets may get the flow is known within the platform's time limit.
+    #[display("undecided")]
+    Undecided,
     /// The packet has no token, or one that matches no known target.
     #[display("unknown_token")]
     UnknownToken,
@@ -122,6 +132,11 @@
     /// Local slots of the services that share a route.
     local_slots: HashMap<String, u32>,
     domain_load: DomainLoad,
+    domain_reach: DomainReach,
+    /// Failure domains found unreachable that peers do not know of yet.
+    found_unreachable: Vec<FailureDomain>,
+    /// Whether the drained local failure domain may be used.
+    pub last_resort: LastResort,
     warm_up: WarmUpBudget,
     /// Number of instances in the local failure domain, this one included.
     local_instances: usize,
@@ -148,6 +163,9 @@
             unsteady: Vec::new(),
             local_slots: HashMap::default(),
             domain_load: DomainLoad::default(),
+            domain_reach: DomainReach::default(),
+            found_unreachable: Vec::new(),
+            last_resort: LastResort::default(),
             warm_up: WarmUpBudget::default(),
             local_instances: 1,
             instances: 1,
@@ -253,6 +271,7 @@
         self.overdue.expire(now);
         self.expire_warm_up(now);
         self.failures.expire(now);
+        self.expire_reach();
         self.count_local_slots(now);
     }
 
@@ -317,6 +336,7 @@
         address: SocketAddr,
         accepted: bool,
     ) -> Vec<TargetIncarnation> {
+        self.record_probe(now, address, accepted);
         let dead = self.health.record_connection_check(now, address, accepted);
         self.record_check(now, address, accepted, &dead);
         self.health_changes.extend(dead.iter().map(|&(key, _)| HealthChange::Dead(key)));
--- a/src/steering/forwarder/eligibility.rs
+++ b/src/steering/forwarder/eligibility.rs
@@ -1,12 +1,20 @@
-//! Which targets may get new flows: not those in drained failure domains.
+//! Which targets may get new flows: not those in drained or unreachable failure domains.
 
 use std::time::Duration;
 
-use super::{Forwarder, ResetReason};
+use super::{DropReason, Forwarder, ResetReason, Verdict};
 use crate::steering::token::TargetIncarnation;
 use crate::steering::{Target, WeightedService};
 
 impl Forwarder {
+    /// Returns whether targets of a failure domain may get new flows.
+    pub(super) fn accepts_flows(&self, domain: &str) -> bool {
+        if self.drains.is_drained(domain) {
+            return domain == self.local_domain && self.last_resort.is_active();
+        }
+        !self.domain_reach.is_unreachable(domain)
+    }
+
     /// Returns the targets of a service that may get new flows, with the remaining time until each is
     /// warm.
     pub(super) fn eligible<'a>(
@@ -14,7 +22,7 @@
         now: Duration,
         service: &str,
     ) -> impl Iterator<Item = (&'a Target, Duration)> + use<'a> {
-        self.targets.eligible_outside(now, service, |domain| self.drains.is_drained(domain))
+        self.targets.eligible_outside(now, service, |domain| !self.accepts_flows(domain))
     }
 
     /// Returns the targets that [`Forwarder::eligible`] returns that are in the local failure domain.
@@ -24,32 +32,39 @@
         service: &str,
     ) -> impl Iterator<Item = (&'a Target, Duration)> + use<'a> {
         let local = self.targets.eligible_in(now, service, &self.local_domain);
-        let is_drained = self.drains.is_drained(&self.local_domain);
-        local.filter(move |_| !is_drained)
+        let accepts_flows = self.accepts_flows(&self.local_domain);
+        local.filter(move |_| accepts_flows)
     }
 
     /// Returns whether the target that a flow already had may get its opening packet again.
     pub(super) fn may_get_flow(&self, previous: TargetIncarnation) -> bool {
         let target = self.targets.get(previous).filter(|_| !self.targets.is_replaced(previous));
-        target.is_some_and(|target| !self.drains.is_drained(&target.failure_domain))
+        target.is_some_and(|target| self.accepts_flows(&target.failure_domain))
     }
 
-    /// Returns why no target of a route's services can get a flow.
-    pub(super) fn no_target_reason(
+    /// Returns the verdict on a flow for which no target of its route's services is left.
+    pub(super) fn no_target(
         &self,
         now: Duration,
         services: &[WeightedService],
-    ) -> ResetReason {
-        let has_eligible = |s: &WeightedService| self.eligible(now, &s.service).next().is_some();
-        let has_drained =
-            |s: &WeightedService| self.targets.eligible(now, &s.service).next().is_some();
-        if self.drains.any()
-            && !services.iter().any(has_eligible)
-            && services.iter().any(has_drained)
-        {
-            ResetReason::DomainDrained
+    ) -> Verdict<'static> {
+        let any = |is_cause: &dyn Fn(&Target) -> bool| {
+            services
+                .iter()
+                .any(|s| self.targets.eligible(now, &s.service).any(|(target, _)| is_cause(target)))
+        };
+        if any(&|target| self.accepts_flows(&target.failure_domain)) {
+            Verdict::Reset(ResetReason::NoTarget)
+        } else if any(&|target| self.is_unreachable_target(target)) {
+            let is_local = |target: &Target| target.failure_domain == self.local_domain;
+            match self.last_resort.is_undecided() && any(&is_local) {
+                true => Verdict::Drop(DropReason::Undecided),
+                false => Verdict::Reset(ResetReason::DomainsUnreachable),
+            }
+        } else if any(&|target| self.drains.is_drained(&target.failure_domain)) {
+            Verdict::Reset(ResetReason::DomainDrained)
         } else {
-            ResetReason::NoTarget
+            Verdict::Reset(ResetReason::NoTarget)
         }
     }
 }
--- a/src/steering/forwarder/failures.rs
+++ b/src/steering/forwarder/failures.rs
@@ -87,8 +87,7 @@
     /// Returns whether a responsive target of another failure domain may get new flows and is not
     /// known to be busy.
     fn has_free_elsewhere(&self, now: Duration, service: &str) -> bool {
-        let is_excluded =
-            |domain: &str| domain == self.local_domain || self.drains.is_drained(domain);
+        let is_excluded = |domain: &str| domain == self.local_domain || !self.accepts_flows(domain);
         let limit = self.routes.warm_up(service);
         self.targets.eligible_outside(now, service, is_excluded).any(|(target, recorded)| {
             let candidate = self.candidate(now, limit, target, recorded);
@@ -170,6 +169,7 @@
             histogram!("limpetdeck_answer_seconds").record(waited);
         }
         self.record_return(now, target);
+        self.record_reached(now, target);
         if self.health.record_response(now, target) {
             self.health_changes.push(HealthChange::Recovered(target.0));
         }
@@ -182,6 +182,7 @@
         packet: &FlowPacket,
         waited: Duration,
     ) {
+        self.record_unreached(now, target, now.saturating_sub(waited));
         if self.health.record_unanswered(now, target, packet.flow.id(), waited) {
             self.record_silence(now, target, now.saturating_sub(waited));
             self.health_changes.push(HealthChange::Unresponsive(target.0));
@@ -220,6 +221,7 @@
             self.failures.record_accepted(now, address);
         }
         for &incarnation in dead {
+            self.record_unreached(now, incarnation, now.saturating_sub(RECENT_RESPONSE));
             self.record_silence(now, incarnation, now.saturating_sub(RECENT_RESPONSE));
         }
     }
--- a/src/steering/forwarder/warm_up.rs
+++ b/src/steering/forwarder/warm_up.rs
@@ -156,7 +156,7 @@
         let with_cold: Vec<_> =
             limits.filter(|&(service, limit)| self.has_cold(now, service, limit)).collect();
         if with_cold.is_empty() {
-            return Verdict::Reset(self.no_target_reason(now, services));
+            return self.no_target(now, services);
         }
         match with_cold.iter().all(|(_, limit)| limit.is_some()) {
             true => Verdict::Reset(ResetReason::ColdTargets),
--- a/src/steering/gossip.rs
+++ b/src/steering/gossip.rs
@@ -9,6 +9,7 @@
 mod dedup;
 mod domain_drains;
 mod listing;
+mod reach;
 mod removed;
 mod route_changes;
 mod route_transfer;
@@ -318,6 +319,14 @@
                 self.on_domain_drains(now, from, snapshot, forwarder, out);
                 false
             }
+            Message::DomainUnreachable(domain) => {
+                self.on_unreachable(now, domain, forwarder, out);
+                false
+            }
+            Message::PlatformAnswered => {
+                self.on_platform_answer(now, forwarder, out);
+                false
+            }
         }
     }
 
@@ -384,7 +393,9 @@
         | Message::PullRouteChange { .. }
         | Message::RouteChange(_)
         | Message::NewRoutes { .. }
-        | Message::DomainDrains(_) => Class::Liveness,
+        | Message::DomainDrains(_)
+        | Message::DomainUnreachable(_)
+        | Message::PlatformAnswered => Class::Liveness,
         // A lost announcement costs only a few flows.
         Message::Overdue(_) => Class::Lists,
         Message::PullRemoved { .. }
--- a/src/steering/message.rs
+++ b/src/steering/message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{DrainSnapshot, RouteChange, Target, TargetIncarnation, TargetKey, TargetRecord};
-use crate::ids::Version;
+use crate::ids::{FailureDomain, Version};
 use crate::platform::Position;
 
 /// The versions of the routes and targets that an instance has.
@@ -86,6 +86,12 @@
     },
     /// The failure domains that are drained. Earlier releases do not know this message.
     DomainDrains(DrainSnapshot),
+    /// The sender reaches no target of another failure domain. Earlier releases do not know this
+    /// message and the one below.
+    DomainUnreachable(FailureDomain),
+    /// The platform has answered the sender, which had asked whether the local failure domain is
+    /// still drained.
+    PlatformAnswered,
 }
 
 /// All targets with keys in a range that exist at a position.
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -4,6 +4,7 @@
 mod cold_targets;
 mod domain_drains;
 mod held_openings;
+mod last_resort;
 mod logging;
 mod members_log;
 mod platform_reply;
@@ -208,6 +209,9 @@
             }
         }
         self.forward(now, arrived, &packet, buf, out);
+        if matches!(packet.kind, PacketKind::Opening { repeats: 1.. }) {
+            self.update_reach(now, out);
+        }
     }
 
     fn forward(
@@ -229,7 +233,9 @@
                 }
             }
             Verdict::Reset(reason) => self.send_reset(now, packet, reason, out),
-            Verdict::Drop(DropReason::NotReady) => self.startup_queue.push(arrived, buf),
+            Verdict::Drop(DropReason::NotReady | DropReason::Undecided) => {
+                self.startup_queue.push(arrived, buf);
+            }
             Verdict::Drop(reason) => self.record_drop(now, Some(packet), &reason.to_string()),
         }
     }
@@ -254,6 +260,7 @@
         let Some((from, body)) = self.link.open(buf) else { return };
         let since = self.forwarder.targets.complete_up_to();
         let routes_before = self.forwarder.routes.version();
+        let decision = self.last_resort_decision();
         let mut outbox = self.link.outbox(now, out);
         match body {
             Body::Membership(message) => {
@@ -274,6 +281,10 @@
                 if changed || self.forwarder.drains.ready() != drains_ready {
                     self.release_queued(now, out);
                 }
+                if self.forwarder.has_reach_changes() {
+                    self.update_reach(now, out);
+                }
+                self.apply_last_resort(now, decision, out);
             }
             // Sent only by instances that forward by flow records instead of tokens.
             Body::Packet(_)
@@ -287,6 +298,7 @@
     fn tick(&mut self, now: Duration, out: &mut Vec<Action>) {
         if self.pauses.detect(now) {
             self.list_watches.relist(now);
+            self.forwarder.reset_reach();
         }
         self.pauses.tick(now);
         let mut outbox = self.link.outbox(now, out);
@@ -301,6 +313,7 @@
         }
         self.call_platform(now, out);
         self.stop_waiting_for_drains(now, out);
+        self.update_reach(now, out);
         self.forwarder.sample_load(now);
         if now >= self.next_expiry {
             self.next_expiry = now + EXPIRY_INTERVAL;
@@ -334,6 +347,9 @@
         let dead = self.forwarder.record_connection_check(now, address, accepted);
         self.log_health_changes();
         self.gossip.announce_suspects(now, &dead, &mut self.link.outbox(now, out));
+        if self.forwarder.has_reach_changes() {
+            self.update_reach(now, out);
+        }
         self.reset_orphaned_flows(now, out);
     }
 
@@ -452,7 +468,10 @@
                 self.release_held(now, out);
             }
             Event::Peer(buf) => self.handle_peer_message(now, &buf, out),
-            Event::Platform(call, result) => self.handle_platform_reply(now, &call, &result, out),
+            Event::Platform(call, result) => {
+                self.note_platform_reply(now, &call, &result, out);
+                self.handle_platform_reply(now, &call, &result, out);
+            }
             Event::PlatformPart(call, part) => self.handle_platform_part(now, &call, &part, out),
             // This core never probes targets: their flows show whether they respond.
             Event::ProbeFinished(..) => {}
--- a/src/steering/node/platform_reply.rs
+++ b/src/steering/node/platform_reply.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 
 use super::Node;
+use super::last_resort::is_question;
 use crate::instance::Action;
 use crate::peer::MemberInfo;
 use crate::platform::{Call, Changes, Era, Object, PlatformError, Position, Reply};
@@ -31,6 +32,8 @@
             self.forwarder.targets.start_removal_grace(now);
         }
         match (call, result) {
+            // Nobody has ordered what is not found.
+            (call, Err(PlatformError::NotFound)) if is_question(call) => {}
             (_, Err(e)) => self.record_call_failure(call, e),
             _ if !usable => {
                 log::info!(call = describe(call).as_str(); "outdated_reply");
--- a/src/steering/policy.rs
+++ b/src/steering/policy.rs
@@ -5,7 +5,9 @@
 //! be tested, or used in a forwarder of one's own, without a network.
 
 pub(super) mod domain_load;
+pub(super) mod domain_reach;
 pub(super) mod health;
+pub(super) mod last_resort;
 pub(super) mod late_openings;
 pub(super) mod overdue;
 pub(super) mod seen_instances;
--- a/tests/support/steering_world.rs
+++ b/tests/support/steering_world.rs
@@ -38,6 +38,8 @@
     pub silent_prefixes: Vec<String>,
     pub down: bool,
     pub calls: u32,
+    /// Calls for a single object.
+    pub gets: u32,
 }
 
 impl Store {
@@ -233,6 +235,7 @@
 
     pub fn call(&mut self, i: usize, call: Call) {
         self.store.calls += 1;
+        self.store.gets += u32::from(matches!(call, Call::Get { .. }));
         if self.store.down || self.store.refused_instances.contains(&i) {
             let refused = PlatformError::Refused("503".to_owned());
             return self.deliver_later(i, Event::Platform(call, Err(refused)));
