One state for the path to the platform; shutdown in a file of its own

last_resort.rs kept what is known of the path to the platform in two flags, of which an answer to any call while nothing was in doubt set one for up to a tick: an instance whose path broke in that moment would have refused callers that it should have let wait.

--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -8,6 +8,7 @@
 mod logging;
 mod members_log;
 mod platform_reply;
+mod shutdown;
 mod startup_queue;
 
 use std::collections::BTreeMap;
@@ -31,7 +32,7 @@
     TargetIncarnation, Verdict,
 };
 use crate::hash::HashMap;
-use crate::instance::{Action, Core, Event, ReloadableSettings, Status};
+use crate::instance::{Action, Core, Event, Status};
 use crate::link::{Link, count_dropped_message};
 use crate::lists::ListVersions;
 use crate::membership::Membership;
@@ -39,13 +40,6 @@
 use crate::peer::{Body, KeyRing, MemberInfo};
 use crate::platform::Era;
 
-/// Shortest time for which an instance that shuts down keeps forwarding: packets arrive until
-/// failing health checks have taken it out of rotation.
-const MIN_SHUTDOWN_TIME: Duration = Duration::from_millis(1_500);
-/// Time without packets after which an instance that shuts down exits.
-const SHUTDOWN_IDLE_TIMEOUT: Duration = Duration::from_millis(600);
-/// Part of the graceful shutdown time that is reserved for ending the process.
-const EXIT_RESERVE: Duration = Duration::from_millis(700);
 /// Time between two expiry runs over flows and targets.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two checks for overdue responses, each of which scans all flows.
@@ -430,34 +424,6 @@
         self.link.set_addresses(addresses);
         self.link.set_incarnation(self.membership.me().incarnation);
     }
-
-    fn apply_settings(&mut self, settings: ReloadableSettings) {
-        self.grace = settings.grace;
-        self.membership.set_seeds(settings.seeds);
-    }
-
-    fn begin_shutdown(&mut self, now: Duration) {
-        if self.leaving_since.is_none() {
-            log::info!(instance = self.membership.me().id; "leaving");
-            self.leaving_since = Some(now);
-            self.membership.leave();
-        }
-    }
-
-    /// Exits during a graceful shutdown once no packets arrive any more or the time is up.
-    fn finish_shutdown(&mut self, now: Duration, out: &mut Vec<Action>) {
-        let Some(since) = self.leaving_since.filter(|_| !self.exited) else { return };
-        let deadline = since + self.grace.saturating_sub(EXIT_RESERVE);
-        let idle =
-            now >= since + MIN_SHUTDOWN_TIME && now >= self.last_packet + SHUTDOWN_IDLE_TIMEOUT;
-        if idle || now >= deadline {
-            self.exited = true;
-            let deregister = self.registration.deregister(self.membership.me().id);
-            let deregister = deregister.filter(|_| !self.membership.is_superseded());
-            out.extend(deregister.map(Action::Platform));
-            out.push(Action::Exit);
-        }
-    }
 }
 
 impl Core for Node {
--- a/src/steering/policy/last_resort.rs
+++ b/src/steering/policy/last_resort.rs
@@ -36,26 +36,34 @@
     Unreachable,
 }
 
+/// What an instance knows of its path to the platform since it asks.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Path {
+    #[default]
+    Unknown,
+    /// The platform has answered this instance or a peer.
+    Answers,
+    /// The last question of this instance has had no answer in time.
+    Silent,
+}
+
 /// Whether the drained local failure domain may be used.
 #[derive(Debug, Default)]
 pub struct LastResort {
     /// Whether all other domains are unreachable.
     alone: bool,
+    /// Whether this is one of the few instances that watch the platform for the failure domain.
+    is_watcher: bool,
+    path: Path,
     /// When the question in flight was sent.
     asked: Option<Duration>,
+    /// When the next question is due; none while no other domain is in doubt.
     next_question: Option<Duration>,
-    /// Whether the last question has had no answer in time.
-    unanswered: bool,
-    is_watcher: bool,
-    /// Whether the platform has answered this instance or a peer since the other domains are in doubt.
-    answered: bool,
 }
 
 impl LastResort {
     /// Updates what is seen of the other domains; to be called on each tick. Returns whether the
     /// platform is to be asked now.
-    ///
-    /// `is_watcher` is set for the few instances that watch the platform for the failure domain.
     pub fn update(
         &mut self,
         now: Duration,
@@ -69,37 +77,40 @@
             return false;
         }
         self.alone = others == OtherDomains::Unreachable;
-        self.unanswered |= self.asked.is_some_and(|asked| now >= asked + ANSWER_TIMEOUT);
+        self.is_watcher = is_watcher;
+        if self.asked.is_some_and(|asked| now >= asked + ANSWER_TIMEOUT) {
+            self.path = Path::Silent;
+        }
         let first = || now + MAX_FIRST_DELAY.mul_f64(rng.random());
-        let due = *self.next_question.get_or_insert_with(first);
-        let is_due = now >= due;
+        let is_due = now >= *self.next_question.get_or_insert_with(first);
         if is_due {
             self.asked = Some(now);
             self.next_question = Some(now + ASK_INTERVAL);
         }
-        self.is_watcher = is_watcher;
         is_due
     }
 
     /// Records the outcome of a question. Returns whether an answer has come that peers should know.
     pub fn record_outcome(&mut self, answered: bool) -> bool {
-        let was_awaited = self.asked.take().is_some() || self.unanswered;
-        self.unanswered = !answered && was_awaited;
-        self.answered |= answered;
+        let was_awaited = self.asked.take().is_some() || self.path == Path::Silent;
+        if was_awaited {
+            self.path = if answered { Path::Answers } else { Path::Silent };
+        }
         answered && was_awaited
     }
 
     /// Records that the platform has answered any call.
     pub fn record_answer(&mut self) {
-        self.unanswered = false;
-        self.asked = None;
-        self.answered = true;
+        if self.next_question.is_some() {
+            self.path = Path::Answers;
+            self.asked = None;
+        }
     }
 
     /// Records that the platform has answered a peer. Returns whether this is news.
     pub fn record_peer_answer(&mut self, now: Duration) -> bool {
         let Some(due) = self.next_question else { return false };
-        if self.unanswered {
+        if self.path == Path::Silent {
             // The platform may be back for this instance too.
             self.next_question = Some(now);
             return false;
@@ -109,19 +120,19 @@
         let is_news = now + interval > due + ASK_INTERVAL / 2;
         if is_news {
             self.next_question = Some(now + interval);
-            self.answered = true;
+            self.path = Path::Answers;
         }
         is_news
     }
 
     /// Returns whether the drained local failure domain may be used.
     pub fn is_active(&self) -> bool {
-        self.alone && self.unanswered
+        self.alone && self.path == Path::Silent
     }
 
     /// Returns whether this is still to be found out, which takes no longer than the platform's
     /// time limit.
     pub fn is_undecided(&self) -> bool {
-        self.alone && !self.unanswered && !self.answered
+        self.alone && self.path == Path::Unknown
     }
 }
--- a/tests/support/partition.rs
+++ b/tests/support/partition.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use limpetdeck::instance::Event;
-use limpetdeck::steering::PacketKind;
+use limpetdeck::steering::{PacketFormat, PacketKind, Target};
 
 use super::support::*;
 use super::world::*;
@@ -54,10 +54,7 @@
             world.store.put_target(&remote_target(key, STATION));
         }
         for key in 21..=24 {
-            let third = limpetdeck::steering::Target {
-                failure_domain: THIRD.to_owned(),
-                ..target(key, STATION)
-            };
+            let third = Target { failure_domain: THIRD.to_owned(), ..target(key, STATION) };
             world.store.put_target(&third);
         }
         world.run(Duration::from_secs(12));
@@ -168,10 +165,7 @@
         let sent = String::from_utf8(buf.to_vec()).expect("text");
         let (_, packet) = sent.split_once('>').expect("a packet to a target");
         let (packet, token) = packet.rsplit_once(' ').expect("fields");
-        let Ok(packet) = limpetdeck::steering::PacketFormat::read(&TextPackets, packet.as_bytes())
-        else {
-            return;
-        };
+        let Ok(packet) = TextPackets.read(packet.as_bytes()) else { return };
         if !matches!(packet.kind, PacketKind::Opening { .. }) {
             return;
         }
