--- a/review/standin/watchers_cut.rs
+++ b/review/standin/watchers_cut.rs
@@ -2,7 +2,7 @@
 //! server then drains. The other instances reach the store and have no disruption.
 
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::SocketAddrV4;
 use std::path::Path;
 use std::sync::Arc;
 use std::thread::sleep;
@@ -14,8 +14,9 @@
 /// Bounds of the site, in milliseconds.
 const DRAIN_TIMEOUT: u64 = 3_000;
 const STABLE_WINDOW: u64 = 4_000;
-/// Length of the cut, and largest share of the instances that it may hit, as in the site file.
-const CUT: u64 = 12_000;
+/// Length of the cut, below the 12 s of the site file as each look takes up to 50 ms, and the largest
+/// share of the instances that it may hit.
+const CUT: u64 = 11_800;
 const MAX_SHARE: f64 = 0.35;
 /// Time from the start of the cut until the servers drain.
 const DRAIN_AFTER: u64 = 1_000;
@@ -34,9 +35,12 @@
 
 fn run(world: &Arc<World>, trouble: bool) -> Outcome {
     let record = &world.record;
-    let route = |i: u8, port| SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, i), port);
+    let route = |i: u8, port| SocketAddrV4::new(world.route_ip(i), port);
     let (sales, sheets) = (route(1, 8443), route(2, 8443));
-    world.store.write("config", "main", CONFIG);
+    let config = CONFIG
+        .replace("SALES", &sales.ip().to_string())
+        .replace("SHEETS", &sheets.ip().to_string());
+    world.store.write("config", "main", &config);
     world.start()?;
     // Traffic starts 10 s after the instances do, once all are ready.
     sleep(Duration::from_secs(10));
@@ -163,4 +167,4 @@
     Ok(late)
 }
 
-const CONFIG: &str = r#"{"Version":7,"Routes":[{"Name":"r-1","Hostname":"198.18.0.1","PathPrefix":"/8443/","RouteType":"unsafe","TimeoutMs":2500,"TargetLatencyMs":250,"Priority":1,"Service":"estacion","Attempts":2},{"Name":"r-2","Hostname":"198.18.0.2","PathPrefix":"/8443/","RouteType":"download","TimeoutMs":5000,"TargetLatencyMs":500,"Priority":2,"Service":"tarifas","Attempts":2}],"Services":[{"Name":"estacion","HealthCheck":"/healthz","MaxFlows":4286,"Protocol":"h1","Tls":false,"ColdStartS":2.0,"WarmupPerS":0.0},{"Name":"tarifas","HealthCheck":"/healthz","MaxFlows":4286,"Protocol":"h1","Tls":false,"ColdStartS":2.0,"WarmupPerS":0.0}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}"#;
+const CONFIG: &str = r#"{"Version":7,"Routes":[{"Name":"r-1","Hostname":"SALES","PathPrefix":"/8443/","RouteType":"unsafe","TimeoutMs":2500,"TargetLatencyMs":250,"Priority":1,"Service":"estacion","Attempts":2},{"Name":"r-2","Hostname":"SHEETS","PathPrefix":"/8443/","RouteType":"download","TimeoutMs":5000,"TargetLatencyMs":500,"Priority":2,"Service":"tarifas","Attempts":2}],"Services":[{"Name":"estacion","HealthCheck":"/healthz","MaxFlows":4286,"Protocol":"h1","Tls":false,"ColdStartS":2.0,"WarmupPerS":0.0},{"Name":"tarifas","HealthCheck":"/healthz","MaxFlows":4286,"Protocol":"h1","Tls":false,"ColdStartS":2.0,"WarmupPerS":0.0}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}"#;
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -8,15 +8,45 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-pub const DATAGRAM_PORT: u16 = 8172;
-pub const READY_PORT: u16 = 8167;
-pub const CONTROL_PORT: u16 = 8166;
-pub const STORE_PORT: u16 = 8169;
-pub const SERVER_PORT: u16 = 8080;
+/// Ports of a run, the same on all addresses; free ones, but for the metrics port of the deploy file.
+#[derive(Clone, Copy)]
+struct Ports {
+    datagram: u16,
+    ready: u16,
+    control: u16,
+    store: u16,
+    server: u16,
+    /// First of the 16 ports between instances.
+    internal: u16,
+}
+
+static PORTS: OnceLock<Ports> = OnceLock::new();
+
+fn ports() -> Ports {
+    *PORTS.get_or_init(|| {
+        let is_free = |port: u16| {
+            TcpListener::bind((Ipv4Addr::UNSPECIFIED, port)).is_ok()
+                && UdpSocket::bind((Ipv4Addr::UNSPECIFIED, port)).is_ok()
+        };
+        // Below the ports that the system gives to outgoing connections.
+        let first = 20_000 + (std::process::id() % 100) as u16 * 32;
+        let base = (first..32_000).step_by(32).find(|&base| (base..base + 21).all(is_free));
+        let base = base.unwrap_or(first);
+        Ports {
+            datagram: base,
+            ready: base + 1,
+            control: base + 2,
+            store: base + 3,
+            server: base + 4,
+            internal: base + 5,
+        }
+    })
+}
+
 pub const ZONES: [&str; 3] = ["gt-centro-a", "gt-centro-b", "gt-centro-c"];
 const SYN: u8 = 32;
 const ACK: u8 = 64;
@@ -537,20 +567,22 @@
         let key = deploy.lines().find(|l| l.starts_with("env = ")).and_then(quoted);
         let command =
             run.ok_or("no command in the deploy file")?.split(' ').map(str::to_owned).collect();
+        let Ports { datagram, ready, control, store: store_port, internal, .. } = ports();
+        let internal_last = internal + 15;
         let store = Store::new();
         let mut instances = Vec::new();
         let total = sizes.instances_per_zone * ZONES.len();
         let seeds: Vec<_> = (0..3)
-            .map(|zone| format!("\"{}:{CONTROL_PORT}\"", ip(1, zone * sizes.instances_per_zone)))
+            .map(|zone| format!("\"{}:{control}\"", ip(1, zone * sizes.instances_per_zone)))
             .collect();
         for i in 0..total {
             let zone = i / sizes.instances_per_zone;
             let (own, store_ip) = (ip(1, i), ip(9, i));
-            let listener = TcpListener::bind((store_ip, STORE_PORT)).map_err(err)?;
+            let listener = TcpListener::bind((store_ip, ports().store)).map_err(err)?;
             store.serve(i, listener);
             let evacuate = if sizes.evacuations { "EvacuateMs = 5000\n" } else { "" };
             let text = format!(
-                "NodeName = \"edge-{z}-{i}\"\nRole = \"node\"\nMachineClass = \"edge\"\nServes = [\"edge\",\"control\"]\nIp = \"{own}\"\nZone = \"{z}\"\nRegion = \"gt-centro\"\nInternalPortRange = [7720,7735]\nSeedNodes = [{}]\nBootstrap = true\nFaultCounted = false\nDiscovery = \"platform\"\nHeartbeatMs = 770\nFlowHash = \"steady\"\nForwardingMode = \"echo\"\n[Zones]\ngt-centro-a = \"gt-centro\"\ngt-centro-b = \"gt-centro\"\ngt-centro-c = \"gt-centro\"\n[ListenAddrs]\nDatagramAddr = \"{own}:{DATAGRAM_PORT}\"\nReady = \"{own}:{READY_PORT}\"\nControlPlane = \"{own}:{CONTROL_PORT}\"\n[Limits]\nCpuQuota = 0.17\nCpuCores = 1\nMemoryMb = 182\nMaxFds = 2870\nLinkMbps = 700.0\nDiskMb = 0\n[FaultTolerance]\nMachines = 2\nZones = 1\nRegions = 0\n[Bounds]\nSeedLagS = 3\nAddrReuseS = 2\nStableWindowMs = 4000\nAckTimeoutMs = 5000\nCatchUpS = 4\nDrainTimeoutMs = 3000\nGraceS = 6\nLossSlackMs = 200\nConfigApplyMs = 3000\nDowngradeSlackMs = 250\nMaxStretchMs = 12000\n{evacuate}RecoveryS = 12\nFlowMs = 2000\nFlowMaxS = 60\n[platform]\nAddress = \"{store_ip}:{STORE_PORT}\"\nForwardingMode = \"objects\"\nWritesPerS = 400\nReadsPerS = 2000\nHistoryS = 20\nValueBytes = 1048576\nTtlMinMs = 1000\n",
+                "NodeName = \"edge-{z}-{i}\"\nRole = \"node\"\nMachineClass = \"edge\"\nServes = [\"edge\",\"control\"]\nIp = \"{own}\"\nZone = \"{z}\"\nRegion = \"gt-centro\"\nInternalPortRange = [{internal},{internal_last}]\nSeedNodes = [{}]\nBootstrap = true\nFaultCounted = false\nDiscovery = \"platform\"\nHeartbeatMs = 770\nFlowHash = \"steady\"\nForwardingMode = \"echo\"\n[Zones]\ngt-centro-a = \"gt-centro\"\ngt-centro-b = \"gt-centro\"\ngt-centro-c = \"gt-centro\"\n[ListenAddrs]\nDatagramAddr = \"{own}:{datagram}\"\nReady = \"{own}:{ready}\"\nControlPlane = \"{own}:{control}\"\n[Limits]\nCpuQuota = 0.17\nCpuCores = 1\nMemoryMb = 182\nMaxFds = 2870\nLinkMbps = 700.0\nDiskMb = 0\n[FaultTolerance]\nMachines = 2\nZones = 1\nRegions = 0\n[Bounds]\nSeedLagS = 3\nAddrReuseS = 2\nStableWindowMs = 4000\nAckTimeoutMs = 5000\nCatchUpS = 4\nDrainTimeoutMs = 3000\nGraceS = 6\nLossSlackMs = 200\nConfigApplyMs = 3000\nDowngradeSlackMs = 250\nMaxStretchMs = 12000\n{evacuate}RecoveryS = 12\nFlowMs = 2000\nFlowMaxS = 60\n[platform]\nAddress = \"{store_ip}:{store_port}\"\nForwardingMode = \"objects\"\nWritesPerS = 400\nReadsPerS = 2000\nHistoryS = 20\nValueBytes = 1048576\nTtlMinMs = 1000\n",
                 seeds.join(","),
                 z = ZONES[zone],
             );
@@ -576,7 +608,7 @@
                         id,
                         service: (*service).to_owned(),
                         zone,
-                        address: SocketAddrV4::new(ip(2, i), SERVER_PORT),
+                        address: SocketAddrV4::new(ip(2, i), ports().server),
                         born: unix_ms(),
                         draining: AtomicBool::new(false),
                     });
@@ -585,7 +617,7 @@
         }
         let mut clients = Vec::new();
         for zone in 0..ZONES.len() {
-            clients.push(UdpSocket::bind((ip(3, zone), DATAGRAM_PORT)).map_err(err)?);
+            clients.push(UdpSocket::bind((ip(3, zone), ports().datagram)).map_err(err)?);
         }
         let file = fs::File::create(record).map_err(err)?;
         Ok(Arc::new(Self {
@@ -705,7 +737,7 @@
                     src: p.dst,
                     data: data.to_vec(),
                 };
-                let _ = socket.send_to(&answer.encode(), (*p.src.ip(), DATAGRAM_PORT));
+                let _ = socket.send_to(&answer.encode(), (*p.src.ip(), ports().datagram));
             };
             if p.flags & SYN != 0 {
                 let std::net::SocketAddr::V4(by) = from else { continue };
@@ -764,7 +796,7 @@
         while !self.stop.load(Ordering::Relaxed) {
             let instance = &self.instances[i];
             let ready = (|| {
-                let address = SocketAddrV4::new(instance.ip, READY_PORT).into();
+                let address = SocketAddrV4::new(instance.ip, ports().ready).into();
                 let timeout = Duration::from_millis(400);
                 let mut stream = TcpStream::connect_timeout(&address, timeout).ok()?;
                 stream.set_read_timeout(Some(timeout)).ok()?;
@@ -833,6 +865,12 @@
         self.requests.lock().unwrap().insert((zone, port), request);
     }
 
+    /// Returns the address of a route: a loopback address, as all others.
+    pub fn route_ip(&self, i: u8) -> Ipv4Addr {
+        let [a, b, ..] = self.instances[0].ip.octets();
+        Ipv4Addr::new(a, b, 4, i)
+    }
+
     pub fn client_ip(&self, zone: usize) -> Ipv4Addr {
         match self.clients[zone].local_addr() {
             Ok(std::net::SocketAddr::V4(address)) => *address.ip(),
@@ -850,7 +888,7 @@
             src: SocketAddrV4::new(self.client_ip(request.zone), port),
             data: data.to_vec(),
         };
-        let to = (self.instances[request.instance].ip, DATAGRAM_PORT);
+        let to = (self.instances[request.instance].ip, ports().datagram);
         let _ = self.clients[request.zone].send_to(&packet.encode(), to);
     }
 
