Fetch routes from another peer once the first one is lost

Callers saw: an instance that starts while it does not reach the platform, and whose first source of the routes is lost (killed, or partitioned off), never got routes and never served, although its other peers had them. Cause: a fetch kept the source that it had begun with. Newer announcements replaced it only for a higher version, and only once a piece had arrived. Change: after three requests without a response the fetch begins anew at the peer that announced the routes last. Three, so that one lost message does not make a long transfer begin anew.

--- a/src/steering/gossip/route_transfer.rs
+++ b/src/steering/gossip/route_transfer.rs
@@ -16,6 +16,9 @@
 /// Time for which newer routes are awaited from the platform before they are fetched from a peer.
 /// A watch whose connection is stalled ends only after seconds.
 const MAX_BEHIND: Duration = Duration::from_millis(700);
+/// Requests for a piece after which its source counts as lost: another peer that has announced the
+/// routes is asked instead. More than one, so that a lost message does not make a transfer begin anew.
+const MAX_REQUESTS: u32 = 3;
 /// Maximum size of a piece in bytes: with headers, the message fits a datagram of 1,200 bytes.
 const PIECE_BYTES: usize = 1_000;
 
@@ -30,6 +33,21 @@
     next: u32,
     source: InstanceId,
     requested_at: Duration,
+    /// Requests for the next piece so far.
+    requests: u32,
+}
+
+impl Fetch {
+    fn new(now: Duration, source: InstanceId) -> Self {
+        let requested_at = now.saturating_sub(PIECE_TIMEOUT);
+        let bytes = Vec::new();
+        Self { version: 0, pieces: 1, bytes, next: 0, source, requested_at, requests: 0 }
+    }
+
+    /// Returns whether its source has not responded for so long that it may be lost.
+    fn is_stalled(&self, now: Duration) -> bool {
+        self.requests >= MAX_REQUESTS && now >= self.requested_at + PIECE_TIMEOUT
+    }
 }
 
 /// Sends and receives routes in pieces.
@@ -81,20 +99,16 @@
         if !platform_failing && now < since + MAX_BEHIND {
             return;
         }
-        let stale = |fetch: &Fetch| fetch.version != 0 && fetch.version < version;
-        if self.fetch.as_ref().is_none_or(stale) {
-            let requested_at = now.saturating_sub(PIECE_TIMEOUT);
-            self.fetch = Some(Fetch {
-                version: 0,
-                pieces: 1,
-                bytes: Vec::new(),
-                next: 0,
-                source,
-                requested_at,
-            });
+        let replaced = |fetch: &Fetch| {
+            let is_outdated = fetch.version != 0 && fetch.version < version;
+            is_outdated || (fetch.source != source && fetch.is_stalled(now))
+        };
+        if self.fetch.as_ref().is_none_or(replaced) {
+            self.fetch = Some(Fetch::new(now, source));
         }
         if let Some(fetch) = self.fetch.as_mut().filter(|f| now >= f.requested_at + PIECE_TIMEOUT) {
             fetch.requested_at = now;
+            fetch.requests += 1;
             let pull = Message::PullRoutes { version: fetch.version, piece: fetch.next };
             send(fetch.source, pull, out);
         }
@@ -144,6 +158,7 @@
         fetch.bytes.extend_from_slice(&piece.bytes);
         fetch.next += 1;
         fetch.requested_at = now;
+        fetch.requests = 1;
         if fetch.next < fetch.pieces {
             let pull = Message::PullRoutes { version: fetch.version, piece: fetch.next };
             send(fetch.source, pull, out);
--- a/tests/support/steering_world.rs
+++ b/tests/support/steering_world.rs
@@ -123,6 +123,8 @@
     pub exited: Vec<bool>,
     /// Instances whose messages to and from peers are lost.
     pub partitioned: Vec<usize>,
+    /// Probability that a message to a peer is lost.
+    pub loss: f64,
     /// Whether each instance obeys orders to drain failure domains from its next start on.
     pub domain_drains: Vec<bool>,
     /// Peer keys of each instance from its next start on.
@@ -162,6 +164,11 @@
 
     /// Creates instances in a number of failure domains, of which some obey orders to drain them.
     pub fn in_domains(domains: usize, domain_drains: &[bool]) -> Self {
+        Self::seeded(11, domains, domain_drains)
+    }
+
+    /// Creates instances as [`World::in_domains`] does, with all randomness drawn from a seed.
+    pub fn seeded(seed: u64, domains: usize, domain_drains: &[bool]) -> Self {
         let instances = domain_drains.len();
         let mut world = Self {
             now: Duration::from_secs(1),
@@ -176,13 +183,14 @@
             datagrams: vec![Vec::new(); instances],
             exited: vec![false; instances],
             partitioned: Vec::new(),
+            loss: 0.0,
             domain_drains: domain_drains.to_vec(),
             keys: vec![KEY.into(); instances],
             control_bytes: 0,
             contact_bytes: 0,
             reader: None,
             connect_attempts: vec![Vec::new(); instances],
-            rng: SmallRng::seed_from_u64(11),
+            rng: SmallRng::seed_from_u64(seed),
         };
         world.store.put_routes(&routes(1, &[STATION]));
         for key in 1..=4 {
@@ -254,7 +262,9 @@
                     if let Some((_, Body::Steering(Message::PlatformContact(_)))) = body {
                         self.contact_bytes += buf.len() + HEADER_BYTES;
                     }
-                    if let Some(to) = instance_at(to).filter(|&to| self.reaches(i, to)) {
+                    let is_lost = self.loss > 0.0 && self.rng.random_bool(self.loss);
+                    if let Some(to) = instance_at(to).filter(|&to| !is_lost && self.reaches(i, to))
+                    {
                         self.deliver_later(to, Event::Peer(buf));
                     }
                 }
@@ -333,7 +343,12 @@
                 }
                 continue;
             }
-            let Call::Watch { prefix, after, .. } = &call else { continue };
+            // A call other than a watch is not answered later.
+            let Call::Watch { prefix, after, .. } = &call else {
+                let lost = PlatformError::NoAnswer("lost".to_owned());
+                self.deliver_later(i, Event::Platform(call, Err(lost)));
+                continue;
+            };
             if self.store.down || self.store.refused_instances.contains(&i) {
                 let lost = PlatformError::NoAnswer("reset".to_owned());
                 self.deliver_later(i, Event::Platform(call, Err(lost)));
