Send no more changes of targets as complete than the sender knows

Callers saw: an instance lost a third of its targets, or kept using targets that had restarted, for as long as it ran. Cause: an instance may hold records that are later than the position up to which it knows all changes, as pushes arrive out of order. If its answer to a peer did not fit one message and ended with such a record, it claimed all changes up to there. The receiver never asked for those in between, and after a restore took the targets that nobody confirmed for removed. The review had suspected this by reading ("a truncated answer to a peer may then claim more than its sender knows"). Test truncated_changes, gap_kept, failed before: 56 known of 30. Change: an answer is complete up to what its sender knows at most.

--- a/src/steering/gossip/changes.rs
+++ b/src/steering/gossip/changes.rs
@@ -21,8 +21,9 @@
     let mut records = forwarder.targets.since(since);
     let fits = count_fitting(&records);
     let up_to = match records.get(fits) {
-        // The records of earlier eras come last and are sent only if they fit.
-        Some(next) if next.position.era == newest.era => records[fits - 1].position,
+        // The records of earlier eras come last and are sent only if they fit. Some records may be later
+        // than `newest`, beyond changes that are not known here.
+        Some(next) if next.position.era == newest.era => records[fits - 1].position.min(newest),
         _ => newest,
     };
     records.truncate(fits);
