Keep removed targets in use only after an outage that entries expire in

Cause: what asked was whether anybody had contact since this watcher's loss began. After a short loss nobody had polled yet, and a partitioned watcher had heard of nobody. Both took their own loss for an outage of the platform, and their peers took the grace period over without asking what they knew themselves. Change: the grace period follows on 2 s or more without contact for the whole failure domain, as each instance knows it from reports, and a peer's message brings none to an instance that was in contact.

--- a/src/steering/list_watch.rs
+++ b/src/steering/list_watch.rs
@@ -163,11 +163,9 @@
     era: Era,
     /// Number of instances that share the watches, this one included.
     watchers: u32,
-    /// When the first of the current failures occurred.
-    failing_since: Option<Duration>,
     in_outage: bool,
-    /// When the outage began that has ended.
-    ended_outage: Option<Duration>,
+    /// Whether an outage has ended.
+    ended_outage: bool,
     rng: SmallRng,
 }
 
@@ -181,9 +179,8 @@
             domain_drains: ListWatch::new(DOMAIN_DRAINS_PREFIX),
             era: 0,
             watchers: 1,
-            failing_since: None,
             in_outage: false,
-            ended_outage: None,
+            ended_outage: false,
             rng,
         }
     }
@@ -260,7 +257,7 @@
             list_watch.backoff.set_due(now + pause);
         }
         if result.is_ok() || !is_poll(call) {
-            self.update_outage(now, result.is_ok());
+            self.update_outage(result.is_ok());
         }
         true
     }
@@ -338,22 +335,20 @@
         self.routes.backoff.failures() > 0
     }
 
-    /// Returns when the platform became unreachable for this instance, if it has become reachable again
-    /// since the last call of this method.
-    pub fn take_ended_outage(&mut self) -> Option<Duration> {
-        self.ended_outage.take()
+    /// Returns whether the platform has become reachable again for this instance since the last call
+    /// of this method.
+    pub fn take_ended_outage(&mut self) -> bool {
+        std::mem::take(&mut self.ended_outage)
     }
 
-    fn update_outage(&mut self, now: Duration, answered: bool) {
+    fn update_outage(&mut self, answered: bool) {
         if answered {
-            let began = self.failing_since.take();
             if std::mem::take(&mut self.in_outage) {
-                self.ended_outage = began;
+                self.ended_outage = true;
                 log::info!("platform_regained");
             }
             return;
         }
-        self.failing_since.get_or_insert(now);
         let failures = self.routes.backoff.failures().max(self.targets.backoff.failures());
         if !self.in_outage && failures >= OUTAGE_FAILURES {
             self.in_outage = true;
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -22,7 +22,7 @@
 
 use self::cold_targets::ColdTargetsLog;
 use self::members_log::MembersLog;
-use self::platform_contact::Poll;
+use self::platform_contact::{Poll, limit_removal_grace};
 use self::startup_queue::StartupQueue;
 use super::gossip::{Gossip, Peers};
 use super::list_watch::{Interest, ListWatches};
@@ -34,7 +34,6 @@
     DomainDrains, DropReason, FlowPacket, Forwarder, Message, PacketFormat, PacketKind,
     ResetReason, TargetIncarnation, Verdict,
 };
-use crate::hash::HashMap;
 use crate::instance::{Action, Core, Event, Status};
 use crate::link::{Link, count_dropped_message};
 use crate::lists::ListVersions;
@@ -274,7 +273,8 @@
             Body::Steering(Message::PlatformContact(report)) => {
                 self.handle_contact_report(now, report, out);
             }
-            Body::Steering(message) => {
+            Body::Steering(mut message) => {
+                limit_removal_grace(now, &self.contact, &mut message);
                 let drains_ready = self.forwarder.drains.ready();
                 let changed =
                     self.gossip.on_message(now, from, message, &mut self.forwarder, &mut outbox);
@@ -436,8 +436,7 @@
         self.forwarder.set_local_ids(now, local.iter().map(|info| info.id).chain([me.id]));
         self.forwarder.set_instances(counts.0 + counts.1 + 1);
         self.gossip.set_peers(Peers::new(me.id, ids(local), ids(remote)));
-        let addresses: HashMap<_, _> = self.membership.peer_addresses();
-        self.link.set_addresses(addresses);
+        self.link.set_addresses(self.membership.peer_addresses());
         self.link.set_incarnation(self.membership.me().incarnation);
     }
 }
--- a/src/steering/node/platform_contact.rs
+++ b/src/steering/node/platform_contact.rs
@@ -8,8 +8,8 @@
 use crate::instance::Action;
 use crate::platform::{Call, PlatformError, Reply};
 use crate::steering::list_watch::TARGETS_PREFIX;
-use crate::steering::message::ContactReport;
-use crate::steering::policy::platform_contact::PollRole;
+use crate::steering::message::{ContactReport, Message};
+use crate::steering::policy::platform_contact::{PlatformContact, PollRole};
 
 /// A poll of the platform that is in progress.
 #[derive(Debug)]
@@ -146,3 +146,13 @@
         }
     }
 }
+
+/// Takes the grace period for removed targets out of a message if only the sender had an outage of the
+/// platform, not the failure domain.
+pub(super) fn limit_removal_grace(now: Duration, contact: &PlatformContact, message: &mut Message) {
+    if let Message::Targets(changes) = message
+        && !contact.may_lack_entries(now)
+    {
+        changes.removal_grace_ms = 0;
+    }
+}
--- a/src/steering/node/platform_reply.rs
+++ b/src/steering/node/platform_reply.rs
@@ -28,11 +28,9 @@
         let (me, live) = (self.membership.me().id, self.membership.live());
         let calls = self.registration.on_result(call, result, me, &live);
         out.extend(calls.into_iter().map(Action::Platform));
-        if let Some(began) = self.list_watches.take_ended_outage() {
-            // Targets do not lose their entries while only some instances lose the platform.
-            if !self.contact.is_held_since(began) {
-                self.forwarder.targets.start_removal_grace(now);
-            }
+        // Targets do not lose their entries while only some instances lose the platform.
+        if self.list_watches.take_ended_outage() && self.contact.may_lack_entries(now) {
+            self.forwarder.targets.start_removal_grace(now);
         }
         match (call, result) {
             // Nobody has ordered what is not found.
--- a/src/steering/policy/platform_contact.rs
+++ b/src/steering/policy/platform_contact.rs
@@ -30,8 +30,11 @@
 /// Polls per second of a failure domain whose instances have been without contact for long.
 const MIN_RATE: f64 = 0.5;
 /// Time without contact after which the platform was down for the whole failure domain: longer than
-/// it takes until another instance polls.
+/// it takes until another instance polls. Entries of targets do not expire sooner.
 const MIN_OUTAGE: Duration = Duration::from_secs(2);
+/// Time after an outage for which entries of living targets may still be missing: those that have
+/// expired are written again within two seconds.
+const OUTAGE_RECOVERY: Duration = Duration::from_millis(2_300);
 /// Difference from which a later contact is passed on.
 const MIN_GAIN: Duration = Duration::from_millis(400);
 
@@ -59,8 +62,8 @@
 pub struct PlatformContact {
     /// The latest time up to which some instance is known to know all changes.
     last: Duration,
-    /// The first contact after the last outage for the whole failure domain.
-    regained: Duration,
+    /// The first contact since the start, or after the last outage for the whole failure domain.
+    regained: Option<Duration>,
     /// The latest contact that this instance has told peers, or heard from them.
     told: Duration,
     last_draw: Duration,
@@ -71,7 +74,7 @@
 impl PlatformContact {
     /// Creates the state of an instance that starts now, which counts as a contact.
     pub fn new(now: Duration, rng: SmallRng) -> Self {
-        Self { last: now, regained: Duration::ZERO, told: now, last_draw: now, polling: false, rng }
+        Self { last: now, regained: None, told: now, last_draw: now, polling: false, rng }
     }
 
     /// Returns the time since the last contact.
@@ -82,8 +85,8 @@
     /// Records that this instance or a peer knows all changes up to a time. Returns whether peers are
     /// to be told.
     pub fn record(&mut self, at: Duration) -> bool {
-        if at >= self.last + MIN_OUTAGE {
-            self.regained = at;
+        if self.regained.is_none() || at >= self.last + MIN_OUTAGE {
+            self.regained = Some(at);
         }
         self.last = self.last.max(at);
         let is_news = at >= self.told + MIN_GAIN;
@@ -93,10 +96,11 @@
         is_news
     }
 
-    /// Returns whether the platform has answered others in the failure domain since a time, without an
-    /// outage for all of them.
-    pub fn is_held_since(&self, since: Duration) -> bool {
-        self.last > since && self.regained <= since
+    /// Returns whether the platform may lack entries of living targets, as it was down for the whole
+    /// failure domain until lately. An instance without any contact so far cannot tell.
+    pub fn may_lack_entries(&self, now: Duration) -> bool {
+        let is_recovering = self.regained.is_none_or(|at| now < at + OUTAGE_RECOVERY);
+        is_recovering || self.age(now) >= MIN_OUTAGE
     }
 
     /// Returns whether this instance is to poll the platform now; to be called on each tick. After a
--- a/tests/lost_watchers.rs
+++ b/tests/lost_watchers.rs
@@ -37,6 +37,8 @@
     Refused,
     /// The platform responds late.
     Slow,
+    /// Neither the platform nor peers respond to them.
+    Partitioned,
     /// They do not run for a time.
     Paused,
     /// They end without notice and do not come back.
@@ -137,6 +139,10 @@
             Loss::Silent => self.world.store.silent_instances = all.collect(),
             Loss::Refused => self.world.store.refused_instances = all.collect(),
             Loss::Slow => self.world.store.slow_instances = all.collect(),
+            Loss::Partitioned => {
+                self.world.partitioned = all.clone().collect();
+                self.world.store.silent_instances = all.collect();
+            }
             Loss::Paused => all.for_each(|i| {
                 self.world.paused.entry(i).or_default();
             }),
@@ -152,6 +158,7 @@
         for i in std::mem::take(&mut self.lost) {
             self.world.resume(i);
         }
+        self.world.partitioned.clear();
         let store = &mut self.world.store;
         for lost in
             [&mut store.silent_instances, &mut store.refused_instances, &mut store.slow_instances]
@@ -247,6 +254,7 @@
         Loss::Silent,
         Loss::Refused,
         Loss::Slow,
+        Loss::Partitioned,
         Loss::Paused,
         Loss::Killed,
         Loss::Restarted,
@@ -279,6 +287,40 @@
     }
 }
 
+/// Losses that are over before anybody polls: the watchers took them for an outage of the platform and
+/// kept a target in use that had left meanwhile.
+#[test]
+fn short_loss() {
+    for loss in [Loss::Silent, Loss::Refused, Loss::Slow] {
+        for length in (1..20).map(|n| TICK * n) {
+            let mut fleet = Fleet::new(3, 27);
+            fleet.lose(fleet.watchers.clone(), loss);
+            let end = fleet.world.now + length;
+            let took = fleet.spread_time(Change::TargetGone, |fleet| {
+                if fleet.world.now >= end {
+                    fleet.end_loss();
+                }
+            });
+            println!("loss={loss:?} length={length:?} known_after={took:?}");
+        }
+    }
+}
+
+/// Watchers that were cut off from their peers as well had no contact at all: they kept a target in use
+/// that had left, and told their peers to do so.
+#[test]
+fn partition_ends() {
+    for after in [LOSS, LOSS + TICK, LOSS + ms(500)] {
+        let mut fleet = Fleet::new(3, 27);
+        fleet.lose(fleet.watchers.clone(), Loss::Partitioned);
+        fleet.world.run(LOSS);
+        fleet.end_loss();
+        fleet.world.run(after - LOSS);
+        let took = fleet.spread_time(Change::TargetGone, |_| {});
+        println!("after={after:?} known_after={took:?}");
+    }
+}
+
 /// The loss moves on to the instances that have called the platform in the meantime.
 #[test]
 fn moving_loss() {
--- a/tests/platform_contact.rs
+++ b/tests/platform_contact.rs
@@ -93,15 +93,21 @@
     assert!(gossip.is_new_contact(ms(7_000), &report(11, 1)), "a later start counts anew");
 }
 
-/// An outage that only some instances have is none of the failure domain.
+/// Entries of living targets are missing after an outage that the whole failure domain had, for as long
+/// as they take to be written again. Losses of some instances, and short ones of all, are none.
 #[test]
 fn outage_of_some() {
     let mut contact = PlatformContact::new(ms(0), SmallRng::seed_from_u64(1));
+    assert!(contact.may_lack_entries(ms(500)), "no contact since the start");
     for at in [1_000, 2_600, 4_200] {
         contact.record(ms(at));
     }
-    assert!(contact.is_held_since(ms(2_000)));
+    assert!(!contact.may_lack_entries(ms(4_300)));
+    assert!(!contact.may_lack_entries(ms(6_100)), "too short for entries to expire");
+    assert!(contact.may_lack_entries(ms(6_300)));
     contact.record(ms(7_000));
-    assert!(!contact.is_held_since(ms(4_300)), "nobody had contact for 2.8 s");
-    assert!(!contact.is_held_since(ms(7_500)), "no contact since");
+    assert!(contact.may_lack_entries(ms(7_100)), "nobody had contact for 2.8 s");
+    contact.record(ms(8_600));
+    assert!(contact.may_lack_entries(ms(9_200)));
+    assert!(!contact.may_lack_entries(ms(9_400)), "all entries are back");
 }
