Push orders to drain a failure domain to more random peers

Cause: an order goes to the next local peer, so that none is left out, and to two random ones. Instances that have just started do not all know their next peer: the budget for control traffic goes into tables of members for about 20 s. Two random peers leave some out, who get the order with a digest. Change: five random peers. An order is rare, and each instance pushes it once.

--- a/src/steering/gossip/domain_drains.rs
+++ b/src/steering/gossip/domain_drains.rs
@@ -6,16 +6,20 @@
 
 use std::time::Duration;
 
-use super::{ANNOUNCE_FANOUT, Gossip, send};
+use super::{Gossip, send};
 use crate::ids::InstanceId;
 use crate::link::Outbox;
 use crate::steering::message::Message;
 use crate::steering::{DrainSnapshot, Forwarder};
 
+/// Number of local peers, besides the next one, to which orders are pushed. Orders are rare, and have to
+/// be known in time while instances have just started and do not know their next peer yet.
+const ORDER_FANOUT: usize = 5;
+
 impl Gossip {
     /// Pushes the orders to peers, after they have changed.
     pub fn push_domain_drains(&mut self, forwarder: &Forwarder, out: &mut Outbox<'_>) {
-        self.peers.spread(&describe(forwarder), ANNOUNCE_FANOUT, &mut self.rng, out);
+        self.peers.spread(&describe(forwarder), ORDER_FANOUT, &mut self.rng, out);
     }
 
     pub(super) fn on_domain_drains(
--- a/tests/domain_drains.rs
+++ b/tests/domain_drains.rs
@@ -21,7 +21,11 @@
 
 /// Returns instances that obey orders, with four targets in each failure domain, at rest.
 fn world(domain_drains: &[bool]) -> World {
-    let mut world = World::with_domain_drains(domain_drains);
+    seeded_world(11, domain_drains)
+}
+
+fn seeded_world(seed: u64, domain_drains: &[bool]) -> World {
+    let mut world = World::seeded(seed, 2, domain_drains);
     for key in 11..=14 {
         world.store.put_target(&remote_target(key, STATION));
     }
@@ -456,15 +460,17 @@
 }
 
 /// Slope: the last of 15, 100 or 300 instances obeys within 500 ms, also if orders follow each other
-/// closely, and control traffic stays within the limit while there are orders.
+/// closely, and control traffic stays within the limit while there are orders. Instances that have
+/// started at once do not all know their next peer yet: with a few random ones an order took 1.6 s.
 #[test]
 fn spread_time() {
-    for instances in [15, 100, 300] {
-        let mut world = world(&vec![true; instances]);
+    let seeds = (11..=13).map(|seed| (seed, 300));
+    for (seed, instances) in [(11, 15), (11, 100)].into_iter().chain(seeds) {
+        let mut world = seeded_world(seed, &vec![true; instances]);
         for domain in [LOCAL, REMOTE] {
             world.store.drain(domain);
             let time = world.run_until(ms(600), drains(domain));
-            println!("instances={instances} obeyed_after={time:?}");
+            println!("seed={seed} instances={instances} obeyed_after={time:?}");
             assert!(time <= ms(500));
         }
         world.control_bytes = 0;
