Never hold back reports of contact

Cause: put reports of contact into the class that waits for budget. Instances that have started at once use theirs up on tables of members; a report that finds none is dropped, and all who would have got it from there do not hear of the contact. Change: reports are of the class that is never held back, as before.

--- a/src/steering/gossip.rs
+++ b/src/steering/gossip.rs
@@ -403,9 +403,10 @@
         | Message::NewRoutes { .. }
         | Message::DomainDrains(_)
         | Message::DomainUnreachable(_)
-        | Message::PlatformAnswered => Class::Liveness,
-        // A lost announcement costs only a few flows, a lost report at most a poll.
-        Message::Overdue(_) | Message::PlatformContact(_) => Class::Lists,
+        | Message::PlatformAnswered
+        | Message::PlatformContact(_) => Class::Liveness,
+        // A lost announcement costs only a few flows.
+        Message::Overdue(_) => Class::Lists,
         Message::PullRemoved { .. }
         | Message::Removed { .. }
         | Message::PullRoutes { .. }
--- a/tests/lost_watchers.rs
+++ b/tests/lost_watchers.rs
@@ -394,3 +394,18 @@
     // 20 at once for each of the five failure domains, beside the retries of the watchers.
     assert!(many.2 <= 200, "{} calls in a second", many.2);
 }
+
+/// Instances that have started at once use up their budget for control traffic. Reports that waited for
+/// it did not arrive, and others polled beside working watchers.
+#[test]
+fn calls_after_start() {
+    let calls = [30, 195].map(|instances| {
+        let mut world = World::in_domains(5, &vec![true; instances]);
+        world.run(Duration::from_secs(8));
+        let (calls, _) = count_calls(&mut world, Duration::from_secs(15));
+        println!("instances={instances} calls={calls}");
+        calls
+    });
+    let [few, many] = calls;
+    assert!(many <= few + few / 4, "calls after the start");
+}
