Say what a short outage of the platform costs

Not measured. A lower limit would take a loss of the watchers alone for an outage, as others poll after 1.5 s.

--- a/src/steering/policy/platform_contact.rs
+++ b/src/steering/policy/platform_contact.rs
@@ -30,7 +30,7 @@
 /// Polls per second of a failure domain whose instances have been without contact for long.
 const MIN_RATE: f64 = 0.5;
 /// Time without contact after which the platform was down for the whole failure domain: longer than
-/// it takes until another instance polls. Entries of targets do not expire sooner.
+/// it takes until another instance polls. Few entries of targets expire sooner.
 const MIN_OUTAGE: Duration = Duration::from_secs(2);
 /// Time after an outage for which entries of living targets may still be missing: those that have
 /// expired are written again within two seconds.
