--- /dev/null
+++ b/review/standin-2/main.rs
@@ -0,0 +1,54 @@
+//! Stand-ins of the scripts `review/N/run.sh`: a small deployment on loopback addresses, around the
+//! project's own instances. Usage: standin-2 CASE DIRECTORY RECORD, in the repository.
+
+mod case_drill;
+mod case_flow;
+mod case_moved;
+mod case_storm;
+mod client;
+mod server;
+mod store;
+mod wire;
+mod world;
+
+use std::path::Path;
+use std::process::ExitCode;
+
+/// Result of a case, as the exit status says it.
+pub enum Outcome {
+    Held,
+    Broken,
+    CouldNotRun(String),
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let [case, directory, record] = &arguments[..] else {
+        eprintln!("usage: standin-2 CASE DIRECTORY RECORD");
+        return ExitCode::from(2);
+    };
+    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let (directory, record) = (Path::new(directory), Path::new(record));
+    let outcome = match case.as_str() {
+        "storm" => case_storm::run(directory, record, trouble, None),
+        "storm-paged" => case_storm::run(directory, record, trouble, Some(1_000_000)),
+        "drill" => case_drill::run(directory, record, trouble),
+        "flow" => case_flow::run(directory, record, trouble),
+        "moved" => case_moved::run(directory, record, trouble),
+        other => Outcome::CouldNotRun(format!("unknown case {other}")),
+    };
+    match outcome {
+        Outcome::Held => {
+            println!("held");
+            ExitCode::SUCCESS
+        }
+        Outcome::Broken => {
+            println!("broken");
+            ExitCode::from(1)
+        }
+        Outcome::CouldNotRun(why) => {
+            println!("could not run: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
