--- a/review/standin-2/case_drill.rs
+++ b/review/standin-2/case_drill.rs
@@ -144,6 +144,7 @@
         reads.1,
         world.is_in_rotation(left)
     ));
+    world.note_attempts();
     let (mut config, mut drain, mut right) = (0, 0, 0);
     for opening in world.openings.clone() {
         if opening.node != Some(left) || !world.in_touch(left, opening.sent) || opening.at > now {
--- a/review/standin-2/case_flow.rs
+++ b/review/standin-2/case_flow.rs
@@ -135,6 +135,7 @@
     }
     world.run_for(Duration::from_millis(2_600));
 
+    world.note_attempts();
     let mut broken = 0;
     for (i, id, node, in_touch) in ids {
         let state = world.attempts[i].state;
--- a/review/standin-2/case_moved.rs
+++ b/review/standin-2/case_moved.rs
@@ -99,6 +99,7 @@
     }
     work(&mut world, Duration::from_millis(1_500), &mut next);
 
+    world.note_attempts();
     // The first opening on a server of the new service through each machine.
     let openings = world.openings.clone();
     let mut broken = 0;
--- a/review/standin-2/case_storm.rs
+++ b/review/standin-2/case_storm.rs
@@ -121,6 +121,7 @@
         let name = world.nodes[i].name.clone();
         world.note(&format!("{name}: {failed} failed watches of routes in the log"));
     }
+    world.note_attempts();
     let due = acknowledged + CONFIG_APPLY;
     let (mut late, mut last_late, mut right) = (0, Duration::ZERO, 0);
     for opening in world.openings.clone() {
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -63,6 +63,8 @@
     pub attempts: Vec<Attempt>,
     pub openings: Vec<Opening>,
     pub runs: Vec<(Duration, usize, String)>,
+    /// Requests that clients sent: when, on which attempt, and their ids.
+    requests: Vec<(Duration, usize, String)>,
     pub changed_packets: usize,
     client_sockets: Vec<(Ipv4Addr, UdpSocket)>,
     random: u64,
@@ -107,6 +109,7 @@
             attempts: Vec::new(),
             openings: Vec::new(),
             runs: Vec::new(),
+            requests: Vec::new(),
             changed_packets: 0,
             client_sockets,
             random,
@@ -297,7 +300,7 @@
         let now = self.now();
         if let Some(child) = &self.nodes[i].child {
             let pid = child.id().to_string();
-            let _ = Command::new("kill").args(["-s", signal, &pid]).status();
+            let _ = Command::new("sh").args(["-c", &format!("kill -s {signal} {pid}")]).status();
         }
         self.nodes[i].disrupted = now;
     }
@@ -357,9 +360,40 @@
         let zone = self.attempts[i].zone;
         let packet = self.attempts[i].request(now, &id, method, deadline);
         self.send(zone, &packet);
+        self.requests.push((now, i, id.clone()));
         id
     }
 
+    /// Writes into the record what each client attempt sent, which servers took it, and its end.
+    pub fn note_attempts(&mut self) {
+        let mut text = String::new();
+        for (i, attempt) in self.attempts.iter().enumerate() {
+            let (from, to) = attempt.id;
+            let began = attempt.began.as_secs_f64();
+            text += &format!("flow {from} to {to}: opened by its client at {began:.3}");
+            for opening in self.openings.iter().filter(|opening| opening.flow == attempt.id) {
+                let server = &self.servers[opening.server];
+                let node = opening.node.map_or("?", |node| self.nodes[node].name.as_str());
+                let at = opening.at.as_secs_f64();
+                let copy = opening.copy;
+                text += &format!(
+                    "; {} ({}) took packet {copy} through {node} at {at:.3}",
+                    server.name, server.service
+                );
+            }
+            for (at, _, id) in self.requests.iter().filter(|(_, of, _)| *of == i) {
+                text += &format!("; request {id} sent at {:.3}", at.as_secs_f64());
+                for (at, server, _) in self.runs.iter().filter(|(_, _, run)| run == id) {
+                    let name = &self.servers[*server].name;
+                    text += &format!(", run by {name} at {:.3}", at.as_secs_f64());
+                }
+            }
+            let Attempt { answered, foreign, state, .. } = attempt;
+            text += &format!("; {answered} answered, {foreign} foreign answers, {state:?}\n");
+        }
+        let _ = self.record.write_all(text.as_bytes());
+    }
+
     /// Closes an open flow from its client's side.
     pub fn close(&mut self, i: usize) {
         let now = self.now();
