--- a/review/standin-2/case_drill.rs
+++ b/review/standin-2/case_drill.rs
@@ -26,7 +26,9 @@
         )
     };
     let entry = |name: &str| {
-        format!(r#"{{"Name":"{name}","HealthCheck":"/healthz","MaxFlows":4286,"Protocol":"h1","Tls":false}}"#)
+        format!(
+            r#"{{"Name":"{name}","HealthCheck":"/healthz","MaxFlows":4286,"Protocol":"h1","Tls":false}}"#
+        )
     };
     format!(
         r#"{{"Version":{version},"Routes":[{},{}],"Services":[{},{},{}],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}}}"#,
--- a/review/standin-2/case_flow.rs
+++ b/review/standin-2/case_flow.rs
@@ -78,8 +78,7 @@
     // Clients open flows, and each sends one sale, which is answered.
     world.run_for(Duration::from_millis(100));
     let flows: Vec<_> = (0..FLOWS).map(|_| world.open(0, to)).collect();
-    let through: Vec<_> =
-        flows.iter().map(|&i| world.router(0, world.attempts[i].id)).collect();
+    let through: Vec<_> = flows.iter().map(|&i| world.router(0, world.attempts[i].id)).collect();
     world.open_and_use(&flows, "POST", Duration::from_millis(450));
     let on_victim = |world: &World, i: usize| world.holder(world.attempts[i].id) == Some(victim);
     let mut of_node = vec![0; world.nodes.len()];
@@ -90,7 +89,9 @@
     let watched: Vec<_> = flows
         .iter()
         .zip(&through)
-        .filter(|&(&i, &node)| node == machine && on_victim(&world, i) && world.attempts[i].is_idle())
+        .filter(|&(&i, &node)| {
+            node == machine && on_victim(&world, i) && world.attempts[i].is_idle()
+        })
         .map(|(&i, _)| i)
         .collect();
     let machine_name = world.nodes[machine].name.clone();
@@ -162,7 +163,10 @@
     world.note(&format!(
         "{early} other flows were reset within StableWindowMs of the server's start, which the rule excuses"
     ));
-    world.note(&format!("FLOW: {broken} of {} flows were reset though their server lives and holds them", alive.len()));
+    world.note(&format!(
+        "FLOW: {broken} of {} flows were reset though their server lives and holds them",
+        alive.len()
+    ));
     match () {
         () if broken > 0 => Outcome::Broken,
         () if alive.is_empty() => Outcome::CouldNotRun("no flow was left to look at".to_owned()),
--- a/review/standin-2/case_moved.rs
+++ b/review/standin-2/case_moved.rs
@@ -15,7 +15,9 @@
 fn configuration(world: &World, version: u64, service: &str) -> String {
     let ip = *world.route(1).ip();
     let entry = |name: &str| {
-        format!(r#"{{"Name":"{name}","HealthCheck":"/healthz","MaxFlows":{MAX_FLOWS},"Protocol":"h1","Tls":false}}"#)
+        format!(
+            r#"{{"Name":"{name}","HealthCheck":"/healthz","MaxFlows":{MAX_FLOWS},"Protocol":"h1","Tls":false}}"#
+        )
     };
     format!(
         r#"{{"Version":{version},"Routes":[{{"Name":"r-sales","Hostname":"{ip}","PathPrefix":"/443/","RouteType":"unsafe","TimeoutMs":2500,"TargetLatencyMs":1500,"Priority":1,"Service":"{service}","Attempts":2}}],"Services":[{},{}],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}}}"#,
--- a/review/standin-2/case_storm.rs
+++ b/review/standin-2/case_storm.rs
@@ -35,7 +35,9 @@
     let extra = |i: u32| route(&format!("r-extra{i:05}"), 3, 1_000 + i as u16, "stays", 2_000);
     routes.extend((0..EXTRA_ROUTES).map(extra));
     let service = |name: &str| {
-        format!(r#"{{"Name":"{name}","HealthCheck":"/healthz","MaxFlows":4286,"Protocol":"h1","Tls":false}}"#)
+        format!(
+            r#"{{"Name":"{name}","HealthCheck":"/healthz","MaxFlows":4286,"Protocol":"h1","Tls":false}}"#
+        )
     };
     let services = [service("stays"), service("old"), service("new")].join(",");
     format!(
@@ -44,12 +46,7 @@
     )
 }
 
-pub fn run(
-    directory: &Path,
-    record: &Path,
-    trouble: bool,
-    watch_bytes: Option<usize>,
-) -> Outcome {
+pub fn run(directory: &Path, record: &Path, trouble: bool, watch_bytes: Option<usize>) -> Outcome {
     let mut world = World::new(directory, record, Store::new(watch_bytes));
     let first = configuration(&world, 100, 2_000, false);
     let limit = match watch_bytes {
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -28,7 +28,9 @@
     let cut = case_storm::run(directory, record, trouble, Some(1_000_000));
     match (whole, cut) {
         (Outcome::Broken, _) | (_, Outcome::Broken) => Outcome::Broken,
-        (Outcome::CouldNotRun(why), _) | (_, Outcome::CouldNotRun(why)) => Outcome::CouldNotRun(why),
+        (Outcome::CouldNotRun(why), _) | (_, Outcome::CouldNotRun(why)) => {
+            Outcome::CouldNotRun(why)
+        }
         _ => Outcome::Held,
     }
 }
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -207,9 +207,11 @@
             flow.open = true;
             seen.push(Seen::Opened);
         }
-        if flow.unacked.as_ref().is_some_and(|(seq, data, ..)| {
-            packet.ack == seq.wrapping_add(data.len() as u32)
-        }) {
+        if flow
+            .unacked
+            .as_ref()
+            .is_some_and(|(seq, data, ..)| packet.ack == seq.wrapping_add(data.len() as u32))
+        {
             flow.unacked = None;
         }
         if packet.flags & FIN != 0 {
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -199,9 +199,8 @@
         let Some(rest) = path.strip_prefix("/limpetdeck/objects/") else {
             return (404, "{}".to_owned());
         };
-        let query = |key: &str| {
-            query.split('&').find_map(|pair| pair.strip_prefix(key)?.strip_prefix('='))
-        };
+        let query =
+            |key: &str| query.split('&').find_map(|pair| pair.strip_prefix(key)?.strip_prefix('='));
         let mut parts = rest.split('/');
         let kind = parts.next().unwrap_or_default();
         let name = parts.next();
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -79,7 +79,8 @@
         let mut random = (seed ^ u64::from(std::process::id())) | 1;
         let (a, ports) = loop {
             random = next_random(random);
-            let (a, ports) = (2 + (random >> 16) as u8 % 240, 20_000 + (random >> 32) as u16 % 9_000);
+            let (a, ports) =
+                (2 + (random >> 16) as u8 % 240, 20_000 + (random >> 32) as u16 % 9_000);
             if Self::is_free(a, ports) {
                 break (a, ports);
             }
@@ -323,8 +324,7 @@
     /// Returns the instance to which the routers send a flow's packets now.
     pub fn router(&self, zone: usize, flow: FlowId) -> usize {
         let all: Vec<_> = (0..self.nodes.len()).collect();
-        let of_zone: Vec<_> =
-            all.iter().copied().filter(|&i| self.nodes[i].zone == zone).collect();
+        let of_zone: Vec<_> = all.iter().copied().filter(|&i| self.nodes[i].zone == zone).collect();
         let ready: Vec<_> = of_zone.iter().copied().filter(|&i| self.is_in_rotation(i)).collect();
         let elsewhere: Vec<_> = all.iter().copied().filter(|&i| self.is_in_rotation(i)).collect();
         let candidates = match () {
@@ -343,7 +343,12 @@
 
     /// Opens a flow of a client of a zone.
     pub fn open(&mut self, zone: usize, to: SocketAddrV4) -> usize {
-        let ip = Ipv4Addr::new(127, self.a, 100 + zone as u8, 1 + (self.random() % u64::from(CLIENT_IPS)) as u8);
+        let ip = Ipv4Addr::new(
+            127,
+            self.a,
+            100 + zone as u8,
+            1 + (self.random() % u64::from(CLIENT_IPS)) as u8,
+        );
         self.next_port = if self.next_port >= 65_000 { 40_000 } else { self.next_port + 1 };
         let from = SocketAddrV4::new(ip, self.next_port);
         let seq = self.random() as u32;
@@ -421,7 +426,8 @@
     pub fn step(&mut self) {
         let now = self.now();
         for i in 0..self.nodes.len() {
-            let ended = self.nodes[i].child.as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(Some(_))));
+            let ended =
+                self.nodes[i].child.as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(Some(_))));
             if ended {
                 self.nodes[i].child = None;
                 self.nodes[i].ended_by_itself = true;
@@ -498,8 +504,11 @@
         let mut waiting: Vec<_> = flows.to_vec();
         while self.now() < until {
             self.step();
-            let open: Vec<_> =
-                waiting.iter().copied().filter(|&i| self.attempts[i].state == State::Open).collect();
+            let open: Vec<_> = waiting
+                .iter()
+                .copied()
+                .filter(|&i| self.attempts[i].state == State::Open)
+                .collect();
             waiting.retain(|i| !open.contains(i));
             for i in open {
                 self.request(i, method, Duration::from_millis(2_500));
@@ -552,7 +561,8 @@
     let limit = Duration::from_millis(400);
     let mut stream = TcpStream::connect_timeout(&address, limit)?;
     stream.set_read_timeout(Some(limit))?;
-    stream.write_all(b"GET /limpetdeck/readyz HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n")?;
+    stream
+        .write_all(b"GET /limpetdeck/readyz HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n")?;
     let mut head = [0; 12];
     stream.read_exact(&mut head)?;
     Ok(&head == b"HTTP/1.1 200")
