--- a/review/standin-2/case_moved.rs
+++ b/review/standin-2/case_moved.rs
@@ -65,6 +65,12 @@
                     }
                 }
             }
+            // All other clients send one request as soon as their flow is open.
+            for i in long.len()..world.attempts.len() {
+                if world.attempts[i].is_idle() && world.attempts[i].answered == 0 {
+                    world.request(i, "POST", Duration::from_millis(2_500));
+                }
+            }
             world.step();
         }
     };
@@ -114,11 +120,15 @@
             o.node == Some(node) && o.at >= acknowledged && world.servers[o.server].service == "new"
         });
         let Some(seen) = seen.map(|o| o.at) else { continue };
+        // Counted is what the old service ran, not only took.
+        if !world.was_run(opening.flow, opening.server) {
+            continue;
+        }
         let by_waiting = waiting.iter().any(|&i| world.attempts[i].id == opening.flow);
         if opening.sent > seen + DOWNGRADE_SLACK {
             broken += 1;
             let text = format!(
-                "CONFIG: {} sent copy {} of an opening packet, sent by its client at {:.3}, to `old`; a server of `new` saw version {version} through it at {:.3} (client waited since before: {by_waiting})",
+                "CONFIG: {} sent copy {} of an opening packet, sent by its client at {:.3}, to `old`, which ran its request; a server of `new` saw version {version} through it at {:.3} (client waited since before: {by_waiting})",
                 world.nodes[node].name,
                 opening.copy,
                 opening.sent.as_secs_f64(),
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -125,7 +125,12 @@
     fn is_free(a: u8, ports: u16) -> bool {
         let udp = |port| UdpSocket::bind((Ipv4Addr::new(127, a, 1, 1), port)).is_ok();
         let tcp = |port| TcpListener::bind((Ipv4Addr::new(127, a, 1, 1), port)).is_ok();
-        udp(ports) && udp(ports + 10) && tcp(ports + 1) && tcp(ports + 30) && tcp(9_464)
+        udp(ports)
+            && udp(ports + 10)
+            && tcp(ports + 1)
+            && tcp(ports + 30)
+            && tcp(ports + 40)
+            && tcp(9_464)
     }
 
     pub fn store_address(&self) -> SocketAddr {
@@ -370,6 +375,14 @@
         id
     }
 
+    /// Returns whether a server has begun to run a request of a flow.
+    pub fn was_run(&self, flow: FlowId, server: usize) -> bool {
+        self.requests
+            .iter()
+            .filter(|(_, i, _)| self.attempts[*i].id == flow)
+            .any(|(_, _, id)| self.runs.iter().any(|(_, at, run)| *at == server && run == id))
+    }
+
     /// Writes into the record what each client attempt sent, which servers took it, and its end.
     pub fn note_attempts(&mut self) {
         let mut text = String::new();
