Restarts: let the target decide which flows it has lost

What callers saw: flows opened to a target that had just started again under its key were reset seconds later by other instances, though the target held them.

Cause: a token names the incarnation that the opener knew. The entry of the next incarnation arrives late there, and its packets go to the running process meanwhile. `forward` and `take_orphaned_flows` took an incarnation that has ended as proof of loss. The same applied to the opener itself, to a second restart, to instances that never knew the earlier incarnation and to a clock that was set back.

Change: only the target ends flows that it has lost. Packets go to its latest incarnation, with the token of that one; the last packet of each open flow is sent to a restarted target once more, so that callers learn of the loss before their next request. Started instances learn of earlier incarnations from peers in the message that lists removed targets.

--- a/src/steering/directory.rs
+++ b/src/steering/directory.rs
@@ -353,8 +353,15 @@
     }
 
     /// Returns whether a target has restarted since this incarnation.
-    pub fn has_restarted(&self, (key, incarnation): TargetIncarnation) -> bool {
-        self.entries.get(&key).is_some_and(|entry| entry.target.incarnation > incarnation)
+    pub fn has_restarted(&self, incarnation: TargetIncarnation) -> bool {
+        self.successor(incarnation).is_some()
+    }
+
+    /// Returns the target as it is since it restarted, or `None` if it has not. The clock of a
+    /// target may have been set back meanwhile.
+    pub fn successor(&self, (key, incarnation): TargetIncarnation) -> Option<&Target> {
+        let latest = self.entries.get(&key).map(|entry| &entry.target);
+        latest.filter(|target| target.incarnation != incarnation)
     }
 
     /// Returns the age of a target's record, and its position.
@@ -433,7 +440,7 @@
             self.remove_from_service(&previous.target);
             cold.follow(now, &previous.cold, previous.target.incarnation != target.incarnation);
             self.takeovers.remove(&previous.target);
-            if previous.target.incarnation < target.incarnation {
+            if previous.target.incarnation != target.incarnation {
                 if previous.target.service == target.service {
                     self.takeovers.record_restart(&previous.target);
                 }
--- a/src/steering/directory/removals.rs
+++ b/src/steering/directory/removals.rs
@@ -31,18 +31,25 @@
         self.entries.values().any(has_address)
     }
 
-    /// Returns the removed targets that may still have flows, in the order of their keys.
+    /// Returns the removed targets that may still have flows, in the order of their keys, and after
+    /// them the earlier incarnations of targets that have restarted.
     pub fn removed(&self) -> impl Iterator<Item = &Target> {
-        self.entries.values().filter(|entry| entry.removed).map(|entry| &entry.target)
+        let removed = self.entries.values().filter(|entry| entry.removed);
+        let mut earlier: Vec<_> = self.replaced.iter().collect();
+        earlier.sort_unstable_by_key(|(incarnation, _)| **incarnation);
+        removed.map(|entry| &entry.target).chain(earlier.into_iter().map(|(_, (target, _))| target))
     }
 
-    /// Adds a target that was removed before this instance started. Targets that already have an
-    /// entry are left unchanged.
+    /// Adds a target that was removed, or an incarnation that ended, before this instance started.
+    /// Targets that already have an entry are left unchanged.
     pub fn insert_removed(&mut self, now: Duration, target: Target) {
-        if self.entries.contains_key(&target.key) {
+        let (key, incarnation) = (target.key, target.incarnation);
+        if let Some(entry) = self.entries.get(&key) {
+            if incarnation < entry.target.incarnation {
+                self.replaced.entry((key, incarnation)).or_insert((target, now));
+            }
             return;
         }
-        let key = target.key;
         self.insert(now, Position::default(), target);
         if let Some(entry) = self.entries.get_mut(&key) {
             entry.removed = true;
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -4,6 +4,7 @@
 mod failures;
 mod opening;
 mod reach;
+mod restarts;
 mod token_lookup;
 mod warm_up;
 
@@ -58,7 +59,7 @@
     /// Only cold targets without an opening budget are left.
     #[display("cold_targets")]
     ColdTargets,
-    /// The target has restarted and lost the flow.
+    /// The target has restarted as one of another service.
     #[display("target_restarted")]
     TargetRestarted,
     /// The target is dead: it neither responds nor accepts connections, or its address is now
@@ -262,9 +263,14 @@
         std::mem::take(&mut self.health_changes)
     }
 
+    /// Returns the time after which an idle flow may be dropped.
+    pub fn idle_timeout(&self) -> Duration {
+        self.routes.idle_timeout().unwrap_or(DEFAULT_IDLE_TIMEOUT)
+    }
+
     /// Removes expired state; to be called about once per second.
     pub fn expire(&mut self, now: Duration) {
-        let idle = self.routes.idle_timeout().unwrap_or(DEFAULT_IDLE_TIMEOUT);
+        let idle = self.idle_timeout();
         self.flows.expire(now, idle);
         self.targets.expire(now);
         self.health.expire(now, idle);
@@ -286,15 +292,18 @@
         };
         let version = self.routes.version();
         let found = find_target(&mut self.tokens, &self.targets, route, version, packet);
-        let Some(incarnation) = found else {
+        let Some(named) = found else {
             return Verdict::Drop(DropReason::UnknownToken);
         };
-        if self.flows.is_of_earlier_flow(now, packet, incarnation) {
+        if self.flows.is_of_earlier_flow(now, packet, named) {
             return Verdict::Drop(DropReason::EarlierFlow);
         }
-        if self.targets.has_restarted(incarnation) {
-            return Verdict::Reset(ResetReason::TargetRestarted);
-        }
+        let Some(incarnation) = self.possible_holder(service, named) else {
+            return match packet.kind {
+                PacketKind::Reset => Verdict::Drop(DropReason::UnknownToken),
+                _ => Verdict::Reset(ResetReason::TargetRestarted),
+            };
+        };
         if self.check_dead(now, incarnation) && packet.kind != PacketKind::Reset {
             self.flows.remove(packet.flow.id());
             return Verdict::Reset(ResetReason::TargetDead);
@@ -306,8 +315,9 @@
             }
             FlowSignal::Nothing => {}
         }
+        let token = self.changed_token(service, named, incarnation);
         match self.targets.get(incarnation) {
-            Some(target) => Verdict::Forward(target, None),
+            Some(target) => Verdict::Forward(target, token),
             None => Verdict::Drop(DropReason::UnknownToken),
         }
     }
@@ -363,14 +373,20 @@
         overdue
     }
 
-    /// Removes the flows whose targets have restarted or are dead. Returns those to be reset, with
-    /// the reason. An early reset lets the caller reconnect before it has a request to send.
+    /// Removes the flows whose targets are dead or have restarted as ones of another service. Returns
+    /// those to be reset, with the reason. An early reset lets the caller reconnect before it has a
+    /// request to send.
     pub fn take_orphaned_flows(&mut self, now: Duration) -> Vec<(FlowPacket, ResetReason)> {
         let mut ended = Vec::new();
         let targets: Vec<_> = self.flows.targets().collect();
         for incarnation in targets {
             let reason = match () {
-                () if self.targets.has_restarted(incarnation) => ResetReason::TargetRestarted,
+                () if self.changed_service(incarnation) => ResetReason::TargetRestarted,
+                () if self.targets.has_restarted(incarnation) => {
+                    // Those that the target holds are added again with their next packets.
+                    self.flows.take_flows(incarnation);
+                    continue;
+                }
                 () if self.check_dead(now, incarnation) => ResetReason::TargetDead,
                 () => continue,
             };
--- a/src/steering/forwarder/eligibility.rs
+++ b/src/steering/forwarder/eligibility.rs
@@ -36,9 +36,11 @@
         local.filter(move |_| accepts_flows)
     }
 
-    /// Returns whether the target that a flow already had may get its opening packet again.
+    /// Returns whether the target that a flow already had may get its opening packet again. One that
+    /// has restarted has lost the flow.
     pub(super) fn may_get_flow(&self, previous: TargetIncarnation) -> bool {
-        let target = self.targets.get(previous).filter(|_| !self.targets.is_replaced(previous));
+        let has_ended = self.targets.is_replaced(previous) || self.targets.has_restarted(previous);
+        let target = self.targets.get(previous).filter(|_| !has_ended);
         target.is_some_and(|target| self.accepts_flows(&target.failure_domain))
     }
 
--- a/src/steering/gossip/removed.rs
+++ b/src/steering/gossip/removed.rs
@@ -1,5 +1,6 @@
-//! Targets that were removed before this instance started. Packets of their flows may still
-//! arrive here, and their callers have to get a reset.
+//! Targets that were removed, and incarnations that ended, before this instance started. Packets of
+//! their flows may still arrive here: callers of removed targets have to get a reset, and a flow may
+//! have been opened to a target that had restarted under the token of its earlier incarnation.
 
 use std::time::Duration;
 
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -4,11 +4,13 @@
 mod cold_targets;
 mod domain_drains;
 mod held_openings;
+mod last_packets;
 mod last_resort;
 mod logging;
 mod members_log;
 mod platform_contact;
 mod platform_reply;
+mod restarts;
 mod shutdown;
 mod startup_queue;
 
@@ -21,6 +23,7 @@
 use rand::rngs::SmallRng;
 
 use self::cold_targets::ColdTargetsLog;
+use self::last_packets::LastPackets;
 use self::members_log::MembersLog;
 use self::platform_contact::{Poll, limit_removal_grace};
 use self::startup_queue::StartupQueue;
@@ -97,6 +100,7 @@
     link: Link,
     trace_one_in: u64,
     log: LogRateLimit,
+    last_packets: LastPackets,
     startup_queue: StartupQueue,
     late_openings: LateOpenings,
     next_release: Duration,
@@ -140,6 +144,7 @@
             trace_one_in: u64::from(cfg.trace_one_in),
             membership: Membership::new(now, cfg.me, cfg.seeds, fork()),
             log: LogRateLimit::new(now),
+            last_packets: LastPackets::default(),
             startup_queue: StartupQueue::default(),
             late_openings: LateOpenings::default(),
             next_release: now,
@@ -230,10 +235,12 @@
                 counter!("limpetdeck_packets_forwarded_total").increment(1);
                 let datagram = self.format.forward(&buf, token, target);
                 out.push(Action::Datagram(SocketAddr::V4(target.address), datagram));
+                let incarnation = (target.key, target.incarnation);
                 if let (Some(token), PacketKind::Opening { repeats }) = (token, packet.kind) {
                     let target = target.clone();
                     self.record_placement(now, packet, &target, token, repeats);
                 }
+                self.keep_last(now, packet, incarnation, buf);
             }
             Verdict::Reset(reason) => self.send_reset(now, packet, reason, out),
             Verdict::Drop(DropReason::NotReady | DropReason::Undecided) => {
@@ -325,6 +332,7 @@
         if now >= self.next_expiry {
             self.next_expiry = now + EXPIRY_INTERVAL;
             self.forwarder.expire(now);
+            self.last_packets.expire(now, self.forwarder.idle_timeout());
             self.report_cold_targets(now);
             gauge!("limpetdeck_flows_known").set(self.forwarder.flows.len() as f64);
             gauge!("limpetdeck_targets_unsteady").set(self.forwarder.unsteady_targets(now) as f64);
@@ -332,6 +340,7 @@
             gauge!("limpetdeck_routes_version").set(self.forwarder.routes.version() as f64);
         }
         self.reset_orphaned_flows(now, out);
+        self.resend_last_packets(now, out);
         if now >= self.next_overdue_check {
             self.next_overdue_check = now + OVERDUE_CHECK_INTERVAL;
             self.announce_overdue(now, out);
@@ -385,6 +394,7 @@
         out: &mut Vec<Action>,
     ) {
         let reason = reason.to_string();
+        self.last_packets.remove(packet.flow.id());
         let (to, reset) = self.format.reset(packet);
         out.push(Action::Datagram(SocketAddr::V4(to), reset));
         counter!("limpetdeck_flows_refused_total", "reason" => reason.clone()).increment(1);
