Connection checks: keep reset flows as closed ones

Change: flows that are reset stay in the table as closed ones until they are idle, like those that callers close. Their packets are reset again, and they are no load.

--- a/src/steering/flows.rs
+++ b/src/steering/flows.rs
@@ -153,13 +153,37 @@
         self.flows.get(&flow).map(|flow| flow.since)
     }
 
-    /// Removes the flows of a target that have been known since `before` or longer. For each open one,
-    /// returns the packet that its caller would send next.
-    pub(super) fn take_flows(
+    /// Removes the flows of a target.
+    pub(super) fn remove_flows(&mut self, target: TargetIncarnation) {
+        self.take_flows(target, Duration::MAX);
+    }
+
+    /// Ends the flows of a target that have been known since `before` or longer. For each open one,
+    /// returns the packet that its caller would send next. Those stay in the table as closed ones: the
+    /// caller may not get the reset, and send again.
+    pub(super) fn end_flows(
         &mut self,
+        now: Duration,
         target: TargetIncarnation,
         before: Duration,
     ) -> Vec<FlowPacket> {
+        let taken = self.take_flows(target, before).into_iter();
+        let open = taken.filter(|flow| flow.open && !flow.closed).map(|flow| {
+            let ended = Flow { closed: true, last_packet: now, ..flow };
+            self.flows.insert(flow.key.id(), ended);
+            FlowPacket {
+                flow: flow.key,
+                kind: PacketKind::Within,
+                token: NO_TOKEN,
+                sequence: flow.next_sequence,
+                ack: flow.ack,
+                data_len: 0,
+            }
+        });
+        open.collect()
+    }
+
+    fn take_flows(&mut self, target: TargetIncarnation, before: Duration) -> Vec<Flow> {
         let is_taken = |flow: &Flow| flow.target == target && flow.since <= before;
         let ids = self.flows.iter().filter(|(_, flow)| is_taken(flow)).map(|(id, _)| *id);
         let ids: Vec<_> = ids.collect();
@@ -170,15 +194,7 @@
                 taken.push(flow);
             }
         }
-        let next_packet = |flow: Flow| FlowPacket {
-            flow: flow.key,
-            kind: PacketKind::Within,
-            token: NO_TOKEN,
-            sequence: flow.next_sequence,
-            ack: flow.ack,
-            data_len: 0,
-        };
-        taken.into_iter().filter(|flow| flow.open && !flow.closed).map(next_packet).collect()
+        taken
     }
 
     /// Returns the target of each open flow whose response has become overdue since the last
@@ -218,7 +234,8 @@
         }
     }
 
-    fn close(&mut self, now: Duration, id: FlowId) {
+    /// Ends a flow. It stays in the table, so that late packets do not look like a new flow.
+    pub(super) fn close(&mut self, now: Duration, id: FlowId) {
         if let Some(mut flow) = self.flows.get(&id).copied() {
             self.subtract_load(&flow);
             flow.closed = true;
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -309,7 +309,7 @@
         if self.check_dead(now, incarnation).is_some_and(|before| since <= before)
             && packet.kind != PacketKind::Reset
         {
-            self.flows.remove(id);
+            self.flows.close(now, id);
             return Verdict::Reset(ResetReason::TargetDead);
         }
         match self.flows.record(now, packet, incarnation) {
@@ -388,7 +388,7 @@
                 () if self.changed_service(incarnation) => (ResetReason::TargetRestarted, now),
                 () if self.targets.has_restarted(incarnation) => {
                     // Those that the target holds are added again with their next packets.
-                    self.flows.take_flows(incarnation, now);
+                    self.flows.remove_flows(incarnation);
                     continue;
                 }
                 () => match self.check_dead(now, incarnation) {
@@ -396,7 +396,7 @@
                     None => continue,
                 },
             };
-            let lost = self.flows.take_flows(incarnation, before);
+            let lost = self.flows.end_flows(now, incarnation, before);
             ended.extend(lost.into_iter().map(|flow| (flow, reason)));
             if self.flows.load(incarnation).flows > 0 {
                 self.suspect_target(now, incarnation);
