Odd entries: refuse values that no server has

What operators see: another writer leaves one odd entry among those of the servers. So did a concurrency limit of 2^32 - 1, which overflows the sums of slots, a warm-up of 500 million years, multicast and broadcast addresses, an empty zone, and a service or zone of 70 KB, whose record fits into no message between instances: peers would get no later change of targets either.

Change: such entries name no target.

--- a/src/steering/target.rs
+++ b/src/steering/target.rs
@@ -11,6 +11,13 @@
 /// Name of a service in routes and targets.
 pub(super) type ServiceName = String;
 
+/// Longest name of a service or failure domain in bytes: records of targets have to fit into a message.
+const MAX_NAME_LEN: usize = 253;
+/// Largest number of slots of a target.
+const MAX_SLOTS: u32 = 65_535;
+/// Longest time until a target is warm.
+const MAX_WARM_UP: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// Identifier of a target, carried in its packets; 0 stands for any target.
 pub type TargetKey = u64;
 
@@ -81,15 +88,27 @@
         if raw.service.is_empty() {
             return Err("service name is empty".to_owned());
         }
-        if raw.slots == 0 {
-            return Err("slots is 0; at least 1 is required".to_owned());
+        if raw.failure_domain.is_empty() {
+            return Err("failure domain is empty".to_owned());
+        }
+        if raw.service.len().max(raw.failure_domain.len()) > MAX_NAME_LEN {
+            return Err(format!("service or failure domain has more than {MAX_NAME_LEN} bytes"));
         }
-        if raw.address.port() == 0 || raw.address.ip().is_unspecified() {
+        if raw.slots == 0 || raw.slots > MAX_SLOTS {
+            return Err(format!("slots is {}; 1 to {MAX_SLOTS} are allowed", raw.slots));
+        }
+        let ip = raw.address.ip();
+        if raw.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() || ip.is_broadcast()
+        {
             return Err(format!(
-                "{} is not a valid target address: unspecified IP or port 0",
+                "{} is not a valid target address: no IP of one host, or port 0",
                 raw.address
             ));
         }
+        let warm_up_left = Duration::from_millis(raw.cold_ms);
+        if warm_up_left > MAX_WARM_UP {
+            return Err(format!("warm-up of {} ms is longer than a day", raw.cold_ms));
+        }
         Ok(Self {
             key: raw.key,
             incarnation: raw.incarnation,
@@ -98,7 +117,7 @@
             failure_domain: raw.failure_domain,
             slots: raw.slots,
             state: raw.state,
-            warm_up_left: Duration::from_millis(raw.cold_ms),
+            warm_up_left,
         })
     }
 }
