Soak and fuzzing: odd entries beside those of the servers

Change: a drill of the soak writes entries of seven kinds whose names end like those of all servers, while instances stop, start and are killed, servers drain and restart, and routes change. The configuration of the soak names all services, as that of the platform does. The fuzzer reads whole lists and watch events with an odd entry, whose name, fields of spec and meta and bytes are drawn.

--- a/lab/src/fuzz.rs
+++ b/lab/src/fuzz.rs
@@ -1,6 +1,8 @@
 //! Fuzzes all decoders of external input: none may panic, and none may accept modified input as
 //! intact.
 
+mod odd_entries;
+
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -19,6 +21,7 @@
 use quickcheck::{Gen, QuickCheck, Testable};
 use serde_json::value::RawValue;
 
+use self::odd_entries::odd_entries;
 use crate::arguments::{Args, CommandError, Outcome};
 
 /// Text for `fuzz --help`.
@@ -41,12 +44,13 @@
 /// Key of the messages between instances.
 const PEER_KEY: [u8; 32] = [5; 32];
 
-const DECODERS: [Decoder; 7] = [
+const DECODERS: [Decoder; 8] = [
     ("packets", packets),
     ("datagrams_to_servers", datagrams_to_servers),
     ("ip_packets", ip_packets),
     ("peer_messages", peer_messages),
     ("store_objects", store_objects),
+    ("odd_entries", odd_entries),
     ("lists", lists),
     ("settings", settings),
 ];
--- a/lab/src/soak.rs
+++ b/lab/src/soak.rs
@@ -11,6 +11,7 @@
 mod environment;
 mod faults;
 mod instances;
+mod odd_entries;
 mod plan;
 mod proxy;
 mod report;
@@ -64,8 +65,9 @@
   --cold-limit N  new flows per second that a server bears while it is cold, which it is after a
                   start and after its failure domain was drained (default 0: no limit)
   --drill NAME    one kind of fault instead of all: restore, domain-drain (orders to drain a
-                  failure domain, each in the middle of another fault), or watchers (all instances
-                  that watch the store are lost; needs 27 instances, so that others are left)
+                  failure domain, each in the middle of another fault), watchers (all instances
+                  that watch the store are lost; needs 27 instances, so that others are left), or
+                  odd-entries (another writer leaves entries beside those of the servers)
   --report FILE   write an HTML report with a plot
   --keep          keep the logs even if no promise was broken
 
@@ -102,6 +104,7 @@
     Restore,
     DomainDrain,
     Watchers,
+    OddEntries,
 }
 
 #[derive(Debug)]
@@ -127,6 +130,7 @@
             "restore" => Drill::Restore,
             "domain-drain" => Drill::DomainDrain,
             "watchers" => Drill::Watchers,
+            "odd-entries" => Drill::OddEntries,
             other => return Err(CommandError::new(format!("--drill {other} is not known"))),
         };
         let options = Self {
@@ -185,6 +189,7 @@
         Drill::Restore => plan::restore_drill,
         Drill::DomainDrain => plan::domain_drill,
         Drill::Watchers => plan::watcher_drill,
+        Drill::OddEntries => odd_entries::odd_drill,
     };
     let mut schedule = generate(options.length, &mut fork_rng(&mut rng));
     if options.drill == Drill::All {
--- a/lab/src/soak/environment.rs
+++ b/lab/src/soak/environment.rs
@@ -10,6 +10,7 @@
 use limpetdeck_platform::emulator::{
     PacketOrigin, Segment, SegmentKind, routes_entry, split_target_key,
 };
+use serde_json::json;
 use smol::Async;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -22,7 +23,7 @@
 use super::proxy::{LinkMode, SharedLinkMode};
 use super::tally::{Outcome, Tally};
 use crate::emulator::caller::{Caller, CallerEvent};
-use crate::emulator::fleet::Fleet;
+use crate::emulator::fleet::{Fleet, SERVICES};
 use crate::emulator::network::{Impairment, Network};
 use crate::emulator::router::Router;
 use crate::emulator::server::{FlowKey, ServerEvent};
@@ -180,7 +181,16 @@
 
     /// Writes the current routes to the store, which may have lost them in a restore.
     pub fn write_routes_again(&mut self) {
-        let value = routes_entry(&self.routes);
+        let mut value = routes_entry(&self.routes);
+        if let Some(listed) = value["Services"].as_array_mut() {
+            // Those with a limit of cold targets are listed by the routes.
+            let others = SERVICES
+                .iter()
+                .map(|(name, _)| *name)
+                .filter(|name| !listed.iter().any(|s| s["Name"] == *name));
+            let others: Vec<_> = others.map(|name| json!({ "Name": name })).collect();
+            listed.extend(others);
+        }
         self.store.borrow_mut().put(&format!("{ROUTES_PREFIX}main"), value);
     }
 
--- a/lab/src/soak/faults.rs
+++ b/lab/src/soak/faults.rs
@@ -7,6 +7,7 @@
 use rand::seq::{IndexedRandom, IteratorRandom};
 
 use super::environment::{DOMAINS, Environment, Partition};
+use super::odd_entries;
 use super::plan::{Fault, ScheduledFault};
 use super::proxy::LinkMode;
 use crate::emulator::network::Impairment;
@@ -42,6 +43,8 @@
     /// The order to drain the domain, and whether it is marked before it is removed.
     DomainOrder(usize, bool),
     MarkedOrders,
+    /// The names of the odd entries.
+    OddEntries(Vec<String>),
 }
 
 impl Undo {
@@ -54,6 +57,7 @@
                 | Self::Watchers(_)
                 | Self::DomainOrder(..)
                 | Self::MarkedOrders
+                | Self::OddEntries(_)
         )
     }
 }
@@ -164,6 +168,10 @@
                     self.undos.push((until, Undo::DomainOrder(domain, marked)));
                 }
             }
+            Fault::OddEntries { oddity } => {
+                let names = odd_entries::write(env, oddity);
+                self.undos.push((until, Undo::OddEntries(names)));
+            }
             Fault::Crash => env.fleet.crash(now),
             Fault::Restart => env.fleet.restart(now),
             Fault::FreezeServer => {
@@ -266,6 +274,7 @@
         Undo::MarkedOrders => {
             return env.orders.remove_marked(&mut env.store.borrow_mut());
         }
+        Undo::OddEntries(names) => return odd_entries::remove(env, names),
         Undo::Link(instances) => instances.iter().for_each(|&i| env.links[i].set(LinkMode::Whole)),
         Undo::Watchers(instances) => {
             instances.iter().for_each(|&i| env.links[i].set(LinkMode::Whole));
--- a/lab/src/soak/plan.rs
+++ b/lab/src/soak/plan.rs
@@ -7,6 +7,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 
+use super::odd_entries::Oddity;
 use super::proxy::{LinkMode, random_link_mode};
 use crate::emulator::store::StoreMode;
 
@@ -110,6 +111,11 @@
         /// Whether the order is marked as being deleted before it is removed.
         marked: bool,
     },
+    /// Another writer leaves entries beside those of the servers, and removes them.
+    OddEntries {
+        /// What is odd about them.
+        oddity: Oddity,
+    },
     /// A server crashes, and a server of a random service takes over its address.
     Crash,
     /// A server crashes and restarts with the same key.
@@ -128,6 +134,7 @@
                 | Self::Routes { .. }
                 | Self::Drain
                 | Self::DrainDomain { .. }
+                | Self::OddEntries { .. }
         )
     }
 
@@ -154,6 +161,7 @@
             Self::Cut { .. } => "cut",
             Self::Weather { .. } => "weather",
             Self::DrainDomain { .. } => "drain-domain",
+            Self::OddEntries { .. } => "odd-entries",
             Self::Crash => "crash",
             Self::Restart => "restart",
             Self::FreezeServer => "freeze-server",
--- a/lab/tests/short_soak.rs
+++ b/lab/tests/short_soak.rs
@@ -12,7 +12,7 @@
     soak_fleet("6", args);
 }
 
-fn soak_fleet(instances: &str, args: &[&str]) {
+fn soak_fleet(instances: &str, args: &[&str]) -> String {
     let lab = PathBuf::from(env!("CARGO_BIN_EXE_limpetdeck-lab"));
     let node = lab.with_file_name("limpetdeck-node");
     assert!(node.exists(), "limpetdeck-node is not built: run the tests with --workspace");
@@ -21,6 +21,7 @@
     let text = String::from_utf8_lossy(&output.stdout);
     println!("{text}");
     assert!(output.status.success(), "{args:?}: {text}");
+    text.into_owned()
 }
 
 #[test]
@@ -49,3 +50,12 @@
 fn restore_drill() {
     soak(&["--drill", "restore", "--seed", "901", "--minutes", "0.75"]);
 }
+
+/// Entries of another writer beside those of all servers take none of them from use, while instances
+/// stop, start and are killed. Before the names of entries counted, callers were not served.
+#[test]
+fn odd_entries_drill() {
+    let args = ["--drill", "odd-entries", "--seed", "904", "--minutes", "0.98"];
+    let text = soak_fleet("6", &args);
+    assert!(text.contains(" refused=0 "), "callers were refused beside servers that run");
+}
