--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -28,7 +28,7 @@
 use self::platform_contact::{Poll, limit_removal_grace};
 use self::startup_queue::StartupQueue;
 use super::gossip::{Gossip, Peers};
-use super::list_watch::{Interest, ListWatches};
+use super::list_watch::ListWatches;
 use super::log_rate_limit::LogRateLimit;
 use super::policy::late_openings::LateOpenings;
 use super::policy::platform_contact::PlatformContact;
@@ -402,28 +402,6 @@
         *self.refusals.entry(reason).or_default() += 1;
     }
 
-    fn call_platform(&mut self, now: Duration, out: &mut Vec<Action>) {
-        if self.leaving_since.is_some() {
-            return;
-        }
-        let age = now.saturating_sub(self.started);
-        let WatchRole { alone, ranked, watchers, .. } = self.watch_role;
-        let watches = age >= WATCH_DELAY && (ranked || self.membership.is_isolated(now));
-        let interest = Interest {
-            watches,
-            watchers,
-            routes: self.gossip.reads_routes(now, &self.forwarder),
-            instances: alone && age >= DISCOVERY_DELAY,
-            domain_drains: self.forwarder.drains.is_enabled(),
-        };
-        out.extend(self.list_watches.due(now, interest).into_iter().map(Action::Platform));
-        if watches && !alone && !self.list_watches.in_outage() {
-            let calls = self.registration.due(now, self.membership.me());
-            out.extend(calls.into_iter().map(Action::Platform));
-        }
-        self.poll_if_out_of_contact(now, out);
-    }
-
     fn update_peers(&mut self, now: Duration) {
         if !self.membership.take_changed() {
             return;
--- a/src/steering/node/platform_contact.rs
+++ b/src/steering/node/platform_contact.rs
@@ -4,10 +4,10 @@
 
 use metrics::{counter, gauge};
 
-use super::Node;
+use super::{DISCOVERY_DELAY, Node, WATCH_DELAY, WatchRole};
 use crate::instance::Action;
 use crate::platform::{Call, PlatformError, Reply};
-use crate::steering::list_watch::TARGETS_PREFIX;
+use crate::steering::list_watch::{Interest, TARGETS_PREFIX};
 use crate::steering::message::{ContactReport, Message};
 use crate::steering::policy::platform_contact::{PlatformContact, PollRole};
 
@@ -22,6 +22,29 @@
 }
 
 impl Node {
+    /// Makes the calls to the platform that are due.
+    pub(super) fn call_platform(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if self.leaving_since.is_some() {
+            return;
+        }
+        let age = now.saturating_sub(self.started);
+        let WatchRole { alone, ranked, watchers, .. } = self.watch_role;
+        let watches = age >= WATCH_DELAY && (ranked || self.membership.is_isolated(now));
+        let interest = Interest {
+            watches,
+            watchers,
+            routes: self.gossip.reads_routes(now, &self.forwarder),
+            instances: alone && age >= DISCOVERY_DELAY,
+            domain_drains: self.forwarder.drains.is_enabled(),
+        };
+        out.extend(self.list_watches.due(now, interest).into_iter().map(Action::Platform));
+        if watches && !alone && !self.list_watches.in_outage() {
+            let calls = self.registration.due(now, self.membership.me());
+            out.extend(calls.into_iter().map(Action::Platform));
+        }
+        self.poll_if_out_of_contact(now, out);
+    }
+
     /// Polls the platform if nobody in the failure domain seems to be in contact with it; to be
     /// called on each tick.
     pub(super) fn poll_if_out_of_contact(&mut self, now: Duration, out: &mut Vec<Action>) {
--- a/tests/lost_flows.rs
+++ b/tests/lost_flows.rs
@@ -45,6 +45,13 @@
     }
 }
 
+/// Restarts the process of a target, which writes its entry at once.
+fn restart(world: &mut World, processes: &mut Processes, entry: &Target) {
+    processes.crash(world.now, entry.key);
+    processes.start(entry);
+    world.store.put_target(entry);
+}
+
 /// Opens flows through an instance until one is held by a target. Returns its port.
 fn open_to(
     world: &mut World,
@@ -67,9 +74,7 @@
 #[test]
 fn late_entry() {
     let (mut world, mut processes) = running();
-    processes.crash(world.now, 1);
-    processes.start(&entry(1, 2_000));
-    world.store.put_target(&entry(1, 2_000));
+    restart(&mut world, &mut processes, &entry(1, 2_000));
     let port = open_to(&mut world, &mut processes, 0, 1, 40_000..40_100);
     world.kill(0);
     run(&mut world, &mut processes, BOUND);
@@ -87,9 +92,7 @@
 #[test]
 fn late_opener() {
     let (mut world, mut processes) = running();
-    processes.crash(world.now, 1);
-    processes.start(&entry(1, 2_000));
-    world.store.put_target(&entry(1, 2_000));
+    restart(&mut world, &mut processes, &entry(1, 2_000));
     let port = open_to(&mut world, &mut processes, 0, 1, 40_000..40_100);
     run(&mut world, &mut processes, BOUND);
     processes.send_request(&mut world, port);
@@ -102,9 +105,7 @@
 fn lost_early() {
     let (mut world, mut processes) = running();
     let port = open_to(&mut world, &mut processes, 0, 1, 40_000..40_100);
-    processes.crash(world.now, 1);
-    processes.start(&entry(1, 2_000));
-    world.store.put_target(&entry(1, 2_000));
+    restart(&mut world, &mut processes, &entry(1, 2_000));
     let crashed = world.now;
     run(&mut world, &mut processes, BOUND);
     let flow = &processes.flows[&port];
@@ -118,15 +119,11 @@
 #[test]
 fn lost_twice() {
     let (mut world, mut processes) = running();
-    processes.crash(world.now, 1);
-    processes.start(&entry(1, 2_000));
-    world.store.put_target(&entry(1, 2_000));
+    restart(&mut world, &mut processes, &entry(1, 2_000));
     let port = open_to(&mut world, &mut processes, 0, 1, 40_000..40_100);
     run(&mut world, &mut processes, BOUND);
     assert_eq!(processes.flows[&port].ended, None);
-    processes.crash(world.now, 1);
-    processes.start(&entry(1, 3_000));
-    world.store.put_target(&entry(1, 3_000));
+    restart(&mut world, &mut processes, &entry(1, 3_000));
     run(&mut world, &mut processes, BOUND);
     assert!(processes.flows[&port].ended.is_some(), "{:?}", processes.flows[&port]);
 }
@@ -135,9 +132,7 @@
 #[test]
 fn unknown_incarnation() {
     let (mut world, mut processes) = running();
-    processes.crash(world.now, 1);
-    processes.start(&entry(1, 2_000));
-    world.store.put_target(&entry(1, 2_000));
+    restart(&mut world, &mut processes, &entry(1, 2_000));
     let port = open_to(&mut world, &mut processes, 0, 1, 40_000..40_100);
     world.kill(0);
     run(&mut world, &mut processes, BOUND);
@@ -152,9 +147,7 @@
 #[test]
 fn clock_back() {
     let (mut world, mut processes) = running();
-    processes.crash(world.now, 1);
-    processes.start(&entry(1, 500));
-    world.store.put_target(&entry(1, 500));
+    restart(&mut world, &mut processes, &entry(1, 500));
     let port = open_to(&mut world, &mut processes, 0, 1, 40_000..40_100);
     run(&mut world, &mut processes, BOUND);
     processes.send_request(&mut world, port);
@@ -168,10 +161,8 @@
 fn address_changed() {
     let (mut world, mut processes) = running();
     let port = open_to(&mut world, &mut processes, 0, 1, 40_000..40_100);
-    processes.crash(world.now, 1);
     let moved = Target { address: target(9, STATION).address, ..entry(1, 2_000) };
-    processes.start(&moved);
-    world.store.put_target(&moved);
+    restart(&mut world, &mut processes, &moved);
     run(&mut world, &mut processes, BOUND);
     let flow = &processes.flows[&port];
     assert!(flow.ended.is_some() && !flow.used_since, "{flow:?}");
