Tests: a platform whose port another process gets is started again

Cause, suspected, as the logs of that process are not kept: the test releases a free port before the platform binds it. If another process gets it meanwhile, the platform exits, and the wait is satisfied by a connection to the other process. Tried by hand: with a listener at the address, the platform exits and the connection succeeds.

Change: the wait needs an answer to a call from a process that still runs; a platform that has exited is started again on another port, five times at most. No check of a test changes.

--- a/lab/tests/support/ctl.rs
+++ b/lab/tests/support/ctl.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, reason = "not every test file uses all helpers")]
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::time::Duration;
@@ -15,6 +15,9 @@
 /// Number of polls of a condition before the test fails.
 const MAX_POLLS: u32 = 600;
 
+/// Number of starts of a platform on one address each, which another process may get first.
+const MAX_STARTS: u32 = 5;
+
 /// A process that is killed when it is dropped.
 pub struct Process(Child);
 
@@ -74,11 +77,18 @@
 impl Platform {
     /// Starts a platform without objects.
     pub fn start() -> Self {
-        let address = free_address();
-        let process =
-            Process::start("limpetdeck-lab", &["platform", "--listen", &address.to_string()]);
-        wait_until("platform", || TcpStream::connect(address).is_ok());
-        Self { address, _process: process }
+        for _ in 0..MAX_STARTS {
+            let address = free_address();
+            let args = ["platform", "--listen", &address.to_string()];
+            let mut process = Process::start("limpetdeck-lab", &args);
+            // A connection alone says nothing: another process may have got the port, in which case
+            // this one exits.
+            wait_until("platform", || process.has_exited() || answers(address));
+            if !process.has_exited() {
+                return Self { address, _process: process };
+            }
+        }
+        panic!("no platform in {MAX_STARTS} starts");
     }
 
     /// Sets the fault mode of the platform; `none` ends the fault.
@@ -95,6 +105,11 @@
     }
 }
 
+/// Returns whether a server answers calls at an address.
+fn answers(address: SocketAddr) -> bool {
+    smol::block_on(http::call(address, Request::get("/"), Duration::from_secs(1))).is_ok()
+}
+
 /// Runs `limpetctl` and returns its exit code and output.
 pub fn ctl(args: &[&str]) -> (i32, String) {
     let output = Command::new(program_path("limpetctl")).args(args).output().expect("a process");
