Odd entries: their encoding moves to the platform's emulator

The drill and the fuzzer spelled fields of the platform's entries and responses; they take them from limpetdeck_platform::emulator now. The fuzzer draws the odd field among all of the object.

--- a/lab/src/fuzz/odd_entries.rs
+++ b/lab/src/fuzz/odd_entries.rs
@@ -1,4 +1,4 @@
-//! Lists and watch events with an odd entry among those of servers: the others have to hold.
+//! Lists and watch events with an odd entry among those of targets: the others have to hold.
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -6,13 +6,13 @@
 use limpetdeck::platform::{Changes, PlatformError};
 use limpetdeck::steering::{RawTarget, TARGETS_PREFIX};
 use limpetdeck_platform::ObjectStore;
-use limpetdeck_platform::emulator::target_entry;
+use limpetdeck_platform::emulator::{events_body, named_object, page_body, target_entry};
 use serde_json::value::RawValue;
 use serde_json::{Value, json};
 
 use super::{Edits, apply_edits, target};
 
-/// Keys of the servers beside the odd entry, which has the key of the first or one of its own.
+/// Keys of the targets beside the odd entry, which has the key of the first or one of its own.
 const KEYS: [u64; 3] = [0x7f3a_91c2, 0x0f3a_91c3, 0x11];
 const OWN_KEY: u64 = 0xabcd_0123;
 const PREFIXES: [&str; 6] = ["zz-", "i-i-", "I-", "i-0", "i-+", ""];
@@ -23,13 +23,17 @@
 /// The edits choose the name, the fields that are odd and their values; the last ones change bytes.
 pub(super) fn odd_entries(edits: Edits) -> bool {
     let odd = odd_entry(&edits);
-    let known = KEYS.map(|key| entry(&format!("i-{key:08x}"), key, 5).to_string());
+    let known = KEYS
+        .map(|key| entry(&format!("i-{key:08x}"), &RawTarget { key, ..target() }, 5).to_string());
     let [a, b, c] = &known;
     let store = ObjectStore::new(SocketAddr::from(([127, 0, 0, 1], 1)));
     let list = |items: &[&str]| page(&store, items);
-    let event = |deleted| events(&store, &odd, deleted, c);
+    let event = |deleted| {
+        let body = events_body(&[(&odd, deleted), (c, false)], 12);
+        store.read_events(TARGETS_PREFIX, body.as_bytes())
+    };
     let holds = |changes: &Result<Changes, PlatformError>| changes.as_ref().is_ok_and(all_hold);
-    // It appears beside known servers, leaves and comes back, and is there at a start.
+    // It appears beside known targets, leaves and comes back, and is there at a start.
     holds(&list(&[a, b, c]))
         && keeps(&event(false))
         && holds(&list(&[&odd, a, b, c]))
@@ -38,21 +42,8 @@
 }
 
 fn page(store: &ObjectStore, items: &[&str]) -> Result<Changes, PlatformError> {
-    let body = format!(r#"{{"items":[{}],"More":false,"StoreRevision":9}}"#, items.join(","));
     let services = HashSet::from([target().service]);
-    store.read_list(TARGETS_PREFIX, body.as_bytes(), &services)
-}
-
-fn events(
-    store: &ObjectStore,
-    odd: &str,
-    deleted: bool,
-    known: &str,
-) -> Result<Changes, PlatformError> {
-    let body = format!(
-        r#"{{"events":[{{"Object":{odd},"Deleted":{deleted}}},{{"Object":{known}}}],"StoreRevision":12}}"#
-    );
-    store.read_events(TARGETS_PREFIX, body.as_bytes())
+    store.read_list(TARGETS_PREFIX, page_body(items, 9).as_bytes(), &services)
 }
 
 fn is_held(changes: &Changes, key: u64) -> bool {
@@ -66,7 +57,7 @@
     KEYS.iter().all(|&key| is_held(changes, key))
 }
 
-/// Returns whether the event of the third server is there and the others have none, or a list has to
+/// Returns whether the event of the third target is there and the others have none, or a list has to
 /// tell.
 fn keeps(changes: &Result<Changes, PlatformError>) -> bool {
     let Ok(changes) = changes else { return *changes == Err(PlatformError::HistoryGone) };
@@ -76,12 +67,8 @@
     is_held(changes, KEYS[2]) && !has(KEYS[0]) && !has(KEYS[1])
 }
 
-fn entry(name: &str, key: u64, revision: u64) -> Value {
-    json!({
-        "meta": {"Name": name, "Revision": revision, "Created": 1, "Finalizers": [], "Deleting": false},
-        "spec": target_entry(&RawTarget { key, ..target() }, 1),
-        "status": null,
-    })
+fn entry(name: &str, target: &RawTarget, revision: u64) -> Value {
+    named_object(name, revision, &target_entry(target, 1))
 }
 
 fn odd_values() -> Vec<String> {
@@ -97,24 +84,31 @@
     values
 }
 
+/// Returns the pointers to all fields of an object, and to those within them.
+fn places(object: &Value) -> Vec<String> {
+    let fields = |value: &Value, at: &str| -> Vec<String> {
+        let names = value.as_object().into_iter().flat_map(|fields| fields.keys());
+        names.map(|name| format!("{at}/{name}")).collect()
+    };
+    let outer = fields(object, "");
+    let inner = outer.iter().flat_map(|at| fields(&object[&at[1..]], at));
+    inner.chain(outer.iter().cloned()).collect()
+}
+
 fn odd_entry(edits: &Edits) -> String {
     let (position, byte, kind) = edits.first().copied().unwrap_or_default();
     let prefix = PREFIXES[usize::from(byte) % PREFIXES.len()];
     let key = if kind % 2 == 0 { KEYS[0] } else { OWN_KEY };
-    let mut value = entry(&format!("{prefix}{key:08x}"), key, 10);
     // Readable entries of others name a service of their own.
-    value["spec"]["Service"] = json!("of another writer");
+    let other = RawTarget { key, service: "of another writer".to_owned(), ..target() };
+    let mut value = entry(&format!("{prefix}{key:08x}"), &other, 10);
     let values = odd_values();
-    let spec: Vec<_> = value["spec"].as_object().expect("a map").keys().cloned().collect();
-    let meta: Vec<_> = value["meta"].as_object().expect("a map").keys().cloned().collect();
-    let at = usize::from(position);
     let odd = &values[usize::from(byte) % values.len()];
-    match at % (spec.len() + meta.len() + 3) {
-        i if i < spec.len() => value["spec"][&spec[i]] = json!(MARK),
-        i if i < spec.len() + meta.len() => value["meta"][&meta[i - spec.len()]] = json!(MARK),
-        i if i == spec.len() + meta.len() => value["spec"] = json!(MARK),
-        i if i == spec.len() + meta.len() + 1 => value["meta"] = json!(MARK),
-        _ => {}
+    let mut places = places(&value);
+    places.push(String::new());
+    let place = &places[usize::from(position) % places.len()];
+    if let Some(field) = value.pointer_mut(place).filter(|_| !place.is_empty()) {
+        *field = json!(MARK);
     }
     let text = value.to_string().replace(&format!("\"{MARK}\""), odd);
     let rest = edits.get(1..).unwrap_or_default().to_vec();
--- a/lab/src/soak/odd_entries.rs
+++ b/lab/src/soak/odd_entries.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use limpetdeck::steering::TARGETS_PREFIX;
+use limpetdeck_platform::emulator::Oddity;
 use rand::Rng;
 use rand::rngs::SmallRng;
-use serde_json::{Value, json};
 
 use super::environment::Environment;
 use super::plan::{Fault, RECOVERY_SAMPLE_TIME, RECOVERY_TIME, STARTUP_TIME, ScheduledFault};
@@ -15,49 +15,17 @@
 const ROUND: Duration = Duration::from_secs(7);
 /// Time for which a set stands.
 const STANDING: Duration = Duration::from_secs(6);
-/// Depth of nested lists.
-const DEPTH: usize = 2_000;
-
-/// What is odd about the entries.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Oddity {
-    /// They have no field at all.
-    Empty,
-    /// A field is deeply nested.
-    Nested,
-    /// A number is too large.
-    HugeNumber,
-    /// The port is 0.
-    NoPort,
-    /// A field that instances do not read is of another type.
-    OtherType,
-    /// The service is one that nobody has named.
-    OtherService,
-    /// They are texts with control characters.
-    Text,
-}
-
-const ODDITIES: [Oddity; 7] = [
-    Oddity::Empty,
-    Oddity::Nested,
-    Oddity::HugeNumber,
-    Oddity::NoPort,
-    Oddity::OtherType,
-    Oddity::OtherService,
-    Oddity::Text,
-];
-
 /// Generates sets of odd entries. Instances stop and start while they stand, or are killed.
 pub fn odd_drill(length: Duration, rng: &mut SmallRng) -> Vec<ScheduledFault> {
     let end = length.saturating_sub(RECOVERY_TIME + RECOVERY_SAMPLE_TIME);
-    let first = rng.random_range(0..ODDITIES.len());
+    let first = rng.random_range(0..Oddity::ALL.len());
     let mut faults = Vec::new();
     let mut at = STARTUP_TIME;
     for round in 0.. {
         if at + ROUND > end {
             break;
         }
-        let oddity = ODDITIES[(first + round) % ODDITIES.len()];
+        let oddity = Oddity::ALL[(first + round) % Oddity::ALL.len()];
         let mut add = |after: f64, duration, fault| {
             let at = at + Duration::from_secs_f64(after);
             faults.push(ScheduledFault { at, duration, fault });
@@ -81,7 +49,7 @@
     let mut store = env.store.borrow_mut();
     let keys = env.fleet.servers.iter().map(|server| server.entry.key);
     let names: Vec<_> = keys.map(|key| format!("{TARGETS_PREFIX}zz-{key:x}")).collect();
-    names.iter().for_each(|name| store.put(name, content(oddity)));
+    names.iter().for_each(|name| store.put(name, oddity.content()));
     names
 }
 
@@ -90,22 +58,3 @@
     let mut store = env.store.borrow_mut();
     names.iter().for_each(|name| store.remove(name));
 }
-
-fn content(oddity: Oddity) -> Value {
-    let mut entry = json!({
-        "Service": "nobody", "Address": "127.0.0.1:9", "Zone": "a", "Version": "1",
-        "ConcurrencyLimit": 3, "State": "ready", "ColdRemainingMs": 0, "Sequence": 1, "born": 1,
-    });
-    match oddity {
-        Oddity::Empty => entry = json!({}),
-        Oddity::Nested => {
-            entry["Zone"] = (0..DEPTH).fold(Value::Null, |inner, _| Value::Array(vec![inner]));
-        }
-        Oddity::HugeNumber => entry["ConcurrencyLimit"] = json!(1e300),
-        Oddity::NoPort => entry["Address"] = json!("127.0.0.1:0"),
-        Oddity::OtherType => entry["Version"] = json!([1]),
-        Oddity::OtherService => {}
-        Oddity::Text => entry = json!("\u{1}\u{fffd} no entry"),
-    }
-    entry
-}
--- a/lab/src/soak/plan.rs
+++ b/lab/src/soak/plan.rs
@@ -3,11 +3,11 @@
 use std::ops::Range;
 use std::time::Duration;
 
+use limpetdeck_platform::emulator::Oddity;
 use rand::Rng;
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 
-use super::odd_entries::Oddity;
 use super::proxy::{LinkMode, random_link_mode};
 use crate::emulator::store::StoreMode;
 
