--- a/review/standin-3/case_readded.rs
+++ b/review/standin-3/case_readded.rs
@@ -97,7 +97,7 @@
     thread::sleep(
         (silent + STOP - Duration::from_millis(50)).saturating_duration_since(Instant::now()),
     );
-    // Part of a rolling restart: the node with the most flows that run.
+    // Part of a rolling restart: a node of the zone that serves the route.
     journal.note(format!("SIGTERM {}", world.nodes[stopped].name));
     world.nodes[stopped].signal(SIGTERM);
     for client in clients {
--- a/review/standin-3/client.rs
+++ b/review/standin-3/client.rs
@@ -14,7 +14,9 @@
     [Duration::ZERO, Duration::from_millis(200), Duration::from_millis(600)];
 const OPENING: Duration = Duration::from_millis(1_400);
 const DEADLINE: Duration = Duration::from_millis(2_500);
+/// Time after which a packet is sent again; it doubles up to the second value.
 const AGAIN: Duration = Duration::from_millis(200);
+const LONGEST_AGAIN: Duration = Duration::from_millis(1_600);
 /// Pause between two requests on one flow.
 const PAUSE: Duration = Duration::from_millis(40);
 
@@ -96,6 +98,7 @@
         self.flows.lock().unwrap().insert(port, tx);
         let (sent, outcome) = self.run(route, id, port, until, &rx, &router);
         self.flows.lock().unwrap().remove(&port);
+        self.journal.note(format!("end {id} port {port}: {outcome:?}"));
         Report { port, sent, outcome, ended: Instant::now() }
     }
 
@@ -118,6 +121,7 @@
         let (mut ack, mut echo) = (0, 0);
         let mut is_open = false;
         let mut next_try = begin;
+        let mut again = AGAIN;
         let mut number = 0;
         let mut request = encode_request(route, id, number);
         let mut seq = first_seq.wrapping_add(1);
@@ -145,7 +149,8 @@
                 return (sent, Outcome::Unanswered);
             }
             if is_open && now >= next_try {
-                next_try = now + AGAIN;
+                next_try = now + again;
+                again = (again * 2).min(LONGEST_AGAIN);
                 let data = request.clone().into_bytes();
                 send(&Packet { echo, seq, ack, flags: ACK, dst: route, src, data });
             }
@@ -191,6 +196,7 @@
                     request = encode_request(route, id, number);
                     begin = Instant::now();
                     next_try = begin + PAUSE;
+                    again = AGAIN;
                     continue;
                 }
                 send(&Packet { echo, seq, ack, flags: FIN | ACK, dst: route, src, data: vec![] });
