Stop: an instance that shuts down goes on reading the platform

Cause: from the request on, call_platform returned at once. The instance neither watched nor read what peers only announce (routes beyond one message), nor polled when nobody was in contact, and a list that failed was not repeated. It took for granted that no packets come and that peers send all.

Change: it calls the platform until it exits, in the role that it had; only the registration ends with the request. What it reads counts for its own polls, but it reports no contact to peers.

--- a/src/steering/node/platform_contact.rs
+++ b/src/steering/node/platform_contact.rs
@@ -22,9 +22,10 @@
 }
 
 impl Node {
-    /// Makes the calls to the platform that are due.
+    /// Makes the calls to the platform that are due. An instance that stops goes on reading, as
+    /// packets reach it until it exits, but does not register.
     pub(super) fn call_platform(&mut self, now: Duration, out: &mut Vec<Action>) {
-        if self.leaving_since.is_some() {
+        if self.exited {
             return;
         }
         let age = now.saturating_sub(self.started);
@@ -38,7 +39,8 @@
             domain_drains: self.forwarder.drains.is_enabled(),
         };
         out.extend(self.list_watches.due(now, interest).into_iter().map(Action::Platform));
-        if watches && !alone && !self.list_watches.in_outage() {
+        let registers = watches && !alone && self.leaving_since.is_none();
+        if registers && !self.list_watches.in_outage() {
             let calls = self.registration.due(now, self.membership.me());
             out.extend(calls.into_iter().map(Action::Platform));
         }
@@ -91,7 +93,9 @@
             _ => None,
         };
         let Some(at) = read_time else { return };
-        if !self.contact.record(at) || self.watch_role.dependents == 0 {
+        // Peers do not rely on an instance that stops.
+        let is_relied_on = self.watch_role.dependents > 0 && self.leaving_since.is_none();
+        if !self.contact.record(at) || !is_relied_on {
             return;
         }
         let me = self.membership.me();
@@ -113,7 +117,7 @@
             call,
             Call::List { prefix } | Call::Watch { prefix, .. } if prefix == TARGETS_PREFIX
         );
-        self.leaving_since.is_none() && (reads || self.watch_role.ranked)
+        reads || self.watch_role.ranked
     }
 
     /// Continues the poll after the reply to one of its calls. Returns when it began if it is
--- a/tests/steering_stop.rs
+++ b/tests/steering_stop.rs
@@ -99,6 +99,34 @@
     }
 }
 
+/// Time within which a change is known to all instances that forward packets.
+const BOUND: Duration = Duration::from_secs(3);
+
+/// Routes that have grown beyond one message are known in time to an instance that stops, whenever
+/// they grow. It did not read the platform any more.
+#[test]
+fn grown_routes() {
+    for (i, grown_at) in (0..8).flat_map(|i| [0, 200, 300, 700, 1_300, 2_400].map(|at| (i, at))) {
+        let mut world = World::new(8);
+        world.run(Duration::from_secs(10));
+        let begin = world.now;
+        while world.now < begin + ms(grown_at) + BOUND {
+            let since = world.now - begin;
+            if since == ms(grown_at) {
+                world.store.put_routes(&routes(2, &[STATION; 200]));
+            }
+            if since == ms(300) {
+                world.handle(i, Event::Stop);
+            }
+            world.handle(i, Event::Packet(text(&opening(1, 1))));
+            world.run(TICK);
+        }
+        assert!(!world.exited[i], "packets arrive");
+        let version = world.node(i).forwarder().routes.version();
+        assert_eq!(version, 2, "instance {i}, routes grown at {grown_at} ms");
+    }
+}
+
 /// What a socket has queued when the instance exits is handled, and no more than a bound.
 #[test]
 fn queued_datagrams() {
