Watchers: nobody relies on an instance that stops

Cause: instances that had announced their stop were ranked among the watchers of their failure domain until they counted as dead, seconds after their exit. The next in rank did not watch for them, although they had stopped reading. Change: an instance ranks among those that last. One that stops keeps its own rank, so that it reads until it exits, and is not counted among the watchers that polls and pauses are shared by. Conclusion: the reading passes on with the announcement instead of with the suspicion.

--- a/src/membership.rs
+++ b/src/membership.rs
@@ -297,20 +297,28 @@
     }
 
     /// Returns whether this instance ranks among the watchers of its failure domain. Changes only
-    /// with the live instances.
+    /// with the live instances and their states.
+    ///
+    /// An instance that stops keeps its rank, as packets may still reach it, but no other one relies
+    /// on it: the next in rank watches too.
     pub fn ranks_as_watcher(&self) -> bool {
         let rank = |id: InstanceId| (stable_pair(WATCH_SALT, u64::from(id)), id);
         let mine = rank(self.me.id);
-        let domain = &self.me.failure_domain;
-        let domain_peers = self.table.live().filter(|m| m.info.failure_domain == *domain);
-        domain_peers.filter(|m| rank(m.info.id) > mine).count() < self.watchers_per_domain()
+        let stops = self.me.state == MemberState::Leaving;
+        let peers = self.local_members().filter(|info| info.id != self.me.id);
+        let relied_on = peers.filter(|info| stops || info.state != MemberState::Leaving);
+        relied_on.filter(|info| rank(info.id) > mine).count() < self.watchers_per_domain()
     }
 
-    /// Returns the number of watchers in the failure domain of this instance.
+    /// Returns the number of watchers in the failure domain of this instance, those that stop not
+    /// included.
     pub fn local_watchers(&self) -> usize {
-        let domain = &self.me.failure_domain;
-        let local = self.live_members().filter(|info| info.failure_domain == *domain);
-        local.take(self.watchers_per_domain()).count()
+        let lasting = self.local_members().filter(|info| info.state != MemberState::Leaving);
+        lasting.take(self.watchers_per_domain()).count()
+    }
+
+    fn local_members(&self) -> impl Iterator<Item = &MemberInfo> {
+        self.live_members().filter(|info| info.failure_domain == self.me.failure_domain)
     }
 
     /// Returns the number of watchers that each failure domain has: the more domains there are, the
--- a/tests/steering_stop.rs
+++ b/tests/steering_stop.rs
@@ -127,6 +127,26 @@
     }
 }
 
+/// The next instances in rank watch as soon as all watchers of a failure domain have been asked to
+/// stop. They relied on those until these counted as dead.
+#[test]
+fn stopping_watchers() {
+    let mut world = World::in_domains(1, &[false; 8]);
+    world.run(Duration::from_secs(10));
+    let ranked = |world: &World| -> Vec<usize> {
+        (0..8).filter(|&i| world.node(i).membership().ranks_as_watcher()).collect()
+    };
+    let before = ranked(&world);
+    assert_eq!(before.len(), 3);
+    for &i in &before {
+        world.handle(i, Event::Stop);
+    }
+    world.run(ms(1_000));
+    let now = ranked(&world);
+    assert_eq!(now.len(), 6, "{now:?}");
+    assert!(before.iter().all(|i| now.contains(i)), "they read until they exit");
+}
+
 /// What a socket has queued when the instance exits is handled, and no more than a bound.
 #[test]
 fn queued_datagrams() {
