Registration: deregister although the outcome of a registration is not known

Cause: an instance took itself for unregistered when the platform had come back from a copy, and when a registration got no answer. Change: it deregisters if it has ever written a registration. Conclusion: one call more at the exit of an instance whose registration failed; none otherwise.

--- a/src/steering/registration.rs
+++ b/src/steering/registration.rs
@@ -31,6 +31,9 @@
     register_at: Duration,
     /// Whether the registration of this instance is written or being written.
     registered: bool,
+    /// Whether the platform may hold a registration of this instance: one was written, or the outcome
+    /// is not known.
+    may_be_held: bool,
     next_check: Duration,
     /// Whether the list call of a check is in flight.
     checking: bool,
@@ -45,6 +48,7 @@
         Self {
             register_at: now + REGISTER_DELAY,
             registered: false,
+            may_be_held: false,
             next_check: now + CHECK_INTERVAL,
             checking: false,
             absent: HashSet::default(),
@@ -68,6 +72,7 @@
             && let Some(value) = object_value(me)
         {
             self.registered = true;
+            self.may_be_held = true;
             calls.push(Call::Put { name: object_name(me.id), if_version: None, value });
         }
         if now >= self.next_check {
@@ -103,9 +108,9 @@
         }
     }
 
-    /// Returns the call that deregisters this instance, if it is registered.
+    /// Returns the call that deregisters this instance, if the platform may hold its registration.
     pub fn deregister(&self, me: InstanceId) -> Option<Call> {
-        self.registered.then(|| Call::Delete { name: object_name(me) })
+        self.may_be_held.then(|| Call::Delete { name: object_name(me) })
     }
 
     /// Compares the registrations with the live instances. Returns the calls that deregister
--- a/tests/steering_stop.rs
+++ b/tests/steering_stop.rs
@@ -102,6 +102,14 @@
 /// Time within which a change is known to all instances that forward packets.
 const BOUND: Duration = Duration::from_secs(3);
 
+/// Runs until an instance exits, with packets that arrive all the time.
+fn run_until_exit(world: &mut World, i: usize) {
+    while !world.exited[i] {
+        world.handle(i, Event::Packet(text(&opening(1, 1))));
+        world.run(TICK);
+    }
+}
+
 /// Routes that have grown beyond one message are known in time to an instance that stops, whenever
 /// they grow. It did not read the platform any more.
 #[test]
@@ -147,6 +155,25 @@
     assert!(before.iter().all(|i| now.contains(i)), "they read until they exit");
 }
 
+/// An instance that has registered deregisters when it exits, although the platform came back from a
+/// copy meanwhile, and it does not register again. It took its registration for lost, and left it.
+#[test]
+fn deregistration_after_restore() {
+    let mut world = World::new(2);
+    world.run(Duration::from_secs(10));
+    let name = "instances/1";
+    assert!(world.store.objects.contains_key(name));
+    world.store.take_copy();
+    world.handle(0, Event::Stop);
+    world.run(ms(200));
+    let stopped = world.now;
+    world.store.restore_copy();
+    run_until_exit(&mut world, 0);
+    world.run(ms(100));
+    assert!(!world.store.objects.contains_key(name));
+    assert!(world.store.wrote_at[&0] < stopped);
+}
+
 /// What a socket has queued when the instance exits is handled, and no more than a bound.
 #[test]
 fn queued_datagrams() {
