--- a/src/instance/platform_calls.rs
+++ b/src/instance/platform_calls.rs
@@ -63,12 +63,12 @@
         }
     }
 
-    /// Returns the calls that are due. `registration` is the value to register, and `is_watcher`
-    /// says whether this instance watches the platform for its failure domain.
+    /// Returns the calls that are due. `registration` is the value to register, none if this instance
+    /// stops, and `is_watcher` says whether it watches the platform for its failure domain.
     pub(super) fn due_calls(
         &mut self,
         now: Duration,
-        registration: &serde_json::Value,
+        registration: Option<&serde_json::Value>,
         is_watcher: bool,
     ) -> Vec<Call> {
         self.set_watcher(now, is_watcher);
@@ -77,7 +77,10 @@
             self.read_in_flight = true;
             calls.push(self.read_call());
         }
-        if !self.write_in_flight && self.renewal_due(now, registration) {
+        if let Some(registration) = registration
+            && !self.write_in_flight
+            && self.renewal_due(now, registration)
+        {
             self.write_in_flight = true;
             self.last_written = Some(registration.clone());
             let name = self.name.clone();
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -328,13 +328,17 @@
         }
     }
 
+    /// Makes the calls to the platform that are due. An instance that stops goes on reading, as
+    /// packets reach it until it exits, but does not register.
     fn call_platform(&mut self, now: Duration, out: &mut Vec<Action>) {
-        if self.leaving_since.is_none() {
-            let Some(registration) = object_value(self.membership.me()) else { return };
-            let calls =
-                self.platform_calls.due_calls(now, &registration, self.membership.is_watcher(now));
-            out.extend(calls.into_iter().map(Action::Platform));
+        if self.exited {
+            return;
         }
+        let me = self.membership.me();
+        let registration = self.leaving_since.is_none().then(|| object_value(me)).flatten();
+        let is_watcher = self.membership.is_watcher(now);
+        let calls = self.platform_calls.due_calls(now, registration.as_ref(), is_watcher);
+        out.extend(calls.into_iter().map(Action::Platform));
     }
 
     fn stop(&mut self, now: Duration) {
--- a/tests/membership_platform.rs
+++ b/tests/membership_platform.rs
@@ -154,6 +154,32 @@
     assert!(harness.count(after) >= 1, "continues from the new revision");
 }
 
+/// An instance that stops goes on watching until it exits, and does not register again. It did not
+/// watch any more, so that it forwarded by earlier lists if it was the last of its failure domain.
+#[test]
+fn stopping_watcher() {
+    let mut harness = Harness::new(0);
+    harness.run(60);
+    harness.handle(Event::Stop);
+    let (_, watch) = harness.pending.take().expect("a watch");
+    harness.revision += 1;
+    harness.answer(watch);
+    harness.run(2);
+    let revision = harness.revision;
+    let continues =
+        |call: &Call| matches!(call, Call::Watch { after, .. } if after.revision == revision);
+    assert_eq!(harness.count(continues), 1);
+    assert_eq!(harness.count(is_put), 0);
+    harness.run(4);
+    harness.answer(Call::Watch {
+        prefix: String::new(),
+        after: Position::new(0, revision),
+        timeout: Duration::ZERO,
+    });
+    harness.run(2);
+    assert_eq!(harness.calls.len(), 0, "nothing is read after the exit");
+}
+
 #[test]
 fn platform_down() {
     let mut harness = Harness::new(40);
