Tests: stops, losses and changes drawn from seeds

Cause: tests asked an instance to stop at a few moments, with calm peers and without changes. Change: drawn_stops draws fleets of 2 to 21 instances in 1 to 3 failure domains, stops in turn with a change of keys, peers that are paused, killed, partitioned or without the platform, a platform that is down or comes back from a copy, routes that grow, targets that drain, leave, start or restart, and orders to drain a domain. An instance in touch has to know each change within 3 s until it exits; a request to stop is no excuse. It has to end in time, and must not register. Changes and losses are shared with drawn_losses.

--- a/tests/drawn_losses.rs
+++ b/tests/drawn_losses.rs
@@ -3,6 +3,12 @@
 //!
 //! `DRAWN_SEEDS=1000..1300 cargo test --release --test drawn_losses` runs other seeds.
 
+#[path = "support/changes.rs"]
+#[allow(dead_code)]
+mod changes;
+#[path = "support/losses.rs"]
+#[allow(dead_code)]
+mod losses;
 #[path = "support/steering.rs"]
 #[allow(dead_code)]
 mod support;
@@ -13,8 +19,9 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use limpetdeck::instance::Event;
-use limpetdeck::steering::{Node, Target, TargetKey, TargetState};
+use changes::*;
+use limpetdeck::steering::TargetKey;
+use losses::*;
 use rand::rngs::SmallRng;
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
@@ -38,23 +45,6 @@
 /// Probability of a copy of the platform's objects in a tick.
 const COPY_PROBABILITY: f64 = 0.01;
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Loss {
-    /// The platform does not respond.
-    Silent,
-    /// The platform refuses calls.
-    Refused,
-    /// The platform responds late.
-    Slow,
-    /// Neither the platform nor peers respond.
-    Partitioned,
-    Paused,
-    /// Ends without notice, and starts again at the end of the loss.
-    Killed,
-    /// Stops gracefully, and starts again at the end of the loss.
-    Stopped,
-}
-
 const LOSSES: [Loss; 7] = [
     Loss::Silent,
     Loss::Refused,
@@ -65,49 +55,6 @@
     Loss::Stopped,
 ];
 
-#[derive(Debug, Clone, Copy)]
-enum Change {
-    Drains(TargetKey),
-    Leaves(TargetKey),
-    Starts(TargetKey),
-    Restarts(TargetKey),
-    Routes(u64),
-    OrderToDrain(&'static str),
-}
-
-impl Change {
-    fn make(self, store: &mut Store) {
-        match self {
-            Self::Drains(key) => {
-                let state = TargetState::Draining;
-                store.put_target(&Target { state, ..target(key, STATION) });
-            }
-            Self::Leaves(key) => store.remove_target(key),
-            Self::Starts(key) => store.put_target(&target(key, STATION)),
-            Self::Restarts(key) => {
-                store.put_target(&Target { incarnation: 2_000, ..target(key, STATION) });
-            }
-            Self::Routes(version) => store.put_routes(&routes(version, &[STATION])),
-            Self::OrderToDrain(domain) => store.drain(domain),
-        }
-    }
-
-    fn is_known(self, now: Duration, node: &Node) -> bool {
-        let forwarder = node.forwarder();
-        let incarnation = |key| {
-            let mut eligible = forwarder.targets.eligible(now, STATION);
-            eligible.find(|(target, _)| target.key == key).map(|(target, _)| target.incarnation)
-        };
-        match self {
-            Self::Drains(key) | Self::Leaves(key) => incarnation(key).is_none(),
-            Self::Starts(key) => incarnation(key).is_some(),
-            Self::Restarts(key) => incarnation(key) == Some(2_000),
-            Self::Routes(version) => forwarder.routes.version() >= version,
-            Self::OrderToDrain(domain) => forwarder.drains.is_drained(domain),
-        }
-    }
-}
-
 /// A loss that has not ended yet.
 struct CurrentLoss {
     loss: Loss,
@@ -207,24 +154,10 @@
     fn lose(&mut self) {
         let instances = self.draw_instances();
         let loss = pick(&LOSSES, &mut self.rng);
-        let world = &mut self.world;
         for &i in &instances {
-            match loss {
-                Loss::Silent => world.store.silent_instances.push(i),
-                Loss::Refused => world.store.refused_instances.push(i),
-                Loss::Slow => world.store.slow_instances.push(i),
-                Loss::Partitioned => {
-                    world.store.silent_instances.push(i);
-                    world.partitioned.push(i);
-                }
-                Loss::Paused => {
-                    world.paused.entry(i).or_default();
-                }
-                Loss::Killed => world.kill(i),
-                Loss::Stopped => world.handle(i, Event::Stop),
-            }
+            loss.begin(&mut self.world, i);
         }
-        let until = world.now + ms(self.rng.random_range(200..12_000));
+        let until = self.world.now + ms(self.rng.random_range(200..12_000));
         self.losses.push(CurrentLoss { loss, instances, until });
     }
 
@@ -234,19 +167,7 @@
             self.losses.extract_if(.., |current| now >= current.until)
         {
             for i in instances {
-                let World { store, partitioned, .. } = &mut self.world;
-                let lists = [
-                    &mut store.silent_instances,
-                    &mut store.refused_instances,
-                    &mut store.slow_instances,
-                    partitioned,
-                ];
-                lists.into_iter().for_each(|list| list.retain(|&lost| lost != i));
-                match loss {
-                    Loss::Paused => self.world.resume(i),
-                    Loss::Killed | Loss::Stopped => self.world.start(i),
-                    _ => {}
-                }
+                loss.end(&mut self.world, i);
             }
         }
     }
--- a/tests/support/steering_world.rs
+++ b/tests/support/steering_world.rs
@@ -49,6 +49,10 @@
     pub gets: u32,
     /// Instances that have made a call, each with the time of the last one.
     pub callers: BTreeMap<usize, Duration>,
+    /// Number of calls of each instance.
+    pub calls_of: BTreeMap<usize, u32>,
+    /// When each instance last wrote an object.
+    pub wrote_at: BTreeMap<usize, Duration>,
 }
 
 impl Store {
@@ -298,6 +302,7 @@
     pub fn call(&mut self, i: usize, call: Call) {
         self.store.calls += 1;
         self.store.callers.insert(i, self.now);
+        *self.store.calls_of.entry(i).or_default() += 1;
         self.store.gets += u32::from(matches!(call, Call::Get { .. }));
         if self.store.down || self.store.refused_instances.contains(&i) {
             let refused = PlatformError::Refused("503".to_owned());
@@ -320,6 +325,7 @@
                 return self.watches.push((i, call, deadline));
             }
             Call::Put { name, value, .. } => {
+                self.store.wrote_at.insert(i, self.now);
                 self.store.put(Object { name: name.clone(), version: 0, value: value.clone() });
                 Reply::Written(self.store.revision)
             }
