Soak: stops beside frozen instances, judged until the process is gone

Cause: the soak took an instance that was told to terminate for disturbed, so that nothing judged what it did until its exit, and its routes never grew beyond one message. Change: the drill 'stops' freezes half of a failure domain, stops two of the rest in turn, lets the routes grow and change and servers drain meanwhile, and judges the stopping instances until they are gone. An earlier release beside them is not judged while it stops.

--- a/lab/src/soak.rs
+++ b/lab/src/soak.rs
@@ -66,8 +66,10 @@
                   start and after its failure domain was drained (default 0: no limit)
   --drill NAME    one kind of fault instead of all: restore, domain-drain (orders to drain a
                   failure domain, each in the middle of another fault), watchers (all instances
-                  that watch the store are lost; needs 27 instances, so that others are left), or
-                  odd-entries (another writer leaves entries beside those of the servers)
+                  that watch the store are lost; needs 27 instances, so that others are left),
+                  odd-entries (another writer leaves entries beside those of the servers), or
+                  stops (instances stop in turn where most others are frozen, while routes grow and
+                  servers drain; they are judged until the process is gone; needs 18 instances)
   --report FILE   write an HTML report with a plot
   --keep          keep the logs even if no promise was broken
 
@@ -105,6 +107,7 @@
     DomainDrain,
     Watchers,
     OddEntries,
+    Stops,
 }
 
 #[derive(Debug)]
@@ -131,6 +134,7 @@
             "domain-drain" => Drill::DomainDrain,
             "watchers" => Drill::Watchers,
             "odd-entries" => Drill::OddEntries,
+            "stops" => Drill::Stops,
             other => return Err(CommandError::new(format!("--drill {other} is not known"))),
         };
         let options = Self {
@@ -190,6 +194,7 @@
         Drill::DomainDrain => plan::domain_drill,
         Drill::Watchers => plan::watcher_drill,
         Drill::OddEntries => odd_entries::odd_drill,
+        Drill::Stops => plan::stop_drill,
     };
     let mut schedule = generate(options.length, &mut fork_rng(&mut rng));
     if options.drill == Drill::All {
@@ -292,6 +297,7 @@
         socket,
         addresses,
         cold_flows_per_s: options.cold_limit,
+        judges_stops: options.drill == Drill::Stops,
     })));
     for (at, socket) in sockets {
         ex.spawn(receive(Rc::clone(&env), at, socket)).detach();
@@ -407,7 +413,7 @@
     let summary = format!(
         "result={} seed={} seconds={} instances={} starts={} faults={} served={} refused={} \
          failed={} openings={} changes_tested={} drains_tested={} \
-         orders_tested={} cold_most={} sales={} not_run={} \
+         stops_tested={} orders_tested={} cold_most={} sales={} not_run={} \
          most_memory_kb={} most_descriptors={} driver_lag_ms={} violations={}",
         if kept { "ok" } else { "broken" },
         options.seed,
@@ -421,6 +427,7 @@
         counts.openings,
         counts.changes,
         counts.drains,
+        counts.stops,
         counts.orders,
         env.cold_targets.most,
         counts.sales,
--- a/lab/src/soak/checks.rs
+++ b/lab/src/soak/checks.rs
@@ -53,6 +53,8 @@
     pub instance: (usize, u32),
     /// Whether the instance had been free of faults for the settling time.
     pub settled: bool,
+    /// Whether the instance had been told to terminate.
+    pub stopping: bool,
 }
 
 #[derive(Debug)]
@@ -71,6 +73,8 @@
     pub changes: u64,
     /// Opening packets checked against drains that had to be known.
     pub drains: u64,
+    /// Opening packets from instances that stopped, checked against changes or drains.
+    pub stops: u64,
     /// Opening packets from instances that had to obey an order to drain a failure domain.
     pub orders: u64,
     /// Sales that were executed.
@@ -134,6 +138,7 @@
             let seen = format!("a server of {} accepted a flow to {address}", opening.service);
             return self.record_for_flow(now, "no_configuration_allows_it", seen, opening.flow);
         };
+        self.counts.stops += u64::from(opening.stopping && opening.settled);
         self.check_change(now, opening, newest);
         self.check_regression(now, opening, &matching);
         if let Some(since) = opening.draining_since.filter(|_| opening.settled) {
--- a/lab/src/soak/environment.rs
+++ b/lab/src/soak/environment.rs
@@ -31,6 +31,8 @@
 
 /// The failure domains.
 pub const DOMAINS: [&str; 3] = ["domain-a", "domain-b", "domain-c"];
+/// Number of routes that callers use.
+pub const USED_ROUTES: usize = 3;
 /// Time after a fault during which the bounds need not be met.
 pub const SETTLING_TIME: Duration = Duration::from_secs(4);
 /// Longest pause between two steps that does not count as a fault. A longer one may cause
@@ -98,6 +100,8 @@
     pub contact_since: Vec<Duration>,
     /// Time of the last opening that reached a server of each failure domain.
     pub last_openings: [Duration; DOMAINS.len()],
+    /// Whether instances are judged while they stop.
+    judges_stops: bool,
     /// Checks of the promises.
     pub checks: Checks,
     /// Request outcomes.
@@ -134,6 +138,8 @@
     pub socket: Arc<Async<UdpSocket>>,
     /// New flows per second that a cold server bears; 0 if no limit is announced.
     pub cold_flows_per_s: f64,
+    /// Whether instances are judged while they stop.
+    pub judges_stops: bool,
 }
 
 impl Environment {
@@ -156,6 +162,7 @@
             orders: DomainOrders::default(),
             cold_targets: ColdTargets::new(parts.cold_flows_per_s),
             last_openings: [Duration::ZERO; DOMAINS.len()],
+            judges_stops: parts.judges_stops,
             checks: Checks::default(),
             tally: Tally::default(),
             max_lag: Duration::ZERO,
@@ -194,11 +201,15 @@
         self.store.borrow_mut().put(&format!("{ROUTES_PREFIX}main"), value);
     }
 
-    /// Returns whether the instance and its environment were free of faults for the settling time.
+    /// Returns whether the instance and its environment were free of faults for the settling time. Where
+    /// stops are judged, being told to terminate is no fault until the process is gone.
     pub fn is_settled(&self, instance: usize) -> bool {
         let settled = |since: Duration| self.now >= since + SETTLING_TIME;
         let instance = &self.instances[instance];
-        instance.is_running() && settled(instance.last_fault) && settled(self.last_fault)
+        let is_judged_stop =
+            self.judges_stops && instance.is_terminating() && !instance.earlier_release;
+        let runs = instance.is_running() || is_judged_stop;
+        runs && settled(instance.last_fault) && settled(self.last_fault)
     }
 
     /// Harms the way of an instance to the store until a time.
@@ -406,6 +417,7 @@
             draining_since: server.draining_since,
             instance: (instance, self.instances[instance].starts),
             settled: self.is_settled(instance),
+            stopping: self.instances[instance].is_terminating(),
         };
         self.checks.check_opening(self.now, &opening);
     }
@@ -463,7 +475,7 @@
 }
 
 /// Returns the service addresses: feeds and sales, sheets, and the one whose service changes.
-fn service_addresses() -> [SocketAddrV4; 3] {
+fn service_addresses() -> [SocketAddrV4; USED_ROUTES] {
     [1, 2, 3].map(|n| SocketAddrV4::new([198, 18, 0, n].into(), 443))
 }
 
--- a/lab/src/soak/faults.rs
+++ b/lab/src/soak/faults.rs
@@ -1,12 +1,14 @@
 //! Injects the scheduled faults and reverts them.
 
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use limpetdeck::steering::{RawRoute, RawRoutes};
 use rand::Rng;
 use rand::rngs::SmallRng;
 use rand::seq::{IndexedRandom, IteratorRandom};
 
-use super::environment::{DOMAINS, Environment, Partition};
+use super::environment::{DOMAINS, Environment, Partition, USED_ROUTES};
 use super::odd_entries;
 use super::plan::{Fault, ScheduledFault};
 use super::proxy::LinkMode;
@@ -20,6 +22,9 @@
 /// Longest time after a restore of the store until the operator writes again.
 const MAX_REWRITE_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Number of routes that are added at once, more than fit one message between instances.
+const MANY_ROUTES: usize = 350;
+
 /// Time after which an order that was marked as being deleted is removed.
 const MARKED_TIME: Duration = Duration::from_millis(800);
 /// Time until the next attempt to withdraw an order from a store that is down.
@@ -113,6 +118,20 @@
             Fault::Roll => self.roll(env),
             Fault::Reload { signalled } => self.reload(env, signalled),
             Fault::Routes { times } => change_routes(env, times),
+            Fault::RollIn { domain } => {
+                let running = self.running_in(env, domain);
+                if let Some(&i) = running.choose(&mut self.rng) {
+                    env.instances[i].terminate(now);
+                }
+            }
+            Fault::FreezeMost { domain } => {
+                let running = self.running_in(env, domain);
+                let count = running.len().div_ceil(2);
+                for &i in running.choose_multiple(&mut self.rng, count) {
+                    env.instances[i].pause(now, scheduled.duration);
+                }
+            }
+            Fault::ManyRoutes => toggle_many_routes(env),
             Fault::Drain => {
                 if !env.store.borrow().is_down() {
                     env.fleet.drain(now);
@@ -229,6 +248,12 @@
         self.undos.push((env.now + MARKED_TIME, Undo::MarkedOrders));
     }
 
+    fn running_in(&self, env: &Environment, domain: usize) -> Vec<usize> {
+        let instances = env.instances.iter().enumerate();
+        let running = instances.filter(|(_, i)| i.domain == domain && i.is_running());
+        running.map(|(i, _)| i).collect()
+    }
+
     /// Picks a random share of the instances, at least one.
     fn random_instances(&mut self, env: &Environment, share: f64) -> Vec<usize> {
         let total = env.instances.len();
@@ -252,6 +277,31 @@
     }
 }
 
+/// Adds many routes that no caller uses, or removes them, and changes the service of the third route.
+fn toggle_many_routes(env: &mut Environment) {
+    if env.store.borrow().is_down() {
+        return;
+    }
+    let RawRoutes { routes, latency_targets_ms, .. } = &mut env.routes;
+    // The last route is the one that changes.
+    let unused = USED_ROUTES - 1..routes.len() - 1;
+    if unused.is_empty() {
+        let added = (0..MANY_ROUTES).map(|n| unused_route(n as u16, &routes[0]));
+        routes.splice(unused.clone(), added.collect::<Vec<_>>());
+        latency_targets_ms.splice(unused, vec![latency_targets_ms[0]; MANY_ROUTES]);
+    } else {
+        routes.drain(unused.clone());
+        latency_targets_ms.drain(unused);
+    }
+    change_routes(env, 1);
+}
+
+fn unused_route(n: u16, like: &RawRoute) -> RawRoute {
+    let [high, low] = n.to_be_bytes();
+    let address = SocketAddrV4::new([198, 19, high, low].into(), like.address.port());
+    RawRoute { name: format!("unused-{n}"), address, ..like.clone() }
+}
+
 fn set_store(env: &Environment, instances: &[usize], mode: StoreMode) {
     let mut store = env.store.borrow_mut();
     instances.iter().for_each(|&i| store.set_mode(i, mode));
--- a/lab/src/soak/instances.rs
+++ b/lab/src/soak/instances.rs
@@ -88,6 +88,11 @@
         self.state == State::Running
     }
 
+    /// Returns whether the process was told to terminate and still runs.
+    pub fn is_terminating(&self) -> bool {
+        matches!(self.state, State::Terminating(_))
+    }
+
     /// Returns whether the process is paused.
     pub fn is_paused(&self) -> bool {
         matches!(self.state, State::Paused(_))
@@ -149,7 +154,6 @@
         if self.state == State::Running {
             self.signal(Signal::TERM);
             self.state = State::Terminating(now + self.settings.grace);
-            self.last_fault = now;
         }
     }
 
--- a/lab/src/soak/plan.rs
+++ b/lab/src/soak/plan.rs
@@ -41,6 +41,13 @@
 /// Changes of servers and routes around each loss of the watchers.
 const CHANGES_PER_ROUND: usize = 14;
 
+/// Time between two rounds of stops, longer than the settling time after the pauses of one.
+const STOP_ROUND: Duration = Duration::from_secs(13);
+/// Time for which most instances of a failure domain are paused while others stop.
+const STOP_FREEZE: Duration = Duration::from_millis(7_500);
+/// Servers that drain around the stops of a round.
+const DRAINS_PER_STOP: usize = 8;
+
 /// A kind of fault or maintenance. The names go to the log through `Debug`.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Fault {
@@ -56,6 +63,8 @@
         /// Number of changes.
         times: u32,
     },
+    /// Many routes are added, or removed if they are there, and one changes.
+    ManyRoutes,
     /// A server drains, and another one replaces it.
     Drain,
     /// Instances are killed.
@@ -65,6 +74,16 @@
     },
     /// An instance is paused (SIGSTOP).
     Freeze,
+    /// Instances of a failure domain are paused, so that too few are in rotation.
+    FreezeMost {
+        /// Index of the domain.
+        domain: usize,
+    },
+    /// An instance of a failure domain is terminated and restarted.
+    RollIn {
+        /// Index of the domain.
+        domain: usize,
+    },
     /// The store fails calls of instances.
     Store {
         /// How the store fails them.
@@ -131,7 +150,9 @@
             self,
             Self::Roll
                 | Self::Reload { .. }
+                | Self::RollIn { .. }
                 | Self::Routes { .. }
+                | Self::ManyRoutes
                 | Self::Drain
                 | Self::DrainDomain { .. }
                 | Self::OddEntries { .. }
@@ -140,7 +161,7 @@
 
     /// Returns whether the bounds stay in force for the instances that a fault does not hit.
     pub fn hits_single_instances(self) -> bool {
-        matches!(self, Self::LoseWatchers { .. })
+        matches!(self, Self::LoseWatchers { .. } | Self::FreezeMost { .. })
     }
 
     /// Returns the name used in logs and in the report.
@@ -149,9 +170,12 @@
             Self::Roll => "roll",
             Self::Reload { .. } => "reload",
             Self::Routes { .. } => "routes",
+            Self::ManyRoutes => "many-routes",
             Self::Drain => "drain",
             Self::Kill { .. } => "kill",
             Self::Freeze => "freeze",
+            Self::FreezeMost { .. } => "freeze-most",
+            Self::RollIn { .. } => "roll-in",
             Self::Store { .. } => "store",
             Self::Compact => "compact",
             Self::Lapse => "lapse",
@@ -305,6 +329,37 @@
     faults
 }
 
+/// Generates stops in turn in a failure domain, most of whose instances are paused, so that the routers
+/// use all of them. The routes grow and change and servers drain before, during and late in the stops.
+pub fn stop_drill(length: Duration, rng: &mut SmallRng) -> Vec<ScheduledFault> {
+    let end = length.saturating_sub(RECOVERY_TIME + RECOVERY_SAMPLE_TIME);
+    let seconds = Duration::from_secs_f64;
+    let mut faults = Vec::new();
+    let mut at = STARTUP_TIME * 2;
+    while at + STOP_ROUND <= end {
+        let domain = rng.random_range(0..3);
+        let freeze = Fault::FreezeMost { domain };
+        faults.push(ScheduledFault { at, duration: STOP_FREEZE, fault: freeze });
+        // The routers have noticed the pauses by then.
+        let first = at + seconds(rng.random_range(1.0..1.8));
+        let second = first + seconds(rng.random_range(0.3..4.0));
+        let mut push =
+            |at, fault| faults.push(ScheduledFault { at, duration: Duration::ZERO, fault });
+        push(first, Fault::RollIn { domain });
+        push(second, Fault::RollIn { domain });
+        // Two changes, as the route that callers use comes back to its service with the third.
+        push(at + seconds(rng.random_range(0.8..4.0)), Fault::ManyRoutes);
+        if rng.random() {
+            push(at + seconds(rng.random_range(0.0..6.0)), Fault::Routes { times: 1 });
+        }
+        for _ in 0..DRAINS_PER_STOP {
+            push(at + STOP_FREEZE.mul_f64(rng.random()), Fault::Drain);
+        }
+        at += STOP_ROUND;
+    }
+    faults
+}
+
 /// Generates the faults of a run of the given length.
 pub fn schedule(length: Duration, rng: &mut SmallRng) -> Vec<ScheduledFault> {
     let end = length.saturating_sub(RECOVERY_TIME + RECOVERY_SAMPLE_TIME);
--- a/lab/tests/short_soak.rs
+++ b/lab/tests/short_soak.rs
@@ -45,6 +45,13 @@
     soak_fleet("27", &["--drill", "watchers", "--seed", "913", "--minutes", "0.85"]);
 }
 
+/// Changes are known in time to instances that stop beside frozen ones until their processes are gone.
+/// With instances that stop reading: `configuration_in_force`.
+#[test]
+fn stop_drill() {
+    soak_fleet("18", &["--drill", "stops", "--seed", "931", "--minutes", "0.75"]);
+}
+
 /// Drains soon after the store has come back from an old copy are known in time.
 #[test]
 fn restore_drill() {
