Lists and watches: a call that is not the one waited for releases nothing

Cause: after a pause the position was forgotten while a watch was in flight. When the new era became known first, that watch was taken for a first list and kept; its end was outdated, which released lists only. From then on a call counted as in flight for good. Change: the call that is waited for is kept itself. Its result releases it, outdated or not, and no other result does. After a pause the earlier calls are no longer waited for. The time up to which changes are known is kept with the call that showed it, so that the late answer of another one doesn't count as new.

--- a/src/steering/list_watch.rs
+++ b/src/steering/list_watch.rs
@@ -54,17 +54,26 @@
     prefix: &'static str,
     /// Position up to which the objects are known; none before the first list.
     position: Option<Position>,
-    /// Whether a call is in flight.
-    in_flight: bool,
+    /// The call that is waited for.
+    in_flight: Option<Call>,
     /// When the last call was made.
     called_at: Duration,
+    /// Time up to which all changes are known by the calls that were waited for.
+    read_at: Option<Duration>,
     backoff: Backoff,
 }
 
 impl ListWatch {
     fn new(prefix: &'static str) -> Self {
         let backoff = Backoff::new(MAX_FIRST_RETRY_DELAY, MAX_RETRY_DELAY, 0.5..=1.0);
-        Self { prefix, position: None, in_flight: false, called_at: Duration::ZERO, backoff }
+        Self {
+            prefix,
+            position: None,
+            in_flight: None,
+            called_at: Duration::ZERO,
+            read_at: None,
+            backoff,
+        }
     }
 
     /// Returns the call that is due. After the first list, there is none unless the instance
@@ -77,7 +86,7 @@
         list: bool,
         rng: &mut SmallRng,
     ) -> Option<Call> {
-        if self.in_flight || now < self.backoff.due() {
+        if self.in_flight.is_some() || now < self.backoff.due() {
             return None;
         }
         let prefix = self.prefix.to_owned();
@@ -90,7 +99,7 @@
             Some(_) if !watches && !list => return None,
             _ => Call::List { prefix },
         };
-        self.in_flight = true;
+        self.in_flight = Some(call.clone());
         self.called_at = now;
         Some(call)
     }
@@ -98,14 +107,15 @@
     fn on_result(
         &mut self,
         now: Duration,
+        call: &Call,
         result: &Result<Reply, PlatformError>,
         watchers: u32,
         rng: &mut SmallRng,
     ) {
-        self.in_flight = false;
         match result {
             Ok(Reply::Changes(changes)) => {
                 self.position = Some(changes.position());
+                self.read_at = Some(self.read_time(now, call, changes));
                 // A watch that has waited without changes goes on at once.
                 let begin = if changes.objects.is_empty() { self.called_at } else { now };
                 self.backoff.record_success(begin + WATCH_BATCH_DELAY * watchers);
@@ -125,11 +135,25 @@
         }
     }
 
-    /// Handles the result of a poll. The schedule of lists and watches stays as it is, and so does
-    /// the position of a watch in flight.
-    fn on_poll_result(&mut self, result: &Result<Reply, PlatformError>) {
+    /// Returns a time up to which all changes are known now that a call has been answered. An answer may
+    /// have been on its way for long, so this is when the call was made; only a watch that ended without
+    /// changes says more, as the platform answered after the wait.
+    fn read_time(&self, now: Duration, call: &Call, changes: &Changes) -> Duration {
+        match call {
+            Call::Watch { timeout, .. }
+                if changes.objects.is_empty() && now >= self.called_at + *timeout =>
+            {
+                self.called_at + *timeout
+            }
+            _ => self.called_at,
+        }
+    }
+
+    /// Handles the result of a poll, or of a call that is no longer waited for. The schedule of lists and
+    /// watches stays as it is, and so does the position of a watch in flight.
+    fn on_other_result(&mut self, result: &Result<Reply, PlatformError>) {
         match result {
-            Ok(Reply::Changes(changes)) if !self.in_flight => {
+            Ok(Reply::Changes(changes)) if self.in_flight.is_none() => {
                 self.position = self.position.map(|known| known.max(changes.position()));
             }
             _ => {}
@@ -212,7 +236,7 @@
         for list_watch in [routes, targets, instances, domain_drains] {
             // A first list that is still in flight may be of either era.
             if list_watch.position.is_some() {
-                list_watch.in_flight = false;
+                list_watch.in_flight = None;
                 let delay = MAX_ERA_DELAY.mul_f64(self.rng.random());
                 list_watch.backoff.set_due(now + delay);
             }
@@ -239,18 +263,16 @@
             DOMAIN_DRAINS_PREFIX => &mut self.domain_drains,
             _ => return true,
         };
+        let is_awaited = list_watch.in_flight.take_if(|awaited| awaited == call).is_some();
         if is_outdated(self.era, call, result) {
-            if is_list {
-                list_watch.in_flight = false;
-            }
             return false;
         }
         // Orders are rare and urgent: the watchers do not take turns.
         let watchers = if prefix == DOMAIN_DRAINS_PREFIX { 1 } else { self.watchers };
-        if is_poll(call) {
-            list_watch.on_poll_result(result);
+        if is_awaited {
+            list_watch.on_result(now, call, result, watchers, &mut self.rng);
         } else {
-            list_watch.on_result(now, result, watchers, &mut self.rng);
+            list_watch.on_other_result(result);
         }
         if is_list && result.is_ok() && (prefix == ROUTES_PREFIX || prefix == INSTANCES_PREFIX) {
             let pause = MAX_LIST_PAUSE.mul_f64(self.rng.random_range(0.5..=1.0));
@@ -291,30 +313,24 @@
         }
     }
 
-    /// Returns a time up to which all changes under the prefix of a call are known, now that it has been
-    /// answered. An answer may have been on its way for long, so this is when the call was made; only a
-    /// watch that ended without changes says more, as the platform answered after the wait.
-    pub fn read_time(&self, now: Duration, call: &Call, changes: &Changes) -> Option<Duration> {
+    /// Returns the time up to which all changes under the prefix of a call are known by own lists and
+    /// watches.
+    pub fn read_time(&self, call: &Call) -> Option<Duration> {
         let (Call::List { prefix } | Call::Watch { prefix, .. }) = call else { return None };
-        let called_at = match prefix.as_str() {
-            ROUTES_PREFIX => self.routes.called_at,
-            TARGETS_PREFIX => self.targets.called_at,
-            DOMAIN_DRAINS_PREFIX => self.domain_drains.called_at,
-            _ => return None,
-        };
-        match call {
-            Call::Watch { timeout, .. } if changes.objects.is_empty() => {
-                let waited = called_at + *timeout;
-                Some(if now >= waited { waited } else { called_at })
-            }
-            _ => Some(called_at),
+        match prefix.as_str() {
+            ROUTES_PREFIX => self.routes.read_at,
+            TARGETS_PREFIX => self.targets.read_at,
+            DOMAIN_DRAINS_PREFIX => self.domain_drains.read_at,
+            _ => None,
         }
     }
 
-    /// Lists routes, targets and orders again, for example after a pause of the process.
+    /// Lists routes, targets and orders again after a pause of the process, and no longer waits for
+    /// calls that were made before.
     pub fn relist(&mut self, now: Duration) {
         for list_watch in [&mut self.routes, &mut self.targets, &mut self.domain_drains] {
             list_watch.position = None;
+            list_watch.in_flight = None;
             list_watch.backoff.set_due(now);
         }
     }
--- a/src/steering/node/platform_contact.rs
+++ b/src/steering/node/platform_contact.rs
@@ -87,8 +87,8 @@
         let is_polled = self.poll.as_ref().is_some_and(|poll| poll.open.contains(call));
         let read_time = match result {
             _ if is_polled => self.continue_poll(call, result, usable, out),
-            Ok(Reply::Changes(changes)) if usable && self.follows_targets(call) => {
-                self.list_watches.read_time(now, call, changes)
+            Ok(Reply::Changes(_)) if usable && self.follows_targets(call) => {
+                self.list_watches.read_time(call)
             }
             _ => None,
         };
--- a/tests/steering_restore.rs
+++ b/tests/steering_restore.rs
@@ -333,3 +333,26 @@
     world.run_until(ms(3_000), |node| !uses(node, 1) && uses(node, 5) && node.healthy());
     assert!(world.all(|node| node.forwarder().targets.era() == 2));
 }
+
+/// An instance that was paused while the platform came back from a copy goes on reading, also as the
+/// last one. It waited for good for a watch that had begun before, and read nothing any more.
+#[test]
+fn paused_in_restore() {
+    for pause_begin in [ms(300), ms(900), ms(1_500), ms(2_100), ms(2_700)] {
+        let mut world = World::new(2);
+        world.run(Duration::from_secs(10) + pause_begin);
+        world.store.take_copy();
+        world.paused.insert(0, Vec::new());
+        world.run(ms(1_300));
+        world.store.restore_copy();
+        world.run(ms(700));
+        world.resume(0);
+        world.run(Duration::from_secs(12));
+        world.kill(1);
+        world.store.put_target(&draining(1));
+        world.store.put_routes(&routes(2, &[STATION, FARES]));
+        world.run(Duration::from_secs(3));
+        assert!(!uses(world.node(0), 1), "after {pause_begin:?}");
+        assert_eq!(world.node(0).forwarder().routes.version(), 2, "after {pause_begin:?}");
+    }
+}
