Soak: the pauses of the stop drill are named for what they are

Cause: the fault pauses half of a failure domain, and its name said most. Change: names and texts only. Conclusion: no change of behaviour.

--- a/lab/src/soak.rs
+++ b/lab/src/soak.rs
@@ -68,7 +68,7 @@
                   failure domain, each in the middle of another fault), watchers (all instances
                   that watch the store are lost; needs 27 instances, so that others are left),
                   odd-entries (another writer leaves entries beside those of the servers), or
-                  stops (instances stop in turn where most others are frozen, while routes grow and
+                  stops (instances stop in turn where half of them are frozen, while routes grow and
                   servers drain; they are judged until the process is gone; needs 18 instances)
   --report FILE   write an HTML report with a plot
   --keep          keep the logs even if no promise was broken
--- a/lab/src/soak/faults.rs
+++ b/lab/src/soak/faults.rs
@@ -124,7 +124,7 @@
                     env.instances[i].terminate(now);
                 }
             }
-            Fault::FreezeMost { domain } => {
+            Fault::FreezeHalf { domain } => {
                 let running = self.running_in(env, domain);
                 let count = running.len().div_ceil(2);
                 for &i in running.choose_multiple(&mut self.rng, count) {
--- a/lab/src/soak/plan.rs
+++ b/lab/src/soak/plan.rs
@@ -43,7 +43,7 @@
 
 /// Time between two rounds of stops, longer than the settling time after the pauses of one.
 const STOP_ROUND: Duration = Duration::from_secs(13);
-/// Time for which most instances of a failure domain are paused while others stop.
+/// Time for which half of a failure domain is paused while others stop.
 const STOP_FREEZE: Duration = Duration::from_millis(7_500);
 /// Servers that drain around the stops of a round.
 const DRAINS_PER_STOP: usize = 8;
@@ -74,8 +74,8 @@
     },
     /// An instance is paused (SIGSTOP).
     Freeze,
-    /// Instances of a failure domain are paused, so that too few are in rotation.
-    FreezeMost {
+    /// Half of the instances of a failure domain are paused.
+    FreezeHalf {
         /// Index of the domain.
         domain: usize,
     },
@@ -161,7 +161,7 @@
 
     /// Returns whether the bounds stay in force for the instances that a fault does not hit.
     pub fn hits_single_instances(self) -> bool {
-        matches!(self, Self::LoseWatchers { .. } | Self::FreezeMost { .. })
+        matches!(self, Self::LoseWatchers { .. } | Self::FreezeHalf { .. })
     }
 
     /// Returns the name used in logs and in the report.
@@ -174,7 +174,7 @@
             Self::Drain => "drain",
             Self::Kill { .. } => "kill",
             Self::Freeze => "freeze",
-            Self::FreezeMost { .. } => "freeze-most",
+            Self::FreezeHalf { .. } => "freeze-half",
             Self::RollIn { .. } => "roll-in",
             Self::Store { .. } => "store",
             Self::Compact => "compact",
@@ -329,7 +329,7 @@
     faults
 }
 
-/// Generates stops in turn in a failure domain, most of whose instances are paused, so that the routers
+/// Generates stops in turn in a failure domain, half of whose instances are paused, so that the routers
 /// use all of them. The routes grow and change and servers drain before, during and late in the stops.
 pub fn stop_drill(length: Duration, rng: &mut SmallRng) -> Vec<ScheduledFault> {
     let end = length.saturating_sub(RECOVERY_TIME + RECOVERY_SAMPLE_TIME);
@@ -338,7 +338,7 @@
     let mut at = STARTUP_TIME * 2;
     while at + STOP_ROUND <= end {
         let domain = rng.random_range(0..3);
-        let freeze = Fault::FreezeMost { domain };
+        let freeze = Fault::FreezeHalf { domain };
         faults.push(ScheduledFault { at, duration: STOP_FREEZE, fault: freeze });
         // The routers have noticed the pauses by then.
         let first = at + seconds(rng.random_range(1.0..1.8));
