Logs: which target a reset flow had, and the evidence that it is lost

The log of a reset named neither the target nor the evidence, and a failed connection check told a refusal from an expired time limit or a local error as little, so that a failed check, a replaced target, a reused address and a change of service look the same.

No decision changes.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -16,7 +16,7 @@
 use smol::net::{TcpListener, TcpStream};
 use smol::{Async, LocalExecutor, Task};
 
-pub use self::connection_check::accepts_connections;
+pub use self::connection_check::{CheckError, check_connection};
 use self::datagram_sender::DatagramSender;
 use crate::http::{self, HandlerFuture, Request, Response};
 use crate::ids::{FlowId, Incarnation, TargetId};
@@ -322,8 +322,17 @@
         let daemon = Rc::clone(self);
         let task = async move {
             let connect = || async move { TcpStream::connect(address).await.map(drop) };
-            let accepts = accepts_connections(connect).await;
-            daemon.handle(Event::ConnectionChecked(address, accepts));
+            let began = Clock::now();
+            let result = check_connection(connect).await;
+            if let Err(e) = &result {
+                log::info!(
+                    address = address.to_string().as_str(),
+                    error = e.to_string().as_str(),
+                    ms = began.elapsed().as_millis() as u64;
+                    "target_connect_failed"
+                );
+            }
+            daemon.handle(Event::ConnectionChecked(address, result.is_ok()));
         };
         self.ex.spawn(task).detach();
     }
--- a/src/daemon/connection_check.rs
+++ b/src/daemon/connection_check.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::time::Duration;
 
+use derive_more::{Display, Error};
 use futures_lite::FutureExt;
 
 /// Time limit for a check, in parts. A running target accepts within a millisecond, however busy it
@@ -17,9 +18,24 @@
 /// Time after which a second connection is attempted: a packet of the first one may be lost.
 const SECOND_ATTEMPT_DELAY: Duration = Duration::from_millis(120);
 
-/// Returns whether one of two attempts to `connect` succeeds in time. The second one begins when the
+/// Reason why a check has failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+pub enum CheckError {
+    /// Both attempts failed; holds the error of the second one.
+    #[display("{_0}")]
+    Failed(#[error(not(source))] io::ErrorKind),
+    /// No attempt got an answer in time.
+    #[display("timed out")]
+    TimedOut,
+}
+
+/// Checks whether one of two attempts to `connect` succeeds in time. The second one begins when the
 /// first has failed, or has taken unusually long.
-pub async fn accepts_connections<F>(connect: impl Fn() -> F) -> bool
+///
+/// # Errors
+///
+/// Returns why neither attempt succeeded.
+pub async fn check_connection<F>(connect: impl Fn() -> F) -> Result<(), CheckError>
 where
     F: Future<Output = io::Result<()>>,
 {
@@ -27,12 +43,12 @@
         for _ in 0..TIMEOUT_PARTS {
             smol::Timer::after(TIMEOUT_PART).await;
         }
-        false
+        Err(CheckError::TimedOut)
     };
     attempt_twice(connect).or(expired).await
 }
 
-async fn attempt_twice<F>(connect: impl Fn() -> F) -> bool
+async fn attempt_twice<F>(connect: impl Fn() -> F) -> Result<(), CheckError>
 where
     F: Future<Output = io::Result<()>>,
 {
@@ -42,16 +58,16 @@
         None
     };
     match async { Some(first.as_mut().await.is_ok()) }.or(delay).await {
-        Some(true) => true,
-        Some(false) => connect().await.is_ok(),
+        Some(true) => Ok(()),
+        Some(false) => connect().await.map_err(|e| CheckError::Failed(e.kind())),
         None => succeeds(first).or(succeeds(connect())).await,
     }
 }
 
 /// Waits for an attempt to succeed; one that fails is left to the other.
-async fn succeeds(attempt: impl Future<Output = io::Result<()>>) -> bool {
+async fn succeeds(attempt: impl Future<Output = io::Result<()>>) -> Result<(), CheckError> {
     match attempt.await {
-        Ok(()) => true,
+        Ok(()) => Ok(()),
         Err(_) => std::future::pending().await,
     }
 }
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -25,7 +25,8 @@
 pub use domain_drains::{DomainDrains, DrainOrders, DrainSnapshot, DrainedDomain};
 pub use flows::{FlowSignal, FlowTable, Load};
 pub use forwarder::{
-    ColdTargets, DropReason, Forwarder, HealthChange, ResetReason, UnsteadyTarget, Verdict,
+    ColdTargets, DropReason, Forwarder, HealthChange, Loss, LossEvidence, ResetReason,
+    UnsteadyTarget, Verdict,
 };
 pub use gossip::Gossip;
 pub use list_watch::{
--- a/src/steering/flows.rs
+++ b/src/steering/flows.rs
@@ -109,6 +109,11 @@
         is_opening && flow.target != target && is_far
     }
 
+    /// Returns the target of a flow, or `None` for an unknown flow.
+    pub(super) fn target(&self, flow: FlowId) -> Option<TargetIncarnation> {
+        self.flows.get(&flow).map(|flow| flow.target)
+    }
+
     /// Returns the load of a target.
     pub fn load(&self, target: TargetIncarnation) -> Load {
         self.loads.get(&target).copied().unwrap_or_default()
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -2,6 +2,7 @@
 
 mod eligibility;
 mod failures;
+mod loss;
 mod opening;
 mod reach;
 mod restarts;
@@ -15,6 +16,7 @@
 use rand::rngs::SmallRng;
 
 pub use self::failures::UnsteadyTarget;
+pub use self::loss::{Loss, LossEvidence};
 use self::token_lookup::find_target;
 pub use self::warm_up::ColdTargets;
 use super::policy::domain_reach::DomainReach;
@@ -329,17 +331,14 @@
     /// Returns the time up to which flows are lost that were known by then, if a target is dead.
     /// Requests a connection check if the platform has removed the target.
     fn check_dead(&mut self, now: Duration, incarnation: TargetIncarnation) -> Option<Duration> {
-        if self.targets.is_replaced(incarnation) {
-            return Some(now);
-        }
-        if self.targets.is_removed(now, incarnation) {
+        let loss = self.loss(now, incarnation);
+        if loss.is_none_or(|loss| loss.evidence == LossEvidence::CheckFailed)
+            && self.targets.is_removed(now, incarnation)
+        {
             let target = self.targets.get(incarnation)?;
-            if self.targets.is_address_reused(target) {
-                return Some(now);
-            }
             self.health.check_connection(now, incarnation, target.address.into());
         }
-        self.health.dead_since(now, incarnation)
+        loss.map(|loss| loss.before)
     }
 
     /// Records the result of a connection check. Returns the targets that count as dead from now
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -393,12 +393,12 @@
         reason: ResetReason,
         out: &mut Vec<Action>,
     ) {
-        let reason = reason.to_string();
         self.last_packets.remove(packet.flow.id());
         let (to, reset) = self.format.reset(packet);
         out.push(Action::Datagram(SocketAddr::V4(to), reset));
+        self.log_reset(now, packet, reason);
+        let reason = reason.to_string();
         counter!("limpetdeck_flows_refused_total", "reason" => reason.clone()).increment(1);
-        self.log_reset(now, packet, &reason);
         *self.refusals.entry(reason).or_default() += 1;
     }
 
--- a/tests/connection_check.rs
+++ b/tests/connection_check.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::time::{Duration, Instant};
 
-use limpetdeck::daemon::accepts_connections;
+use limpetdeck::daemon::{CheckError, check_connection};
 
 /// How an attempt ends.
 #[derive(Debug, Clone, Copy)]
@@ -20,7 +20,7 @@
 
 /// Runs a check whose attempts end as given. Returns the result, its time and the number of
 /// attempts.
-fn check(script: &[Attempt]) -> (bool, Duration, usize) {
+fn check(script: &[Attempt]) -> (Result<(), CheckError>, Duration, usize) {
     let attempts = RefCell::new(script.iter());
     let begin = Instant::now();
     let connect = || {
@@ -42,24 +42,24 @@
             }
         }
     };
-    let accepts = smol::block_on(accepts_connections(connect));
+    let result = smol::block_on(check_connection(connect));
     let made = script.len() - attempts.borrow().len();
-    (accepts, begin.elapsed(), made)
+    (result, begin.elapsed(), made)
 }
 
 const SOON: Attempt = Attempt::Accepted(Duration::from_millis(1));
 
 #[test]
 fn accepted_at_once() {
-    let (accepts, _, made) = check(&[SOON, SOON]);
-    assert_eq!((accepts, made), (true, 1), "a second connection costs the target work");
+    let (result, _, made) = check(&[SOON, SOON]);
+    assert_eq!((result, made), (Ok(()), 1), "a second connection costs the target work");
 }
 
 /// The loss of one packet does not make a target look dead.
 #[test]
 fn first_lost() {
-    let (accepts, time, made) = check(&[Attempt::Lost, SOON]);
-    assert_eq!((accepts, made), (true, 2));
+    let (result, time, made) = check(&[Attempt::Lost, SOON]);
+    assert_eq!((result, made), (Ok(()), 2));
     assert!(time < Duration::from_millis(350), "{time:?}");
 }
 
@@ -68,8 +68,8 @@
 fn first_slow() {
     let slow = Attempt::Accepted(Duration::from_millis(180));
     for second in [Attempt::Lost, Attempt::Refused] {
-        let (accepts, _, made) = check(&[slow, second]);
-        assert_eq!((accepts, made), (true, 2), "{second:?}");
+        let (result, _, made) = check(&[slow, second]);
+        assert_eq!((result, made), (Ok(()), 2), "{second:?}");
     }
 }
 
@@ -78,27 +78,28 @@
 #[test]
 fn process_stalled() {
     let stalled = Attempt::AcceptedAfterStall(Duration::from_millis(700));
-    let (accepts, _, _) = check(&[stalled, Attempt::Lost]);
-    assert!(accepts);
+    let (result, _, _) = check(&[stalled, Attempt::Lost]);
+    assert_eq!(result, Ok(()));
 }
 
 #[test]
 fn both_lost() {
-    let (accepts, time, made) = check(&[Attempt::Lost, Attempt::Lost]);
-    assert_eq!((accepts, made), (false, 2));
+    let (result, time, made) = check(&[Attempt::Lost, Attempt::Lost]);
+    assert_eq!((result, made), (Err(CheckError::TimedOut), 2));
     assert!(time >= Duration::from_millis(350), "{time:?}");
 }
 
 #[test]
 fn both_refused() {
-    let (accepts, time, made) = check(&[Attempt::Refused, Attempt::Refused]);
-    assert_eq!((accepts, made), (false, 2));
+    let (result, time, made) = check(&[Attempt::Refused, Attempt::Refused]);
+    let refused = CheckError::Failed(io::ErrorKind::ConnectionRefused);
+    assert_eq!((result, made), (Err(refused), 2));
     assert!(time < Duration::from_millis(100), "{time:?}");
 }
 
 /// A target that restarts refuses connections for a moment.
 #[test]
 fn refused_once() {
-    let (accepts, _, made) = check(&[Attempt::Refused, SOON]);
-    assert_eq!((accepts, made), (true, 2));
+    let (result, _, made) = check(&[Attempt::Refused, SOON]);
+    assert_eq!((result, made), (Ok(()), 2));
 }
