--- a/tests/connection_check.rs
+++ b/tests/connection_check.rs
@@ -16,6 +16,8 @@
     AcceptedAfterStall(Duration),
     Refused,
     Lost,
+    /// The operating system does not let this process connect.
+    Failed(i32),
 }
 
 /// Runs a check whose attempts end as given. Returns the result, its time and the number of
@@ -39,6 +41,7 @@
                 }
                 Attempt::Refused => Err(io::ErrorKind::ConnectionRefused.into()),
                 Attempt::Lost => pending().await,
+                Attempt::Failed(errno) => Err(io::Error::from_raw_os_error(errno)),
             }
         }
     };
@@ -102,3 +105,15 @@
     let (accepts, _, made) = check(&[Attempt::Refused, SOON]);
     assert_eq!((accepts, made), (true, 2));
 }
+
+/// What keeps this process from connecting says nothing about the target: open flows would be reset.
+#[test]
+fn local_errors() {
+    const EMFILE: i32 = 24;
+    const EADDRNOTAVAIL: i32 = 99;
+    const ENETUNREACH: i32 = 101;
+    for errno in [EMFILE, EADDRNOTAVAIL, ENETUNREACH] {
+        let (accepts, ..) = check(&[Attempt::Failed(errno), Attempt::Failed(errno)]);
+        assert!(accepts, "{}", io::Error::from_raw_os_error(errno));
+    }
+}
