--- /dev/null
+++ b/tests/drawn_flows.rs
@@ -0,0 +1,398 @@
+//! Open flows beside trouble and planned work of all kinds, drawn from seeds and judged by the rule for
+//! open flows: no caller gets a reset that the flow's own undisturbed target has not sent, and packets
+//! do not go to other targets only.
+//!
+//! `DRAWN_SEEDS=0..300 cargo test --release --test drawn_flows -- --nocapture` draws other seeds.
+//! `DRAWN_WITHOUT=late_writes,cuts` leaves out kinds of trouble. With `DRAWN_ECHO=any`, callers echo the
+//! last token of any target that has answered, not only of the one at which the flow is open.
+
+#[path = "support/flow_world.rs"]
+#[allow(dead_code)]
+mod flow_world;
+#[path = "support/losses.rs"]
+#[allow(dead_code)]
+mod losses;
+#[path = "support/steering.rs"]
+#[allow(dead_code)]
+mod support;
+#[path = "support/steering_world.rs"]
+#[allow(dead_code)]
+mod world;
+
+use std::collections::BTreeMap;
+use std::ops::Range;
+use std::time::Duration;
+
+use flow_world::*;
+use limpetdeck::steering::{Target, TargetKey, TargetState};
+use losses::Loss;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use support::*;
+
+/// Time in which all instances start.
+const STARTUP: Duration = Duration::from_secs(6);
+/// Time over which trouble begins, and the time after it.
+const TROUBLE: Duration = Duration::from_secs(26);
+const CALM: Duration = Duration::from_secs(10);
+/// Time for which a target that drains runs on.
+const DRAIN_TIME: Duration = Duration::from_secs(5);
+/// Seeds that are played without `DRAWN_SEEDS`.
+const SEEDS: Range<u64> = 0..12;
+
+/// Kinds of trouble and planned work; the latter come last.
+const KINDS: [&str; 14] = [
+    "restarts",
+    "moved",
+    "new_ids",
+    "reused",
+    "late_writes",
+    "slow",
+    "full",
+    "frozen",
+    "cuts",
+    "outages",
+    "restores",
+    "losses",
+    "drains",
+    "routes",
+];
+const PLANNED: [&str; 3] = ["drains", "routes", "stops"];
+
+#[derive(Debug, Clone)]
+enum Step {
+    Crash(usize),
+    Start { entry: Target, delay: Duration },
+    WriteLate(Target),
+    Freeze(usize, Duration),
+    Cut(usize, Duration),
+    Slow(usize, Duration),
+    Full(usize, Duration),
+    Drain(usize),
+    StoreDown,
+    StoreUp,
+    Copy,
+    Restore,
+    Begin(Loss, usize),
+    End(Loss, usize),
+    Routes,
+}
+
+struct Run {
+    flows: FlowWorld,
+    rng: SmallRng,
+    steps: BTreeMap<(Duration, u32), Step>,
+    kinds: Vec<&'static str>,
+    next_key: TargetKey,
+    version: u64,
+    lost: Vec<bool>,
+    busy_addresses: bool,
+}
+
+impl Run {
+    fn new(seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let instances = rng.random_range(4..=8);
+        let planned_only = rng.random_bool(0.2);
+        let all: Vec<_> =
+            if planned_only { PLANNED.to_vec() } else { [&KINDS[..], &["stops"]].concat() };
+        let without = std::env::var("DRAWN_WITHOUT").unwrap_or_default();
+        let share = *[0.25, 0.5].choose(&mut rng).expect("not empty");
+        let kinds = all.into_iter().filter(|_| planned_only || rng.random_bool(share));
+        let kinds: Vec<_> = kinds.filter(|kind| !without.split(',').any(|w| w == *kind)).collect();
+        let mut flows = FlowWorld::new(seed, instances);
+        flows.planned_only = planned_only;
+        flows.duplicate = *[0.0, 0.02].choose(&mut rng).expect("not empty");
+        flows.echo_any = std::env::var("DRAWN_ECHO").is_ok_and(|echo| echo == "any");
+        for key in 1..=6 {
+            let service = if key <= 4 { STATION } else { FARES };
+            let entry = Target { failure_domain: domain(key), ..target(key, service) };
+            flows.start_process(entry, ms(0));
+        }
+        let steps = BTreeMap::new();
+        let lost = vec![false; instances];
+        let busy_addresses = false;
+        Self { flows, rng, steps, kinds, next_key: 20, version: 1, lost, busy_addresses }
+    }
+
+    fn millis(&mut self, range: Range<u64>) -> Duration {
+        ms(self.rng.random_range(range))
+    }
+
+    fn plan(&mut self, at: Duration, step: Step) {
+        let n = self.steps.len() as u32 + self.rng.random_range(0..1 << 20);
+        self.steps.insert((at, n), step);
+    }
+
+    fn pick_process(&mut self) -> Option<usize> {
+        let processes = &self.flows.processes;
+        let is_ready = |p: &usize| {
+            let process = &processes[*p];
+            process.running && !process.ends && process.entry.state == TargetState::Ready
+        };
+        let ready: Vec<_> = (0..processes.len()).filter(is_ready).collect();
+        // Others have to stay, so that flows can be opened.
+        ready.choose(&mut self.rng).copied().filter(|_| ready.len() > 4)
+    }
+
+    /// Draws the next trouble.
+    fn draw(&mut self) {
+        let Some(&kind) = self.kinds.choose(&mut self.rng) else { return };
+        let now = self.flows.world.now;
+        let short = self.millis(100..1_000);
+        let long = self.millis(500..5_000);
+        let begin = now + self.millis(0..300);
+        match kind {
+            "restarts" | "moved" | "new_ids" | "reused" | "late_writes" => {
+                self.draw_restart(kind, begin)
+            }
+            "slow" | "full" | "frozen" | "cuts" => {
+                let Some(p) = self.pick_process() else { return };
+                self.plan(
+                    begin,
+                    match kind {
+                        "slow" => Step::Slow(p, long),
+                        "full" => Step::Full(p, long),
+                        "frozen" => Step::Freeze(p, long),
+                        _ => Step::Cut(p, long),
+                    },
+                );
+            }
+            "outages" => {
+                self.plan(begin, Step::StoreDown);
+                self.plan(begin + long, Step::StoreUp);
+            }
+            "restores" => {
+                self.plan(begin, Step::Copy);
+                self.plan(begin + long, Step::Restore);
+            }
+            "drains" => {
+                if let Some(p) = self.pick_process() {
+                    self.flows.processes[p].ends = true;
+                    self.plan(begin, Step::Drain(p));
+                }
+            }
+            "routes" => {
+                for n in 0..self.rng.random_range(1..4) {
+                    self.plan(begin + short * n, Step::Routes);
+                }
+            }
+            _ => {
+                const LOSSES: [Loss; 8] = [
+                    Loss::Silent,
+                    Loss::Refused,
+                    Loss::Slow,
+                    Loss::Partitioned,
+                    Loss::Separated,
+                    Loss::Paused,
+                    Loss::Paused,
+                    Loss::Killed,
+                ];
+                let loss = *LOSSES.choose(&mut self.rng).expect("not empty");
+                let loss = if kind == "stops" { Loss::Stopped } else { loss };
+                let span = if loss == Loss::Stopped { ms(7_000) } else { long };
+                let i = self.rng.random_range(0..self.lost.len());
+                let lost = self.lost.iter().filter(|lost| **lost).count();
+                if !self.lost[i] && lost * 3 < self.lost.len() {
+                    self.lost[i] = true;
+                    self.plan(begin, Step::Begin(loss, i));
+                    self.plan(begin + span, Step::End(loss, i));
+                }
+            }
+        }
+    }
+
+    fn draw_restart(&mut self, kind: &str, begin: Duration) {
+        let Some(p) = self.pick_process() else { return };
+        self.flows.processes[p].ends = true;
+        let mut entry = self.flows.processes[p].entry.clone();
+        let earlier = entry.clone();
+        let mut up = begin + self.millis(50..1_500);
+        match kind {
+            "new_ids" => entry.key = self.fresh_key(),
+            "reused" => {
+                up = begin + self.millis(2_500..5_000);
+                entry.key = self.fresh_key();
+                entry.service = if entry.service == STATION { FARES } else { STATION }.to_owned();
+            }
+            "moved" => entry.address = target(self.fresh_key(), STATION).address,
+            "late_writes" if self.rng.random_bool(0.5) => {
+                entry.address = target(self.fresh_key(), STATION).address;
+            }
+            _ => {}
+        }
+        entry.incarnation = up.as_millis() as u64;
+        let delay = self.millis(0..1_200);
+        self.plan(begin, Step::Crash(p));
+        self.plan(up, Step::Start { entry, delay });
+        if kind == "late_writes" {
+            let at = up + delay + self.millis(0..7_000);
+            self.plan(at, Step::WriteLate(earlier));
+        }
+    }
+
+    fn fresh_key(&mut self) -> TargetKey {
+        self.next_key += 1;
+        self.next_key
+    }
+
+    fn apply(&mut self, step: Step) {
+        let now = self.flows.world.now;
+        self.flows.note(format!("{step:?}"));
+        match step {
+            Step::Crash(p) => self.flows.crash(p),
+            Step::Start { entry, delay } => drop(self.flows.start_process(entry, delay)),
+            Step::WriteLate(entry) => {
+                if !self.flows.world.store.down {
+                    self.flows.world.store.put_target(&entry);
+                }
+            }
+            Step::Freeze(p, span) => self.flows.processes[p].frozen_until = now + span,
+            Step::Cut(p, span) => self.flows.processes[p].cut_until = now + span,
+            Step::Slow(p, span) => self.flows.processes[p].slow_until = now + span,
+            Step::Full(p, span) => self.flows.processes[p].full_until = now + span,
+            Step::Drain(p) => {
+                let process = &mut self.flows.processes[p];
+                process.entry.state = TargetState::Draining;
+                process.next_write = now;
+                let mut entry = process.entry.clone();
+                entry.state = TargetState::Ready;
+                entry.key = self.fresh_key();
+                entry.address = target(entry.key, STATION).address;
+                let up = now + self.millis(0..3_000);
+                entry.incarnation = up.as_millis() as u64;
+                self.plan(up, Step::Start { entry, delay: ms(0) });
+                let extra = self.millis(200..9_000);
+                self.plan(now + DRAIN_TIME + extra, Step::Crash(p));
+            }
+            Step::StoreDown => self.flows.world.store.down = true,
+            Step::StoreUp => {
+                self.flows.world.store.down = false;
+                let back = now + self.millis(0..1_900);
+                let running = self.flows.processes.iter_mut().filter(|p| p.running);
+                running.for_each(|process| process.next_write = back);
+            }
+            Step::Copy => self.flows.world.store.take_copy(),
+            Step::Restore => {
+                if !self.flows.world.store.copy.1.is_empty() {
+                    self.flows.world.store.restore_copy();
+                    self.flows.core_disturbed = now;
+                    self.put_routes();
+                }
+            }
+            Step::Begin(loss, i) => loss.begin(&mut self.flows.world, i),
+            Step::End(loss, i) => {
+                self.lost[i] = false;
+                self.flows.world.exited[i] = false;
+                loss.end(&mut self.flows.world, i);
+            }
+            Step::Routes => {
+                self.version += self.rng.random_range(1..5);
+                if self.flows.routes.len() < 3 || self.rng.random_bool(0.3) {
+                    self.flows.routes = [1, 2, 3].into();
+                } else {
+                    self.flows.routes.remove(&2);
+                }
+                self.busy_addresses = self.rng.random_bool(0.4);
+                self.put_routes();
+                self.flows.note_dropped();
+            }
+        }
+    }
+
+    fn put_routes(&mut self) {
+        let filler = if self.busy_addresses { 60 } else { 0 };
+        let mut raw = routes(self.version, &[STATION; 70][..10 + filler]);
+        raw.routes[2].services[0].service = FARES.to_owned();
+        let routes = &self.flows.routes;
+        let is_kept = |nth: u8| nth > 3 || routes.contains(&nth);
+        raw.routes.retain(|route| is_kept(route.address.ip().octets()[3]));
+        raw.latency_targets_ms.truncate(raw.routes.len());
+        self.flows.world.store.put_routes(&raw);
+    }
+
+    /// Records who is disturbed at this moment.
+    fn record_disturbed(&mut self) {
+        let flows = &mut self.flows;
+        let now = flows.world.now;
+        for (i, lost) in self.lost.iter().enumerate() {
+            if *lost {
+                flows.disturbed[i] = now;
+            }
+        }
+        if flows.world.store.down {
+            flows.core_disturbed = now;
+        }
+        for process in &mut flows.processes {
+            if now <= process.frozen_until.max(process.cut_until) {
+                process.disturbed = now;
+            }
+        }
+    }
+
+    fn play(&mut self) {
+        self.flows.routes = [1, 2, 3].into();
+        self.version += 1;
+        self.put_routes();
+        let begin = self.flows.world.now;
+        let mut next = begin + STARTUP;
+        while self.flows.world.now < begin + STARTUP + TROUBLE + CALM {
+            let now = self.flows.world.now;
+            if now >= next && now < begin + STARTUP + TROUBLE {
+                self.draw();
+                next = now + self.millis(200..2_500);
+            }
+            while let Some(entry) = self.steps.first_entry().filter(|e| e.key().0 <= now) {
+                let step = entry.remove();
+                self.apply(step);
+            }
+            self.record_disturbed();
+            self.flows.tick();
+            if now > begin + ms(4_000) {
+                for _ in 0..self.rng.random_range(0..3) {
+                    let route = self.rng.random_range(1..=3);
+                    if self.flows.routes.contains(&route) {
+                        self.flows.open(route);
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn domain(key: TargetKey) -> String {
+    if key.is_multiple_of(3) { REMOTE } else { LOCAL }.to_owned()
+}
+
+fn seeds() -> Range<u64> {
+    let Ok(text) = std::env::var("DRAWN_SEEDS") else { return SEEDS };
+    let (start, end) = text.split_once("..").expect("DRAWN_SEEDS=A..B");
+    start.parse().expect("a number")..end.parse().expect("a number")
+}
+
+#[test]
+fn sound_flows_kept() {
+    let mut failed = Vec::new();
+    let (mut opened, mut resets) = (0, BTreeMap::<String, u32>::new());
+    for seed in seeds() {
+        let mut run = Run::new(seed);
+        run.play();
+        opened += run.flows.flows.len();
+        for (reason, n) in &run.flows.resets {
+            *resets.entry(reason.clone()).or_default() += n;
+        }
+        if let Some(first) = run.flows.breaks.first() {
+            println!(
+                "seed={seed} dup={} planned={} kinds={:?} breaks={} first={first}\n",
+                run.flows.duplicate,
+                run.flows.planned_only,
+                run.kinds,
+                run.flows.breaks.len()
+            );
+            failed.push(seed);
+        }
+    }
+    println!("flows={opened} resets={resets:?} failed={}", failed.len());
+    assert!(failed.is_empty(), "{failed:?}");
+}
