--- a/tests/connection_check.rs
+++ b/tests/connection_check.rs
@@ -114,7 +114,7 @@
     const EADDRNOTAVAIL: i32 = 99;
     const ENETUNREACH: i32 = 101;
     for errno in [EMFILE, EADDRNOTAVAIL, ENETUNREACH] {
-        let (accepts, ..) = check(&[Attempt::Failed(errno), Attempt::Failed(errno)]);
-        assert!(accepts, "{}", io::Error::from_raw_os_error(errno));
+        let (result, ..) = check(&[Attempt::Failed(errno), Attempt::Failed(errno)]);
+        assert_eq!(result, Ok(()), "{}", io::Error::from_raw_os_error(errno));
     }
 }
