Connection checks: one at a time for each address

Callers saw: open flows of a target reset, though it serves. Cause: results were matched to checks by address alone. The failed check of a target that has ended ended the later check of the next one at its address, and so did a probe of the failure domain; a check that took more than a second ended the one that had begun since. All flows known before the later check began were reset.

Change: a check of an address begins when the one in flight there has ended, so a result belongs to one target and one start.

Evidence: check_of_predecessor, failed_probe and overlapping_checks failed before. In these tests the second check now begins after the first has ended, where it began beside it; what they assert of flows and dead targets is unchanged. steering_health, unsteady_targets, reused_ports, cut_domain, idle_resets, steering_slopes, steering_spread and lost_flows pass.

--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -350,7 +350,8 @@
         accepted: bool,
     ) -> Vec<TargetIncarnation> {
         self.record_probe(now, address, accepted);
-        let dead = self.health.record_connection_check(now, address, accepted);
+        let dead: Vec<_> =
+            self.health.record_connection_check(now, address, accepted).into_iter().collect();
         self.record_check(now, address, accepted, &dead);
         self.health_changes.extend(dead.iter().map(|&(key, _)| HealthChange::Dead(key)));
         dead
--- a/src/steering/policy.rs
+++ b/src/steering/policy.rs
@@ -4,6 +4,7 @@
 //! These modules do no I/O and read no clock. Each names the load pattern that it answers, and can
 //! be tested, or used in a forwarder of one's own, without a network.
 
+mod connection_checks;
 pub(super) mod domain_load;
 pub(super) mod domain_reach;
 pub(super) mod health;
--- a/src/steering/policy/health.rs
+++ b/src/steering/policy/health.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::connection_checks::{ConnectionChecks, EndedCheck};
 use crate::hash::HashMap;
 use crate::ids::FlowId;
 use crate::steering::token::TargetIncarnation;
@@ -47,8 +48,6 @@
     /// When an unanswered packet was last repeated.
     last_repeat: Duration,
     unresponsive: bool,
-    /// Address and start time of the connection check in progress.
-    check_in_progress: Option<(SocketAddr, Duration)>,
     next_check: Duration,
     /// End of the time for which the target counts as dead.
     dead_until: Duration,
@@ -62,8 +61,7 @@
 #[derive(Debug, Default)]
 pub struct Health {
     targets: HashMap<TargetIncarnation, TargetHealth>,
-    /// Addresses with a connection check to be started.
-    pending_checks: Vec<SocketAddr>,
+    checks: ConnectionChecks,
 }
 
 impl Health {
@@ -156,44 +154,45 @@
             health.last_response.is_some_and(|response| now < response + CONNECTION_CHECK_DELAY);
         if !responded_recently && now >= health.next_check {
             health.next_check = now + CONNECTION_CHECK_INTERVAL;
-            health.check_in_progress = Some((address, now));
-            self.pending_checks.push(address);
+            self.checks.request(now, target, address);
         }
     }
 
     /// Removes and returns the addresses whose connection checks are to be started.
     pub fn take_connection_checks(&mut self) -> Vec<SocketAddr> {
-        std::mem::take(&mut self.pending_checks)
+        self.checks.take_pending()
     }
 
-    /// Records the result of a connection check. Returns the targets that count as dead from now
-    /// on: those that have not responded since the check began.
+    /// Returns whether a check or a probe of an address is in flight.
+    pub fn is_checking(&self, address: SocketAddr) -> bool {
+        self.checks.is_in_flight(address)
+    }
+
+    /// Records that the caller starts a probe of an address, of which no check is in flight. Its result
+    /// is recorded like that of a check.
+    pub fn begin_probe(&mut self, now: Duration, address: SocketAddr) {
+        self.checks.begin_probe(now, address);
+    }
+
+    /// Records the result of a connection check. Returns the target if it counts as dead from now on: it
+    /// has not responded since the check began.
     pub fn record_connection_check(
         &mut self,
         now: Duration,
         address: SocketAddr,
         accepted: bool,
-    ) -> Vec<TargetIncarnation> {
-        let mut dead = Vec::new();
-        for (&target, health) in &mut self.targets {
-            let Some((_, since)) =
-                health.check_in_progress.filter(|(checked, _)| *checked == address)
-            else {
-                continue;
-            };
-            health.check_in_progress = None;
-            if accepted || health.last_response.is_some_and(|response| response >= since) {
-                health.dead_until = Duration::ZERO;
-                health.doubted_until = Duration::ZERO;
-                continue;
-            }
-            if now >= health.dead_until {
-                dead.push(target);
-            }
-            health.dead_until = now + DEAD_TIME;
-            health.failed_check = since;
+    ) -> Option<TargetIncarnation> {
+        let EndedCheck { began, target } = self.checks.end(now, address)?;
+        let health = self.targets.get_mut(&target)?;
+        if accepted || health.last_response.is_some_and(|response| response >= began) {
+            health.dead_until = Duration::ZERO;
+            health.doubted_until = Duration::ZERO;
+            return None;
         }
-        dead
+        let was_dead = now < health.dead_until;
+        health.dead_until = now + DEAD_TIME;
+        health.failed_check = began;
+        (!was_dead).then_some(target)
     }
 
     /// Removes targets without any observation for the given time.
