Flows: date a flow by its own packets, not those of another attempt

Callers saw: an open flow reset as one of a dead target, though it was opened after the check that failed began. Cause: the time since when a flow is known was that of any entry with its addresses: an attempt to open it at another target, or an earlier flow that has ended.

Change: the entry counts only for the same target, and a closed one only for packets whose sequence numbers fit. A later flow of the same addresses is tracked again.

--- a/src/steering/flows.rs
+++ b/src/steering/flows.rs
@@ -59,6 +59,19 @@
     overdue: bool,
 }
 
+impl Flow {
+    /// Returns whether a packet's sequence number is too far from the flow's to belong to it.
+    fn is_far_from(&self, packet: &FlowPacket) -> bool {
+        let distance = packet.sequence.wrapping_sub(self.next_sequence);
+        distance.min(distance.wrapping_neg()) > MAX_SEQUENCE_DISTANCE
+    }
+
+    /// Returns whether the flow has ended, and a packet belongs to a later one of the same addresses.
+    fn is_earlier_than(&self, packet: &FlowPacket) -> bool {
+        self.closed && self.is_far_from(packet)
+    }
+}
+
 /// Load of a target from the flows through this instance.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Load {
@@ -104,9 +117,7 @@
     ) -> bool {
         let Some(flow) = self.flows.get(&packet.flow.id()) else { return false };
         let is_opening = !flow.open && now < flow.last_packet + OPENING_TIMEOUT;
-        let distance = packet.sequence.wrapping_sub(flow.next_sequence);
-        let is_far = distance.min(distance.wrapping_neg()) > MAX_SEQUENCE_DISTANCE;
-        is_opening && flow.target != target && is_far
+        is_opening && flow.target != target && flow.is_far_from(packet)
     }
 
     /// Returns the target of a flow, or `None` for an unknown flow.
@@ -152,10 +163,13 @@
         self.loads.iter().map(|(&target, &load)| (target, load))
     }
 
-    /// Returns when the last opening packet of a flow arrived, or its first packet if it was not opened
-    /// here. Returns `None` for an unknown flow.
-    pub(super) fn since(&self, flow: FlowId) -> Option<Duration> {
-        self.flows.get(&flow).map(|flow| flow.since)
+    /// Returns when the last opening packet of a packet's flow to a target arrived, or its first packet
+    /// if it was not opened here. Returns `None` for an unknown flow: an earlier one of the same
+    /// addresses, or an attempt to open it at another target, says nothing about it.
+    pub(super) fn since(&self, packet: &FlowPacket, target: TargetIncarnation) -> Option<Duration> {
+        let flow = self.flows.get(&packet.flow.id())?;
+        let is_same = flow.target == target && !flow.is_earlier_than(packet);
+        is_same.then_some(flow.since)
     }
 
     /// Removes the flows of a target.
@@ -287,8 +301,9 @@
     ) -> FlowSignal {
         let id = packet.flow.id();
         let end = packet.sequence.wrapping_add(u32::from(packet.data_len));
-        let Some(mut flow) = self.flows.get(&id).copied().filter(|flow| flow.target == target)
-        else {
+        let known = self.flows.get(&id).copied();
+        let is_same = |flow: &Flow| flow.target == target && !flow.is_earlier_than(packet);
+        let Some(mut flow) = known.filter(is_same) else {
             // The flow was opened through another instance, or before this one started.
             self.remove(id);
             let waiting_since = (packet.data_len > 0).then_some(now);
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -307,7 +307,7 @@
             };
         };
         let id = packet.flow.id();
-        let since = self.flows.since(id).unwrap_or(now);
+        let since = self.flows.since(packet, incarnation).unwrap_or(now);
         if self.check_dead(now, incarnation).is_some_and(|before| since <= before)
             && packet.kind != PacketKind::Reset
         {
--- a/src/steering/node/logging.rs
+++ b/src/steering/node/logging.rs
@@ -54,7 +54,8 @@
             let target = format!("{:x}", loss.target.0);
             (target, loss.evidence.to_string(), now.saturating_sub(loss.before))
         });
-        let known_since = self.forwarder.flows.since(packet.flow.id()).unwrap_or(now);
+        let known_since = loss.and_then(|loss| self.forwarder.flows.since(packet, loss.target));
+        let known_since = known_since.unwrap_or(now);
         log::info!(
             caller = packet.flow.caller.to_string().as_str(),
             service = packet.flow.service.to_string().as_str(),
