Openings: late copies and late answers leave an open flow where it is

Callers saw: packets of an open flow go to another target, or a reset though the target serves. Causes: a copy of the opening packet that was read when the flow was open was placed anew, as only half-open entries were looked at, or refused with a reset; the last copy was refused although an earlier one had been placed; and a token that the caller had from a late answer of another target moved the flow there.

Change: an opening packet of a flow that is known as open is dropped (late_copy), and so is a copy that no target may get while an earlier one may have been taken (already_placed). Packets that continue an open flow go to its target, with its token, whatever token they carry.

--- a/src/steering/flows.rs
+++ b/src/steering/flows.rs
@@ -101,6 +101,13 @@
         self.flows.is_empty()
     }
 
+    /// Returns the target of the open flow to which a packet belongs.
+    pub(super) fn open_at(&self, packet: &FlowPacket) -> Option<TargetIncarnation> {
+        let flow = self.flows.get(&packet.flow.id())?;
+        let continues = flow.open && !flow.closed && !flow.is_far_from(packet);
+        continues.then_some(flow.target)
+    }
+
     /// Returns the target of a half-open flow and when its first opening packet was sent.
     pub(super) fn half_open(&self, flow: FlowId) -> Option<(TargetIncarnation, Duration)> {
         let flow = self.flows.get(&flow).filter(|flow| !flow.open)?;
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -88,6 +88,14 @@
     /// The packet is of a kind that only targets send.
     #[display("from_target")]
     FromTarget,
+    /// The packet is a late copy of the opening packet of an open flow, which neither goes to another
+    /// target nor is refused.
+    #[display("late_copy")]
+    LateCopy,
+    /// No target may get the copy of an opening packet, but an earlier copy went to a target that may
+    /// hold the flow.
+    #[display("already_placed")]
+    AlreadyPlaced,
     /// The packet is a late one of an earlier flow: its caller is opening another one on the same
     /// port, which it must not disturb.
     #[display("earlier_flow")]
@@ -300,7 +308,9 @@
         if self.flows.is_of_earlier_flow(now, packet, named) {
             return Verdict::Drop(DropReason::EarlierFlow);
         }
-        let Some(incarnation) = self.possible_holder(service, named) else {
+        // A target that answers a copy of the opening packet late does not take the flow over.
+        let open_at = self.flows.open_at(packet).filter(|(key, _)| *key != named.0);
+        let Some(incarnation) = self.possible_holder(service, open_at.unwrap_or(named)) else {
             return match packet.kind {
                 PacketKind::Reset => Verdict::Drop(DropReason::UnknownToken),
                 _ => Verdict::Reset(ResetReason::TargetRestarted),
--- a/src/steering/forwarder/loss.rs
+++ b/src/steering/forwarder/loss.rs
@@ -48,6 +48,11 @@
         Some(Loss { target, evidence, before })
     }
 
+    /// Returns whether a target may still hold the flows that it was given.
+    pub(super) fn may_hold_flows(&self, now: Duration, target: TargetIncarnation) -> bool {
+        !self.targets.has_restarted(target) && self.loss(now, target).is_none()
+    }
+
     /// Returns the loss that concerns the flow of a packet, if there is evidence of one.
     pub fn loss_of_flow(&self, now: Duration, packet: &FlowPacket) -> Option<Loss> {
         let by_token = self.tokens.lookup(packet.flow.service, packet.token);
--- a/src/steering/forwarder/opening.rs
+++ b/src/steering/forwarder/opening.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{CandidateList, Forwarder, ResetReason, Verdict};
+use super::{CandidateList, DropReason, Forwarder, ResetReason, Verdict};
 use crate::flow::FlowKey;
 use crate::steering::token::TargetIncarnation;
 use crate::steering::{
@@ -16,6 +16,9 @@
 impl Forwarder {
     pub(super) fn open(&mut self, now: Duration, packet: &FlowPacket, repeats: u32) -> Verdict<'_> {
         let service = packet.flow.service;
+        if self.flows.open_at(packet).is_some() {
+            return Verdict::Drop(DropReason::LateCopy);
+        }
         let previous = self.flows.half_open(packet.flow.id()).filter(|_| repeats > 0);
         if let Some((previous, since)) = previous {
             let waited = now.saturating_sub(since);
@@ -33,6 +36,9 @@
             Some(reused) => reused,
             None => match self.select_for_flow(now, &packet.flow, &services) {
                 Ok(chosen) => chosen,
+                Err(Verdict::Reset(_)) if previous.is_some_and(|p| self.may_hold_flows(now, p)) => {
+                    return Verdict::Drop(DropReason::AlreadyPlaced);
+                }
                 Err(refusal) => return refusal,
             },
         };
