Targets: records of ended processes and of other writers end no flow

Callers saw: packets of an open flow go to an address where its target is not, then a reset as one of a dead target, or a reset at once as one of a restarted target or a reused address, though the target serves. Cause: the record with the highest position decided what runs. The platform may execute a write seconds after it was sent, so the last entry of a process that has ended can come after that of the next one, under the same key or at the same address; and an entry of another writer has no start, or an earlier one.

Change: an incarnation that is known to have ended does not come back. A target replaces another one at its address only if its incarnation also appeared later, in one era. An address counts as reused, and a service as changed, only by a start that is not earlier. Weighed: letting the highest incarnation win always; then a target whose clock was set back would not be found again (clock_back).

--- a/src/steering/directory.rs
+++ b/src/steering/directory.rs
@@ -48,6 +48,8 @@
 struct Entry {
     position: Position,
     target: Target,
+    /// Position of the first known record of the incarnation.
+    appeared: Position,
     /// When the record was received.
     updated_at: Duration,
     cold: ColdTime,
@@ -161,7 +163,8 @@
             let is_changed = self.confirm(now, &record);
             if let Some(target) = &record.target {
                 // A restart was recorded when the target was inserted.
-                self.mark_replaced(record.position, target);
+                let appeared = self.appeared(target).unwrap_or(record.position);
+                self.mark_replaced(record.position, appeared, target);
             }
             return is_changed;
         }
@@ -381,12 +384,30 @@
         }
     }
 
+    /// Returns the position of the first known record of an incarnation, if that is the latest one.
+    fn appeared(&self, target: &Target) -> Option<Position> {
+        let entry = self.entries.get(&target.key)?;
+        (entry.target.incarnation == target.incarnation).then_some(entry.appeared)
+    }
+
+    /// Returns whether a record is of an incarnation that has ended: the platform may execute a
+    /// write seconds after it was sent.
+    fn is_of_ended(&self, record: &TargetRecord, entry: &Entry) -> bool {
+        record.target.as_ref().is_some_and(|target| {
+            target.incarnation < entry.target.incarnation
+                && self.replaced.contains_key(&(record.key, target.incarnation))
+        })
+    }
+
     /// Returns whether a record is newer than what is known of its target.
     fn is_newer(&self, record: &TargetRecord) -> bool {
         let Some(entry) = self.entries.get(&record.key) else {
             // A target without an entry was already removed at `complete_up_to`.
             return record.position > self.complete_up_to;
         };
+        if self.is_of_ended(record, entry) {
+            return false;
+        }
         // So was a target that is known to be removed.
         let known =
             if entry.removed { entry.position.max(self.complete_up_to) } else { entry.position };
@@ -435,6 +456,7 @@
     fn insert(&mut self, now: Duration, position: Position, target: Target) {
         self.changes += 1;
         let key = target.key;
+        let appeared = self.appeared(&target).unwrap_or(position);
         let mut cold = ColdTime::new(now, target.warm_up_left);
         if let Some(previous) = self.entries.remove(&key) {
             self.remove_from_service(&previous.target);
@@ -448,7 +470,7 @@
                 self.replaced.insert(incarnation, (previous.target, now));
             }
         }
-        if let Some(restarted) = self.mark_replaced(position, &target) {
+        if let Some(restarted) = self.mark_replaced(position, appeared, &target) {
             self.takeovers.record_restart(&restarted);
         }
         let replaced = self.has_successor(position, &target);
@@ -460,6 +482,7 @@
         let entry = Entry {
             position,
             target,
+            appeared,
             updated_at: now,
             cold,
             removed: false,
--- a/src/steering/directory/takeovers.rs
+++ b/src/steering/directory/takeovers.rs
@@ -72,7 +72,15 @@
     /// Returns the last one, which has restarted, unless one of another service had the address
     /// meanwhile. A record from a copy of the platform's data marks none: its position says nothing
     /// about entries of earlier eras.
-    pub(super) fn mark_replaced(&mut self, position: Position, target: &Target) -> Option<Target> {
+    ///
+    /// A target whose incarnation `appeared` before another one did is not its successor, even if its clock
+    /// says so: the platform may execute a write of a target that has ended.
+    pub(super) fn mark_replaced(
+        &mut self,
+        position: Position,
+        appeared: Position,
+        target: &Target,
+    ) -> Option<Target> {
         if position <= self.copied_up_to {
             return None;
         }
@@ -81,8 +89,11 @@
         for key in keys {
             let Some(entry) = self.entries.get_mut(key) else { continue };
             // An entry that has been written since then is of a target that still runs.
-            let is_earlier =
-                entry.target.incarnation < target.incarnation && entry.position < position;
+            let has_appeared_since =
+                entry.appeared.era == appeared.era && entry.appeared > appeared;
+            let is_earlier = entry.target.incarnation < target.incarnation
+                && entry.position < position
+                && !has_appeared_since;
             if !is_earlier {
                 continue;
             }
--- a/src/steering/forwarder/restarts.rs
+++ b/src/steering/forwarder/restarts.rs
@@ -29,11 +29,14 @@
         Some((self.targets.get(latest)?, token))
     }
 
-    /// Returns whether a target has restarted as one of another service.
+    /// Returns whether a target has restarted as one of another service. An entry without a later start
+    /// is not one of the target.
     pub(super) fn changed_service(&self, named: TargetIncarnation) -> bool {
         let earlier = self.targets.get(named);
         let successor = self.targets.successor(named);
-        earlier.zip(successor).is_some_and(|(earlier, later)| earlier.service != later.service)
+        earlier.zip(successor).is_some_and(|(earlier, later)| {
+            earlier.service != later.service && later.incarnation > earlier.incarnation
+        })
     }
 
     /// Returns the incarnation of a target that may hold the flows whose token names `named`, or
@@ -49,7 +52,9 @@
             services.is_some_and(|s| s.iter().any(|routed| routed.service == successor.service))
         };
         let may_hold = match self.targets.get(named) {
-            Some(earlier) => earlier.service == successor.service,
+            Some(earlier) if earlier.service == successor.service => true,
+            Some(_) if !self.changed_service(named) => return Some(named),
+            Some(_) => false,
             None => is_routed(),
         };
         may_hold.then_some((successor.key, successor.incarnation))
