Connection checks: errors of the own process say nothing about the target

Cause: any error of a connection counted as a target that refuses, so an instance that lacks descriptors or ports would take all targets that it checks for dead and reset their flows. Change: only a refusal, a reset, an unreachable host and the time limit count.

--- a/src/daemon/connection_check.rs
+++ b/src/daemon/connection_check.rs
@@ -59,11 +59,24 @@
     };
     match async { Some(first.as_mut().await.is_ok()) }.or(delay).await {
         Some(true) => Ok(()),
-        Some(false) => connect().await.map_err(|e| CheckError::Failed(e.kind())),
+        Some(false) => connect().await.or_else(judge),
         None => succeeds(first).or(succeeds(connect())).await,
     }
 }
 
+/// Returns the result of a check whose second attempt has failed too. An error of this process, such as
+/// a lack of descriptors, says nothing about the target, which passes.
+fn judge(e: io::Error) -> Result<(), CheckError> {
+    match e.kind() {
+        kind @ (io::ErrorKind::ConnectionRefused
+        | io::ErrorKind::ConnectionReset
+        | io::ErrorKind::ConnectionAborted
+        | io::ErrorKind::HostUnreachable
+        | io::ErrorKind::TimedOut) => Err(CheckError::Failed(kind)),
+        _ => Ok(()),
+    }
+}
+
 /// Waits for an attempt to succeed; one that fails is left to the other.
 async fn succeeds(attempt: impl Future<Output = io::Result<()>>) -> Result<(), CheckError> {
     match attempt.await {
