Routes: an instance that lags resets no flow that it does not know

Callers saw: open flows reset as route_dropped, though their route is there and their target serves. Cause: an instance that had adopted a removal answered each packet of the address with a reset. A flow may have been opened at another instance under newer routes that have the address again, and a planned stop moves it to one that lags.

Change: such packets are reset only if the flow is known here from before the removal, and no peer is known to have newer routes; others are dropped. Weighed: dropping all; then callers of routes that are really gone wait for their deadlines. What is left of that: callers whose flows come to another instance after the removal.

Evidence: route_known_late failed before.

--- a/src/steering/flows.rs
+++ b/src/steering/flows.rs
@@ -101,6 +101,11 @@
         self.flows.is_empty()
     }
 
+    /// Returns whether a packet belongs to a known flow, which may have ended.
+    pub(super) fn knows(&self, packet: &FlowPacket) -> bool {
+        self.flows.get(&packet.flow.id()).is_some_and(|flow| !flow.is_far_from(packet))
+    }
+
     /// Returns the target of the open flow to which a packet belongs.
     pub(super) fn open_at(&self, packet: &FlowPacket) -> Option<TargetIncarnation> {
         let flow = self.flows.get(&packet.flow.id())?;
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -295,10 +295,7 @@
     fn forward(&mut self, now: Duration, packet: &FlowPacket) -> Verdict<'_> {
         let service = packet.flow.service;
         let Some(route) = self.routes.get(service) else {
-            if self.routes.was_removed(service) && packet.kind != PacketKind::Reset {
-                return Verdict::Reset(ResetReason::RouteDropped);
-            }
-            return Verdict::Drop(DropReason::UnknownAddress);
+            return self.without_route(packet);
         };
         let version = self.routes.version();
         let found = find_target(&mut self.tokens, &self.targets, route, version, packet);
@@ -338,6 +335,19 @@
         }
     }
 
+    /// Decides about a packet of an open flow whose address has no route here. The flow may have been
+    /// opened under newer routes that have the address again, unless it is known from before the removal.
+    fn without_route(&self, packet: &FlowPacket) -> Verdict<'static> {
+        let is_lost = self.routes.was_removed(packet.flow.service)
+            && !self.routes.is_behind()
+            && self.flows.knows(packet);
+        match packet.kind {
+            PacketKind::Reset => Verdict::Drop(DropReason::UnknownAddress),
+            _ if is_lost => Verdict::Reset(ResetReason::RouteDropped),
+            _ => Verdict::Drop(DropReason::UnknownAddress),
+        }
+    }
+
     /// Returns the time up to which flows are lost that were known by then, if a target is dead.
     /// Requests a connection check if the platform has removed the target.
     fn check_dead(&mut self, now: Duration, incarnation: TargetIncarnation) -> Option<Duration> {
--- a/src/steering/gossip.rs
+++ b/src/steering/gossip.rs
@@ -312,10 +312,12 @@
                 false
             }
             Message::RouteChange(change) => {
+                forwarder.routes.note_announced(change.version);
                 self.route_transfer.note_version(from, change.version, forwarder);
                 self.route_changes.on_change(now, from, &change, forwarder, out)
             }
             Message::NewRoutes { version } => {
+                forwarder.routes.note_announced(version);
                 self.route_transfer.note_version(from, version, forwarder);
                 let (peers, rng) = (&self.peers, &mut self.rng);
                 self.route_changes.on_announced(now, version, forwarder, peers, rng, out);
@@ -348,6 +350,7 @@
         out: &mut Outbox<'_>,
     ) {
         forwarder.targets.enter_era(now, theirs.targets);
+        forwarder.routes.note_announced(theirs.routes);
         let ours = digest(forwarder);
         self.route_transfer.note_version(from, theirs.routes, forwarder);
         self.route_changes.note_version(now, from, theirs.routes, forwarder, out);
--- a/src/steering/routes.rs
+++ b/src/steering/routes.rs
@@ -211,6 +211,8 @@
     partial: Version,
     /// First complete version in this process.
     first: Version,
+    /// The highest version that a peer has.
+    announced: Version,
     /// Versions at which routes were added or changed in this process.
     changed: HashMap<SocketAddrV4, Version>,
     /// Addresses that had a route earlier in this process and have none now, with the version at
@@ -239,6 +241,16 @@
         self.raw.is_some() || self.by_address.contains_key(&address)
     }
 
+    /// Records that a peer has routes of a version.
+    pub fn note_announced(&mut self, version: Version) {
+        self.announced = self.announced.max(version);
+    }
+
+    /// Returns whether a peer has newer routes.
+    pub fn is_behind(&self) -> bool {
+        self.announced > self.version()
+    }
+
     /// Returns whether an address had a route that has been removed.
     pub fn was_removed(&self, address: SocketAddrV4) -> bool {
         self.removed.contains_key(&address)
