--- a/tests/drawn_flows.rs
+++ b/tests/drawn_flows.rs
@@ -1,16 +1,19 @@
-//! Open flows beside trouble and planned work of all kinds, drawn from seeds and judged by the rule for
-//! open flows: no caller gets a reset that the flow's own undisturbed target has not sent, and packets
-//! do not go to other targets only.
+//! Open flows beside trouble and planned work of all kinds, drawn from seeds and judged by the rule
+//! for open flows: no caller gets a reset that the flow's own undisturbed target has not sent, and
+//! packets do not go to other targets only.
 //!
-//! `DRAWN_SEEDS=0..300 cargo test --release --test drawn_flows -- --nocapture` draws other seeds.
-//! `DRAWN_WITHOUT=late_writes,cuts` leaves out kinds of trouble. With `DRAWN_ECHO=any`, callers echo the
-//! last token of any target that has answered, not only of the one at which the flow is open.
+//! `DRAWN_SEEDS=0..300 cargo test --release --test drawn_flows -- --nocapture` draws other seeds, and
+//! `DRAWN_WITHOUT=late_writes,cuts` leaves out kinds of trouble. Callers echo the token of the target
+//! that they accepted, or with `DRAWN_ECHO=any` the last one of any target that answers. A few seeds
+//! vary between runs, as the hash maps of the instances have random seeds.
 
+#[path = "support/flow_callers.rs"]
+mod flow_callers;
+#[path = "support/flow_targets.rs"]
+mod flow_targets;
 #[path = "support/flow_world.rs"]
-#[allow(dead_code)]
 mod flow_world;
 #[path = "support/losses.rs"]
-#[allow(dead_code)]
 mod losses;
 #[path = "support/steering.rs"]
 #[allow(dead_code)]
@@ -20,10 +23,11 @@
 mod world;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
 use std::ops::Range;
 use std::time::Duration;
 
-use flow_world::*;
+use flow_world::FlowWorld;
 use limpetdeck::steering::{Target, TargetKey, TargetState};
 use losses::Loss;
 use rand::rngs::SmallRng;
@@ -38,11 +42,13 @@
 const CALM: Duration = Duration::from_secs(10);
 /// Time for which a target that drains runs on.
 const DRAIN_TIME: Duration = Duration::from_secs(5);
+/// Time from a planned stop of an instance until it starts again.
+const STOP_TIME: Duration = Duration::from_secs(7);
 /// Seeds that are played without `DRAWN_SEEDS`.
 const SEEDS: Range<u64> = 0..12;
 
-/// Kinds of trouble and planned work; the latter come last.
-const KINDS: [&str; 14] = [
+/// Kinds of trouble and planned work.
+const KINDS: [&str; 15] = [
     "restarts",
     "moved",
     "new_ids",
@@ -57,13 +63,32 @@
     "losses",
     "drains",
     "routes",
+    "stops",
 ];
+/// The kinds that are planned work.
 const PLANNED: [&str; 3] = ["drains", "routes", "stops"];
+/// Unplanned losses of an instance.
+const LOSSES: [Loss; 8] = [
+    Loss::Silent,
+    Loss::Refused,
+    Loss::Slow,
+    Loss::Partitioned,
+    Loss::Separated,
+    Loss::Paused,
+    Loss::Paused,
+    Loss::Killed,
+];
 
+/// What happens at a time; processes are known by their numbers.
 #[derive(Debug, Clone)]
 enum Step {
     Crash(usize),
-    Start { entry: Target, delay: Duration },
+    /// A process starts, and writes its entry after the delay.
+    Start {
+        entry: Target,
+        delay: Duration,
+    },
+    /// A write of a process that has ended reaches the platform.
     WriteLate(Target),
     Freeze(usize, Duration),
     Cut(usize, Duration),
@@ -76,18 +101,24 @@
     Restore,
     Begin(Loss, usize),
     End(Loss, usize),
+    /// The routes get a new version.
     Routes,
 }
 
 struct Run {
     flows: FlowWorld,
     rng: SmallRng,
+    /// Steps by time, and in random order at the same time.
     steps: BTreeMap<(Duration, u32), Step>,
+    /// Kinds that this run draws from.
     kinds: Vec<&'static str>,
-    next_key: TargetKey,
+    last_key: TargetKey,
+    /// Version of the routes.
     version: u64,
+    /// Whether each instance is lost, or about to be.
     lost: Vec<bool>,
-    busy_addresses: bool,
+    /// Whether the routes have many more addresses.
+    many_routes: bool,
 }
 
 impl Run {
@@ -95,11 +126,10 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let instances = rng.random_range(4..=8);
         let planned_only = rng.random_bool(0.2);
-        let all: Vec<_> =
-            if planned_only { PLANNED.to_vec() } else { [&KINDS[..], &["stops"]].concat() };
+        let all = if planned_only { &PLANNED[..] } else { &KINDS[..] };
         let without = std::env::var("DRAWN_WITHOUT").unwrap_or_default();
         let share = *[0.25, 0.5].choose(&mut rng).expect("not empty");
-        let kinds = all.into_iter().filter(|_| planned_only || rng.random_bool(share));
+        let kinds = all.iter().copied().filter(|_| planned_only || rng.random_bool(share));
         let kinds: Vec<_> = kinds.filter(|kind| !without.split(',').any(|w| w == *kind)).collect();
         let mut flows = FlowWorld::new(seed, instances);
         flows.planned_only = planned_only;
@@ -110,10 +140,16 @@
             let entry = Target { failure_domain: domain(key), ..target(key, service) };
             flows.start_process(entry, ms(0));
         }
-        let steps = BTreeMap::new();
-        let lost = vec![false; instances];
-        let busy_addresses = false;
-        Self { flows, rng, steps, kinds, next_key: 20, version: 1, lost, busy_addresses }
+        Self {
+            flows,
+            rng,
+            steps: BTreeMap::new(),
+            kinds,
+            last_key: 20,
+            version: 1,
+            lost: vec![false; instances],
+            many_routes: false,
+        }
     }
 
     fn millis(&mut self, range: Range<u64>) -> Duration {
@@ -125,6 +161,7 @@
         self.steps.insert((at, n), step);
     }
 
+    /// Picks a ready process whose end is not planned.
     fn pick_process(&mut self) -> Option<usize> {
         let processes = &self.flows.processes;
         let is_ready = |p: &usize| {
@@ -132,7 +169,7 @@
             process.running && !process.ends && process.entry.state == TargetState::Ready
         };
         let ready: Vec<_> = (0..processes.len()).filter(is_ready).collect();
-        // Others have to stay, so that flows can be opened.
+        // Four have to stay, so that flows can be opened.
         ready.choose(&mut self.rng).copied().filter(|_| ready.len() > 4)
     }
 
@@ -145,19 +182,17 @@
         let begin = now + self.millis(0..300);
         match kind {
             "restarts" | "moved" | "new_ids" | "reused" | "late_writes" => {
-                self.draw_restart(kind, begin)
+                self.draw_restart(kind, begin);
             }
             "slow" | "full" | "frozen" | "cuts" => {
                 let Some(p) = self.pick_process() else { return };
-                self.plan(
-                    begin,
-                    match kind {
-                        "slow" => Step::Slow(p, long),
-                        "full" => Step::Full(p, long),
-                        "frozen" => Step::Freeze(p, long),
-                        _ => Step::Cut(p, long),
-                    },
-                );
+                let step = match kind {
+                    "slow" => Step::Slow(p, long),
+                    "full" => Step::Full(p, long),
+                    "frozen" => Step::Freeze(p, long),
+                    _ => Step::Cut(p, long),
+                };
+                self.plan(begin, step);
             }
             "outages" => {
                 self.plan(begin, Step::StoreDown);
@@ -178,28 +213,23 @@
                     self.plan(begin + short * n, Step::Routes);
                 }
             }
-            _ => {
-                const LOSSES: [Loss; 8] = [
-                    Loss::Silent,
-                    Loss::Refused,
-                    Loss::Slow,
-                    Loss::Partitioned,
-                    Loss::Separated,
-                    Loss::Paused,
-                    Loss::Paused,
-                    Loss::Killed,
-                ];
+            "losses" | "stops" => {
                 let loss = *LOSSES.choose(&mut self.rng).expect("not empty");
-                let loss = if kind == "stops" { Loss::Stopped } else { loss };
-                let span = if loss == Loss::Stopped { ms(7_000) } else { long };
-                let i = self.rng.random_range(0..self.lost.len());
-                let lost = self.lost.iter().filter(|lost| **lost).count();
-                if !self.lost[i] && lost * 3 < self.lost.len() {
-                    self.lost[i] = true;
-                    self.plan(begin, Step::Begin(loss, i));
-                    self.plan(begin + span, Step::End(loss, i));
-                }
+                let is_stop = kind == "stops";
+                let (loss, span) = if is_stop { (Loss::Stopped, STOP_TIME) } else { (loss, long) };
+                self.draw_loss(loss, begin, span);
             }
+            _ => unreachable!("{kind}"),
+        }
+    }
+
+    fn draw_loss(&mut self, loss: Loss, begin: Duration, span: Duration) {
+        let i = self.rng.random_range(0..self.lost.len());
+        let lost = self.lost.iter().filter(|lost| **lost).count();
+        if !self.lost[i] && lost * 3 < self.lost.len() {
+            self.lost[i] = true;
+            self.plan(begin, Step::Begin(loss, i));
+            self.plan(begin + span, Step::End(loss, i));
         }
     }
 
@@ -216,10 +246,8 @@
                 entry.key = self.fresh_key();
                 entry.service = if entry.service == STATION { FARES } else { STATION }.to_owned();
             }
-            "moved" => entry.address = target(self.fresh_key(), STATION).address,
-            "late_writes" if self.rng.random_bool(0.5) => {
-                entry.address = target(self.fresh_key(), STATION).address;
-            }
+            "moved" => entry.address = self.fresh_address(),
+            "late_writes" if self.rng.random_bool(0.5) => entry.address = self.fresh_address(),
             _ => {}
         }
         entry.incarnation = up.as_millis() as u64;
@@ -233,16 +261,20 @@
     }
 
     fn fresh_key(&mut self) -> TargetKey {
-        self.next_key += 1;
-        self.next_key
+        self.last_key += 1;
+        self.last_key
+    }
+
+    fn fresh_address(&mut self) -> SocketAddrV4 {
+        target(self.fresh_key(), STATION).address
     }
 
     fn apply(&mut self, step: Step) {
         let now = self.flows.world.now;
-        self.flows.note(format!("{step:?}"));
+        self.flows.log(format!("{step:?}"));
         match step {
-            Step::Crash(p) => self.flows.crash(p),
-            Step::Start { entry, delay } => drop(self.flows.start_process(entry, delay)),
+            Step::Crash(p) => self.flows.processes[p].crash(),
+            Step::Start { entry, delay } => self.flows.start_process(entry, delay),
             Step::WriteLate(entry) => {
                 if !self.flows.world.store.down {
                     self.flows.world.store.put_target(&entry);
@@ -277,7 +309,7 @@
             Step::Restore => {
                 if !self.flows.world.store.copy.1.is_empty() {
                     self.flows.world.store.restore_copy();
-                    self.flows.core_disturbed = now;
+                    self.flows.platform_disturbed = now;
                     self.put_routes();
                 }
             }
@@ -294,16 +326,16 @@
                 } else {
                     self.flows.routes.remove(&2);
                 }
-                self.busy_addresses = self.rng.random_bool(0.4);
+                self.many_routes = self.rng.random_bool(0.4);
                 self.put_routes();
-                self.flows.note_dropped();
+                self.flows.mark_dropped();
             }
         }
     }
 
     fn put_routes(&mut self) {
-        let filler = if self.busy_addresses { 60 } else { 0 };
-        let mut raw = routes(self.version, &[STATION; 70][..10 + filler]);
+        let count = if self.many_routes { 70 } else { 10 };
+        let mut raw = routes(self.version, &[STATION; 70][..count]);
         raw.routes[2].services[0].service = FARES.to_owned();
         let routes = &self.flows.routes;
         let is_kept = |nth: u8| nth > 3 || routes.contains(&nth);
@@ -322,7 +354,7 @@
             }
         }
         if flows.world.store.down {
-            flows.core_disturbed = now;
+            flows.platform_disturbed = now;
         }
         for process in &mut flows.processes {
             if now <= process.frozen_until.max(process.cut_until) {
