Soak: judge open flows as the rule does, and a drill aimed at them

A fault of a single instance or server excused every reset for 4 s. Now it excuses the instances and servers that it hits; flows to replacements of drained servers count at once, and packets that reach other servers only for 2 s do too. The drill 'flows' combines stops in series, stalls, servers that start again or give up their addresses, routes that come back, silent connections and late entries.

--- a/lab/src/emulator/fleet.rs
+++ b/lab/src/emulator/fleet.rs
@@ -107,21 +107,22 @@
         }
     }
 
-    fn start(&mut self, now: Duration, entry: RawTarget) {
+    fn start(&mut self, now: Duration, entry: RawTarget) -> Option<&mut Server> {
         let mut server = Server::new(now, entry, fork_rng(&mut self.rng));
         server.cold_until = now + self.cold_start;
         self.servers.push(server);
+        self.servers.last_mut()
     }
 
-    /// Starts a server at a free address.
-    pub fn add(&mut self, now: Duration, service: &str, domain: &str) {
+    /// Starts a server at a free address. Returns it, unless there is none.
+    pub fn add(&mut self, now: Duration, service: &str, domain: &str) -> Option<&mut Server> {
         let taken = |host: &Host| self.servers.iter().any(|s| s.is_at(host.address));
         let free = self.hosts.iter().filter(|host| now >= host.free_from && !taken(host));
         // Reuses the most recently released address first, to which late packets of callers may
         // still be sent.
         let Some(address) = free.max_by_key(|host| host.free_from).map(|host| host.address) else {
             log::error!("no_place");
-            return;
+            return None;
         };
         self.next_key += 1;
         let entry = RawTarget {
@@ -134,7 +135,7 @@
             state: TargetState::Ready,
             cold_ms: 0,
         };
-        self.start(now, entry);
+        self.start(now, entry)
     }
 
     /// Returns the server at an address, unless it has ended.
@@ -162,7 +163,10 @@
         let (key, incarnation) = (server.entry.key, server.entry.incarnation);
         let (service, domain) = (server.entry.service.clone(), server.entry.failure_domain.clone());
         self.heartbeats.insert((key, incarnation), (now, now));
-        self.add(now, &service, &domain);
+        if let Some(replacement) = self.add(now, &service, &domain) {
+            // A planned start is no fault.
+            replacement.last_fault = Duration::ZERO;
+        }
     }
 
     /// Crashes a random server, starts a replacement elsewhere, and gives the address to a new
@@ -180,15 +184,31 @@
         self.restarts.push((start, RawTarget { key, service: service.to_owned(), ..entry }));
     }
 
-    /// Crashes a random server and restarts it with the same key.
-    pub fn restart(&mut self, now: Duration) {
+    /// Crashes a random server and restarts it at its address, with the same key or a new one.
+    pub fn restart(&mut self, now: Duration, is_renumbered: bool) {
         let Some(server) = self.pick_random() else { return };
-        let entry = server.entry.clone();
+        let mut entry = server.entry.clone();
         server.end(now);
         self.release(now, entry.address);
+        if is_renumbered {
+            self.next_key += 1;
+            entry.key = self.next_key;
+        }
         self.restarts.push((now + RESTART_DELAY, entry));
     }
 
+    /// Executes the last heartbeats of servers that have ended, which were lost on their way.
+    pub fn write_late(&mut self, now: Duration, store: &SharedStore) {
+        for server in self.servers.iter_mut().filter(|s| s.run_state == RunState::Ended) {
+            // The store removes the entries as others without heartbeats.
+            server.last_fault = now;
+            let id = (server.entry.key, server.entry.incarnation);
+            self.heartbeats.insert(id, (now, now));
+            let value = target_entry(&server.entry, server.entry_sequence);
+            store.borrow_mut().put(&object_name(server.entry.key), value);
+        }
+    }
+
     /// Advances time: drained servers end, others start, heartbeats are sent and listeners updated.
     /// If `entries_expire`, entries without heartbeats expire even while the store is down.
     pub fn tick(&mut self, now: Duration, store: &SharedStore, entries_expire: bool) {
--- a/lab/src/emulator/router.rs
+++ b/lab/src/emulator/router.rs
@@ -15,12 +15,15 @@
 pub struct Router {
     /// Failure domain and consecutive failed checks of each instance.
     instances: Vec<(usize, u32)>,
+    /// Whether nearly all flows move when an instance leaves the rotation or joins it.
+    moves_all: bool,
 }
 
 impl Router {
     /// Creates a router for instances in these failure domains, none of them in rotation.
-    pub fn new(domains: impl IntoIterator<Item = usize>) -> Self {
-        Self { instances: domains.into_iter().map(|domain| (domain, FAILURE_THRESHOLD)).collect() }
+    pub fn new(domains: impl IntoIterator<Item = usize>, moves_all: bool) -> Self {
+        let instances = domains.into_iter().map(|domain| (domain, FAILURE_THRESHOLD)).collect();
+        Self { instances, moves_all }
     }
 
     /// Records the result of a readiness check.
@@ -29,8 +32,8 @@
         *failed_checks = if ready { 0 } else { *failed_checks + 1 };
     }
 
-    /// Returns the instance for a packet that enters in a failure domain. A flow moves only if its
-    /// instance leaves the rotation or another one joins.
+    /// Returns the instance for a packet that enters in a failure domain. Unless all flows move, one
+    /// moves only if its instance leaves the rotation or another one joins.
     pub fn pick(&self, domain: usize, segment: &Segment) -> usize {
         let all = || self.instances.iter().enumerate();
         let ready = |failed_checks: u32| failed_checks < FAILURE_THRESHOLD;
@@ -45,6 +48,9 @@
             local
         };
         let flow = stable_addresses(segment.from, segment.to);
+        if self.moves_all && !candidates.is_empty() {
+            return candidates[flow as usize % candidates.len()].0;
+        }
         let rank = |i: &usize| stable_pair(flow, *i as u64);
         candidates.into_iter().map(|(i, _)| i).max_by_key(rank).unwrap_or_default()
     }
--- a/lab/src/emulator/server.rs
+++ b/lab/src/emulator/server.rs
@@ -72,6 +72,8 @@
     pub run_state: RunState,
     /// Time at which it began to drain and the store accepted that state.
     pub draining_since: Option<Duration>,
+    /// Time of the start.
+    pub started: Duration,
     /// End of the last fault that hit the server; may lie in the future.
     pub last_fault: Duration,
     /// Time until which the server is cold.
@@ -91,6 +93,7 @@
             entry_sequence: 0,
             run_state: RunState::Running,
             draining_since: None,
+            started: now,
             last_fault: now,
             cold_until: Duration::ZERO,
             flows: HashMap::default(),
--- a/lab/src/soak.rs
+++ b/lab/src/soak.rs
@@ -67,9 +67,11 @@
   --drill NAME    one kind of fault instead of all: restore, domain-drain (orders to drain a
                   failure domain, each in the middle of another fault), watchers (all instances
                   that watch the store are lost; needs 27 instances, so that others are left),
-                  odd-entries (another writer leaves entries beside those of the servers), or
+                  odd-entries (another writer leaves entries beside those of the servers),
                   stops (instances stop in turn where half of them are frozen, while routes grow and
-                  servers drain; they are judged until the process is gone; needs 18 instances)
+                  servers drain; they are judged until the process is gone; needs 18 instances), or
+                  flows (instances stop in series while others lack processor time, servers crash and
+                  start again, routes come back and connections to the store go silent)
   --report FILE   write an HTML report with a plot
   --keep          keep the logs even if no promise was broken
 
@@ -108,6 +110,7 @@
     Watchers,
     OddEntries,
     Stops,
+    Flows,
 }
 
 #[derive(Debug)]
@@ -135,6 +138,7 @@
             "watchers" => Drill::Watchers,
             "odd-entries" => Drill::OddEntries,
             "stops" => Drill::Stops,
+            "flows" => Drill::Flows,
             other => return Err(CommandError::new(format!("--drill {other} is not known"))),
         };
         let options = Self {
@@ -195,6 +199,7 @@
         Drill::Watchers => plan::watcher_drill,
         Drill::OddEntries => odd_entries::odd_drill,
         Drill::Stops => plan::stop_drill,
+        Drill::Flows => plan::flow_drill,
     };
     let mut schedule = generate(options.length, &mut fork_rng(&mut rng));
     if options.drill == Drill::All {
@@ -298,6 +303,8 @@
         addresses,
         cold_flows_per_s: options.cold_limit,
         judges_stops: options.drill == Drill::Stops,
+        moves_all_flows: options.drill == Drill::Flows,
+        stall_rng: SmallRng::seed_from_u64(options.seed),
     })));
     for (at, socket) in sockets {
         ex.spawn(receive(Rc::clone(&env), at, socket)).detach();
--- a/lab/src/soak/checks.rs
+++ b/lab/src/soak/checks.rs
@@ -120,6 +120,13 @@
         self.history.last().is_some_and(|routes| routes.services.contains_key(&address))
     }
 
+    /// Returns whether routes that were written after a time lack the address.
+    pub fn was_dropped_since(&self, since: Duration, address: SocketAddrV4) -> bool {
+        let lacks = |routes: &WrittenRoutes| !routes.services.contains_key(&address);
+        self.history.iter().rev().take_while(|routes| routes.at >= since).any(lacks)
+            || !self.is_routed(address)
+    }
+
     /// Records that an attempt was sent.
     pub fn record_sent(&mut self, id: RequestId) {
         self.sent_requests.insert(id);
--- a/lab/src/soak/environment.rs
+++ b/lab/src/soak/environment.rs
@@ -10,6 +10,7 @@
 use limpetdeck_platform::emulator::{
     PacketOrigin, Segment, SegmentKind, routes_entry, split_target_key,
 };
+use rand::rngs::SmallRng;
 use serde_json::json;
 use smol::Async;
 use xxhash_rust::xxh3::xxh3_64;
@@ -26,7 +27,7 @@
 use crate::emulator::fleet::{Fleet, SERVICES};
 use crate::emulator::network::{Impairment, Network};
 use crate::emulator::router::Router;
-use crate::emulator::server::{FlowKey, ServerEvent};
+use crate::emulator::server::{FlowKey, Server, ServerEvent};
 use crate::emulator::store::SharedStore;
 
 /// The failure domains.
@@ -35,6 +36,10 @@
 pub const USED_ROUTES: usize = 3;
 /// Time after a fault during which the bounds need not be met.
 pub const SETTLING_TIME: Duration = Duration::from_secs(4);
+/// Time after which packets of an open flow may not reach other servers only.
+const MAX_DIVERSION: Duration = Duration::from_secs(2);
+/// Packets that have to reach other servers meanwhile.
+const DIVERTED_PACKETS: u32 = 3;
 /// Longest pause between two steps that does not count as a fault. A longer one may cause
 /// violations by itself.
 const MAX_LAG: Duration = Duration::from_millis(250);
@@ -92,6 +97,8 @@
     pub entries_expire: bool,
     /// End of the last fault other than maintenance, of any component.
     pub last_fault: Duration,
+    /// End of the last one that is not confined to single instances and servers.
+    last_shared_fault: Duration,
     /// Orders to drain failure domains.
     pub orders: DomainOrders,
     /// Check of the limit on new flows to cold servers.
@@ -114,6 +121,10 @@
     socket: Arc<Async<UdpSocket>>,
     /// Time at which the caller of a flow first sent its opening packet.
     opened: HashMap<FlowKey, Duration>,
+    /// Packets of open flows that have reached other servers since one reached their own, and when
+    /// the first one did.
+    diverted: HashMap<FlowKey, (u32, Duration)>,
+    stall_rng: SmallRng,
     next_resource_check: Duration,
 }
 
@@ -140,6 +151,10 @@
     pub cold_flows_per_s: f64,
     /// Whether instances are judged while they stop.
     pub judges_stops: bool,
+    /// Whether nearly all flows move when an instance stops or starts.
+    pub moves_all_flows: bool,
+    /// Generator for the stalls of instances.
+    pub stall_rng: SmallRng,
 }
 
 impl Environment {
@@ -148,7 +163,10 @@
         let mut environment = Self {
             now: Duration::ZERO,
             contact_since: vec![Duration::ZERO; parts.instances.len()],
-            router: Router::new(parts.instances.iter().map(|instance| instance.domain)),
+            router: Router::new(
+                parts.instances.iter().map(|instance| instance.domain),
+                parts.moves_all_flows,
+            ),
             instances: parts.instances,
             fleet: parts.fleet,
             callers: parts.callers,
@@ -159,6 +177,7 @@
             partitions: Vec::new(),
             entries_expire: false,
             last_fault: Duration::ZERO,
+            last_shared_fault: Duration::ZERO,
             orders: DomainOrders::default(),
             cold_targets: ColdTargets::new(parts.cold_flows_per_s),
             last_openings: [Duration::ZERO; DOMAINS.len()],
@@ -170,6 +189,8 @@
             addresses: parts.addresses,
             socket: parts.socket,
             opened: HashMap::default(),
+            diverted: HashMap::default(),
+            stall_rng: parts.stall_rng,
             next_resource_check: Duration::ZERO,
         };
         if parts.cold_flows_per_s > 0.0 {
@@ -230,7 +251,7 @@
         self.max_lag = self.max_lag.max(lag);
         if lag > MAX_LAG {
             log::warn!(lag_ms = lag.as_millis() as u64; "driver_late");
-            self.last_fault = self.last_fault.max(now);
+            self.record_shared_fault();
         }
         self.tick_instances()?;
         self.record_contact();
@@ -246,7 +267,7 @@
     fn tick_instances(&mut self) -> io::Result<()> {
         let check_due = self.now >= self.next_resource_check;
         for (i, instance) in self.instances.iter_mut().enumerate() {
-            if let Some(status) = instance.tick(self.now)? {
+            if let Some(status) = instance.tick(self.now, &mut self.stall_rng)? {
                 let seen = format!("instance {i} ended on its own, {status}");
                 self.checks.record(self.now, "exit_of_its_own", seen, None);
             }
@@ -347,6 +368,7 @@
             self.checks.record_for_flow(self.now, "packet_changed", format!("{segment:?}"), flow);
             return;
         }
+        self.check_diversion(i, instance, &segment);
         let mut events = Vec::new();
         let out = self.fleet.servers[i].receive(self.now, key, &segment, &mut events);
         self.handle_server_events(i, Some(instance), events);
@@ -446,22 +468,75 @@
         }
     }
 
-    /// Checks a reset of an open flow. It is allowed only if the server has ended or was hit by a
-    /// fault, the route was removed, the flow is old, or faults hit the instance.
+    /// Checks a reset of an open flow. It is allowed only if the flow does not have to be kept.
     fn check_reset(&mut self, instance: Option<usize>, flow: FlowKey, since: Duration) {
         let Some(server) = self.fleet.server_with(flow) else { return };
-        let server_up = server.is_running() && self.now >= server.last_fault + SETTLING_TIME;
-        let flow_expired =
-            self.now >= since + REQUIRED_FLOW_LIFETIME || !self.checks.is_routed(flow.1);
-        let no_recent_fault = self.now >= self.last_fault + SETTLING_TIME;
-        let instance_excused = !no_recent_fault && !instance.is_some_and(|i| self.is_settled(i));
-        if server_up && !flow_expired && !instance_excused {
+        if self.must_keep(server, instance, flow, since) {
             let key = server.entry.key;
             let seen = format!("reset by instance {instance:?}, but server {key:x} is running");
             self.checks.record_for_flow(self.now, "flow_broken", seen, flow);
         }
     }
 
+    /// Checks that the packets of an open flow do not reach other servers only.
+    fn check_diversion(&mut self, i: usize, instance: usize, segment: &Segment) {
+        let flow = (segment.from, segment.to);
+        let holder = self.fleet.server_with(flow);
+        let reached = &self.fleet.servers[i];
+        let since = self.opened.get(&flow).copied().unwrap_or(self.now);
+        let Some(holder) = holder.filter(|holder| {
+            holder.entry.address != reached.entry.address
+                && self.must_keep(holder, Some(instance), flow, since)
+        }) else {
+            self.diverted.remove(&flow);
+            return;
+        };
+        if segment.kind == SegmentKind::Opening {
+            return;
+        }
+        let (count, first) = self.diverted.entry(flow).or_insert((0, self.now));
+        *count += 1;
+        if *count >= DIVERTED_PACKETS && self.now >= *first + MAX_DIVERSION {
+            let key = holder.entry.key;
+            let seen =
+                format!("{count} packets reached other servers than {key:x}, which has the flow");
+            self.diverted.remove(&flow);
+            self.checks.record_for_flow(self.now, "flow_diverted", seen, flow);
+        }
+    }
+
+    /// Returns whether a flow has to be kept that has been open on a server since a time: not if
+    /// the server was hit by a fault, the route was removed or the flow is old. A fault that is no
+    /// maintenance excuses the instances and servers that it hits, or all if it is shared.
+    fn must_keep(
+        &self,
+        server: &Server,
+        instance: Option<usize>,
+        flow: FlowKey,
+        since: Duration,
+    ) -> bool {
+        let settled = |since: Duration| self.now >= since + SETTLING_TIME;
+        let is_in_touch = |i: usize| {
+            let instance = &self.instances[i];
+            let runs = instance.is_running() || instance.is_terminating();
+            runs && settled(instance.last_fault)
+        };
+        let in_touch = settled(self.last_shared_fault)
+            && settled(server.started)
+            && instance.is_some_and(is_in_touch);
+        server.is_running()
+            && settled(server.last_fault)
+            && self.now < since + REQUIRED_FLOW_LIFETIME
+            && !self.checks.was_dropped_since(since, flow.1)
+            && (settled(self.last_fault) || in_touch)
+    }
+
+    /// Records a fault that is not confined to single instances and servers.
+    pub fn record_shared_fault(&mut self) {
+        self.last_fault = self.last_fault.max(self.now);
+        self.last_shared_fault = self.now;
+    }
+
     /// Sets the impairment of the network.
     pub fn set_impairment(&mut self, impairment: Impairment) {
         self.network.impairment = impairment;
--- a/lab/src/soak/faults.rs
+++ b/lab/src/soak/faults.rs
@@ -1,7 +1,7 @@
 //! Injects the scheduled faults and reverts them.
 
 use std::net::SocketAddrV4;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use limpetdeck::steering::{RawRoute, RawRoutes};
 use rand::Rng;
@@ -45,6 +45,8 @@
     Watchers(Vec<usize>),
     Partition(usize),
     Impairment,
+    /// The route that was dropped, with its latency target.
+    Route(RawRoute, u64),
     /// The order to drain the domain, and whether it is marked before it is removed.
     DomainOrder(usize, bool),
     MarkedOrders,
@@ -63,6 +65,7 @@
                 | Self::DomainOrder(..)
                 | Self::MarkedOrders
                 | Self::OddEntries(_)
+                | Self::Route(..)
         )
     }
 }
@@ -104,7 +107,7 @@
         if !self.undos.iter().all(|(_, undo)| undo.is_harmless())
             || env.network.impairment != Impairment::default()
         {
-            env.last_fault = now;
+            env.record_shared_fault();
         }
     }
 
@@ -114,6 +117,9 @@
         if !scheduled.fault.is_maintenance() && !scheduled.fault.hits_single_instances() {
             env.last_fault = now;
         }
+        if !scheduled.fault.leaves_others_in_touch() {
+            env.record_shared_fault();
+        }
         match scheduled.fault {
             Fault::Roll => self.roll(env),
             Fault::Reload { signalled } => self.reload(env, signalled),
@@ -192,7 +198,23 @@
                 self.undos.push((until, Undo::OddEntries(names)));
             }
             Fault::Crash => env.fleet.crash(now),
-            Fault::Restart => env.fleet.restart(now),
+            Fault::Restart { renumbered } => env.fleet.restart(now, renumbered),
+            Fault::LateEntries => env.fleet.write_late(now, &env.store),
+            Fault::Starve { share } => {
+                for i in self.random_instances(env, share) {
+                    env.instances[i].starve(until);
+                }
+            }
+            Fault::SilentConnections => {
+                let mode = LinkMode::SilentBefore(Instant::now());
+                env.links.iter().for_each(|link| link.set(mode));
+            }
+            Fault::DropRoute => {
+                let route = env.routes.routes.remove(0);
+                let latency_target = env.routes.latency_targets_ms.remove(0);
+                change_routes(env, 1);
+                self.undos.push((until, Undo::Route(route, latency_target)));
+            }
             Fault::FreezeServer => {
                 if let Some(server) = env.fleet.pick_random() {
                     server.run_state = RunState::Paused { until };
@@ -324,6 +346,11 @@
         Undo::MarkedOrders => {
             return env.orders.remove_marked(&mut env.store.borrow_mut());
         }
+        Undo::Route(route, latency_target) => {
+            env.routes.routes.insert(0, route.clone());
+            env.routes.latency_targets_ms.insert(0, *latency_target);
+            return toggle_many_routes(env);
+        }
         Undo::OddEntries(names) => return odd_entries::remove(env, names),
         Undo::Link(instances) => instances.iter().for_each(|&i| env.links[i].set(LinkMode::Whole)),
         Undo::Watchers(instances) => {
@@ -338,5 +365,5 @@
         }
         Undo::Impairment => env.set_impairment(Impairment::default()),
     }
-    env.last_fault = env.now;
+    env.record_shared_fault();
 }
--- a/lab/src/soak/instances.rs
+++ b/lab/src/soak/instances.rs
@@ -3,12 +3,15 @@
 use std::fs::{self, File, OpenOptions};
 use std::io;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::Duration;
 
 use limpetdeck_platform::NodeSettings;
 use limpetdeck_platform::emulator::settings_file;
+use rand::Rng;
+use rand::rngs::SmallRng;
 use rustix::process::{Pid, Signal, kill_process};
 
 /// Peer key shared by the instances.
@@ -20,12 +23,19 @@
 /// takes a few milliseconds.
 const SIGNAL_HANDLER_DELAY: Duration = Duration::from_millis(50);
 
+/// Time for which a process that lacks processor time stands still at once, in milliseconds.
+const STALL_MS: Range<u64> = 60..400;
+/// Time for which it runs between two stalls, in milliseconds.
+const RUN_MS: Range<u64> = 30..400;
+
 /// State of an instance's process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
     Running,
     /// Stopped by SIGSTOP; resumed at this time.
     Paused(Duration),
+    /// Stopped for lack of processor time, which is no fault; resumed at this time.
+    Stalled(Duration),
     /// Got SIGTERM; killed at this time.
     Terminating(Duration),
     /// Not running; started at this time.
@@ -53,6 +63,8 @@
     program: PathBuf,
     settings_path: PathBuf,
     state: State,
+    /// End of a lack of processor time, and the next stall.
+    starved: (Duration, Duration),
     child: Option<Child>,
 }
 
@@ -79,13 +91,14 @@
             program: program.to_owned(),
             settings_path: dir.join(format!("{name}.toml")),
             state: State::Down(Duration::ZERO),
+            starved: (Duration::ZERO, Duration::ZERO),
             child: None,
         }
     }
 
     /// Returns whether the process runs, is not paused and was not told to terminate.
     pub fn is_running(&self) -> bool {
-        self.state == State::Running
+        matches!(self.state, State::Running | State::Stalled(_))
     }
 
     /// Returns whether the process was told to terminate and still runs.
@@ -114,14 +127,15 @@
     /// # Errors
     ///
     /// Fails if the process cannot be started.
-    pub fn tick(&mut self, now: Duration) -> io::Result<Option<ExitStatus>> {
+    pub fn tick(&mut self, now: Duration, rng: &mut SmallRng) -> io::Result<Option<ExitStatus>> {
         let status = match &mut self.child {
             Some(child) => child.try_wait()?,
             None => None,
         };
         if status.is_some() {
             self.child = None;
-            let told_to_end = !matches!(self.state, State::Running | State::Paused(_));
+            let told_to_end =
+                !matches!(self.state, State::Running | State::Paused(_) | State::Stalled(_));
             self.restart_after(now, RESTART_DELAY);
             return Ok(status.filter(|_| !told_to_end));
         }
@@ -131,6 +145,16 @@
                 self.state = State::Running;
                 self.last_fault = now;
             }
+            State::Stalled(until) if now >= until => {
+                self.signal(Signal::CONT);
+                self.state = State::Running;
+                self.starved.1 = now + Duration::from_millis(rng.random_range(RUN_MS));
+            }
+            State::Running if now >= self.starved.1 && now < self.starved.0 => {
+                self.signal(Signal::STOP);
+                self.state =
+                    State::Stalled(now + Duration::from_millis(rng.random_range(STALL_MS)));
+            }
             State::Terminating(until) if now >= until => self.kill(now, RESTART_DELAY),
             State::Down(until) if now >= until => self.start(now)?,
             _ => {}
@@ -151,12 +175,18 @@
 
     /// Tells the process to terminate; it is killed after its grace period.
     pub fn terminate(&mut self, now: Duration) {
-        if self.state == State::Running {
+        if self.is_running() {
+            self.signal(Signal::CONT);
             self.signal(Signal::TERM);
             self.state = State::Terminating(now + self.settings.grace);
         }
     }
 
+    /// Stalls the process again and again, as if its machine had too little processor time.
+    pub fn starve(&mut self, until: Duration) {
+        self.starved.0 = until;
+    }
+
     /// Pauses the process for a time.
     pub fn pause(&mut self, now: Duration, time: Duration) {
         if self.state == State::Running {
--- a/lab/src/soak/odd_entries.rs
+++ b/lab/src/soak/odd_entries.rs
@@ -34,7 +34,7 @@
         let beside = match round % 3 {
             0 => [Fault::Roll, Fault::Drain, Fault::Roll],
             1 => [Fault::Kill { share: 0.4 }, Fault::Routes { times: 2 }, Fault::Roll],
-            _ => [Fault::Kill { share: 1.0 }, Fault::Drain, Fault::Restart],
+            _ => [Fault::Kill { share: 1.0 }, Fault::Drain, Fault::Restart { renumbered: false }],
         };
         for (i, fault) in beside.into_iter().enumerate() {
             add(1.0 + i as f64 + rng.random_range(0.0..1.0), Duration::ZERO, fault);
--- a/lab/src/soak/plan.rs
+++ b/lab/src/soak/plan.rs
@@ -48,6 +48,14 @@
 /// Servers that drain around the stops of a round.
 const DRAINS_PER_STOP: usize = 8;
 
+/// Time between two rounds of the drill of flows, longer than the settling time after the silence of
+/// connections in one.
+const FLOW_ROUND: Duration = Duration::from_secs(15);
+/// Server faults in a round.
+const SERVER_FAULTS: usize = 6;
+/// Stops in a round; they overlap.
+const STOPS_PER_ROUND: usize = 4;
+
 /// A kind of fault or maintenance. The names go to the log through `Debug`.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Fault {
@@ -137,8 +145,22 @@
     },
     /// A server crashes, and a server of a random service takes over its address.
     Crash,
-    /// A server crashes and restarts with the same key.
-    Restart,
+    /// A server crashes and restarts at its address.
+    Restart {
+        /// Whether it has a new key.
+        renumbered: bool,
+    },
+    /// Instances lack processor time, which is no fault: they stand still for moments.
+    Starve {
+        /// Share of all instances.
+        share: f64,
+    },
+    /// A route that callers use is dropped, and comes back with many others.
+    DropRoute,
+    /// The open connections from instances to the store go silent for good; new ones work.
+    SilentConnections,
+    /// The last heartbeats of servers that have ended arrive at the store.
+    LateEntries,
     /// A server is paused.
     FreezeServer,
 }
@@ -156,6 +178,8 @@
                 | Self::Drain
                 | Self::DrainDomain { .. }
                 | Self::OddEntries { .. }
+                | Self::DropRoute
+                | Self::Starve { .. }
         )
     }
 
@@ -164,6 +188,14 @@
         matches!(self, Self::LoseWatchers { .. } | Self::FreezeHalf { .. })
     }
 
+    /// Returns whether this leaves the machines and servers that it does not hit in touch with the
+    /// store and each other, so that they have to keep flows.
+    pub fn leaves_others_in_touch(self) -> bool {
+        let hits_machine = matches!(self, Self::Kill { .. } | Self::Freeze | Self::FreezeServer);
+        let hits_server = matches!(self, Self::Crash | Self::Restart { .. } | Self::LateEntries);
+        hits_machine || hits_server || self.hits_single_instances() || self.is_maintenance()
+    }
+
     /// Returns the name used in logs and in the report.
     pub fn name(self) -> &'static str {
         match self {
@@ -187,7 +219,11 @@
             Self::DrainDomain { .. } => "drain-domain",
             Self::OddEntries { .. } => "odd-entries",
             Self::Crash => "crash",
-            Self::Restart => "restart",
+            Self::Restart { .. } => "restart",
+            Self::Starve { .. } => "starve",
+            Self::DropRoute => "drop-route",
+            Self::SilentConnections => "silent-connections",
+            Self::LateEntries => "late-entries",
             Self::FreezeServer => "freeze-server",
         }
     }
@@ -360,6 +396,51 @@
     faults
 }
 
+/// Generates stops in series, which move flows to other instances, while instances lack processor time
+/// and servers crash, start again and take over addresses. In half of the rounds a dropped route comes
+/// back while connections to the store are silent.
+pub fn flow_drill(length: Duration, rng: &mut SmallRng) -> Vec<ScheduledFault> {
+    let end = length.saturating_sub(RECOVERY_TIME + RECOVERY_SAMPLE_TIME);
+    let seconds = Duration::from_secs_f64;
+    let mut faults = Vec::new();
+    let mut at = STARTUP_TIME;
+    while at + FLOW_ROUND <= end {
+        let mut push = |after: f64, time: f64, fault| {
+            let (at, duration) = (at + seconds(after), seconds(time));
+            faults.push(ScheduledFault { at, duration, fault });
+        };
+        let share = [0.0, 0.3, 1.0][rng.random_range(0..3)];
+        push(0.0, 14.0, Fault::Starve { share });
+        let back = rng.random_range(4.0..6.0);
+        if rng.random_bool(0.7) {
+            let dropped = rng.random_range(0.3..back);
+            push(back - dropped, dropped, Fault::DropRoute);
+        }
+        if rng.random_bool(0.6) {
+            push(back - rng.random_range(0.0..0.3), 0.0, Fault::SilentConnections);
+        } else if rng.random_bool(0.3) {
+            let delay = Duration::from_millis(rng.random_range(500..4_000));
+            let mode = StoreMode::WritesLate(delay);
+            push(rng.random_range(0.0..1.0), 1.0, Fault::Store { mode, share: 0.4 });
+        }
+        for _ in 0..SERVER_FAULTS {
+            let fault = match rng.random_range(0..4) {
+                0 => Fault::Crash,
+                1 => Fault::LateEntries,
+                _ => Fault::Restart { renumbered: rng.random() },
+            };
+            push(rng.random_range(0.0..14.0), 0.0, fault);
+        }
+        for _ in 0..STOPS_PER_ROUND {
+            push(back + rng.random_range(-1.5..4.5), 0.0, Fault::Roll);
+            push(rng.random_range(0.0..14.0), 0.0, Fault::Drain);
+        }
+        push(rng.random_range(0.0..14.0), 0.0, Fault::Routes { times: 1 });
+        at += FLOW_ROUND;
+    }
+    faults
+}
+
 /// Generates the faults of a run of the given length.
 pub fn schedule(length: Duration, rng: &mut SmallRng) -> Vec<ScheduledFault> {
     let end = length.saturating_sub(RECOVERY_TIME + RECOVERY_SAMPLE_TIME);
@@ -404,7 +485,7 @@
             delay: Duration::from_millis(rng.random_range(1..80)),
         },
         15 => Fault::Crash,
-        16 => Fault::Restart,
+        16 => Fault::Restart { renumbered: false },
         17 => Fault::Restore,
         _ => Fault::FreezeServer,
     }
--- a/lab/src/soak/proxy.rs
+++ b/lab/src/soak/proxy.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use rand::Rng;
@@ -34,6 +34,8 @@
     LosesAnswers,
     /// Keeps connections open and drops everything.
     Silent,
+    /// Drops everything on connections that are older, for good; newer ones work.
+    SilentBefore(Instant),
 }
 
 /// The mode, shared with the connections of the proxy.
@@ -71,10 +73,11 @@
 }
 
 async fn forward(client: TcpStream, to: SocketAddr, mode: SharedLinkMode) {
+    let opened = Instant::now();
     // The end of either direction closes both; the instance sees a broken connection.
     if let Ok(server) = TcpStream::connect(to).await {
-        let requests = copy(client.clone(), server.clone(), &mode, LinkMode::LosesCalls);
-        let responses = copy(server, client, &mode, LinkMode::LosesAnswers);
+        let requests = copy(client.clone(), server.clone(), &mode, LinkMode::LosesCalls, opened);
+        let responses = copy(server, client, &mode, LinkMode::LosesAnswers, opened);
         let _ = requests.or(responses).or(wait_for_reset(&mode)).await;
     }
 }
@@ -91,6 +94,7 @@
     mut to: TcpStream,
     mode: &SharedLinkMode,
     losing: LinkMode,
+    opened: Instant,
 ) -> impl Future<Output = io::Result<()>> {
     let mode = Rc::clone(mode);
     async move {
@@ -102,6 +106,7 @@
             }
             match mode.get() {
                 mode if mode == losing || mode == LinkMode::Silent => continue,
+                LinkMode::SilentBefore(time) if opened < time => continue,
                 LinkMode::Delays(delay) => {
                     smol::Timer::after(delay).await;
                 }
