Test: a failed check of a dead target resets flows of its successor

Results of connection checks are matched by address only. A check of a target that has fallen silent, still running when another target starts at its address, is taken for the check of that one: its flows are reset though it runs.

--- a/tests/steering_health.rs
+++ b/tests/steering_health.rs
@@ -292,3 +292,28 @@
     let placed = (60..80).map(|caller| place(&mut forwarder, ms(1_100), &opening(caller, 1)).0);
     assert!(placed.into_iter().any(|key| key == 1));
 }
+
+/// A target starts at the address of a dead one that is being checked. The check began before the
+/// target started, so its failure says nothing about the target, which is only slow.
+#[test]
+fn check_of_predecessor() {
+    let mut forwarder = forwarder(&[STATION, FARES], &[target(1, STATION)]);
+    forwarder.suspect_target(ms(1_000), (1, 1_000));
+    let [check] = forwarder.take_connection_checks()[..] else { panic!("one check") };
+    let successor = Target { key: 2, incarnation: 2_000, ..target(1, FARES) };
+    assert_eq!(socket(successor.address), check);
+    forwarder.targets.merge(ms(1_130), record(11, successor));
+    let (key, token) = place(&mut forwarder, ms(1_135), &opening(1, 2));
+    assert_eq!(key, 2);
+    forwarder.decide(ms(1_137), &request(1, 2, token, 0));
+    forwarder.decide(ms(1_177), &acknowledgement(1, 2, token, 0));
+    // The instance is slow, so the check takes longer than its limit.
+    forwarder.decide(ms(1_180), &request(1, 2, token, 1));
+    forwarder.decide(ms(1_380), &request(1, 2, token, 1));
+    assert_eq!(forwarder.take_connection_checks(), [check], "the target is checked by itself");
+    forwarder.record_connection_check(ms(1_400), check, false);
+    assert_eq!(forwarder.take_orphaned_flows(ms(1_400)), [], "its flow is reset");
+    assert!(forwarded(forwarder.decide(ms(1_600), &request(1, 2, token, 0))));
+    forwarder.record_connection_check(ms(1_601), check, true);
+    assert!(forwarded(forwarder.decide(ms(1_700), &request(1, 2, token, 0))));
+}
