Test: a late heartbeat of an ended target resets flows of its successor

The store may execute the last heartbeat of an ended target after its successor has started at its address. When the successor's entry then expires for a moment, its address counts as reused, though by a target that is older, and its flows are reset without a connection check. The test fails (TargetDead, 1 flow).

--- a/tests/steering_health.rs
+++ b/tests/steering_health.rs
@@ -317,3 +317,26 @@
     forwarder.record_connection_check(ms(1_601), check, true);
     assert!(forwarded(forwarder.decide(ms(1_700), &request(1, 2, token, 0))));
 }
+
+/// The last heartbeat of a target that has ended is executed late, after its successor has started at
+/// its address. Then the successor's entry expires, though it runs: its heartbeats are late as well.
+#[test]
+fn late_heartbeat_of_predecessor() {
+    for service in [STATION, FARES] {
+        let mut forwarder = forwarder(&[STATION, FARES], &[target(1, service)]);
+        forwarder.targets.merge(ms(0), removal(11, 1));
+        let successor = Target { key: 2, incarnation: 2_000, ..target(1, STATION) };
+        forwarder.targets.merge(ms(500), record(12, successor));
+        let (caller, token) = (1, place(&mut forwarder, ms(600), &opening(1, 1)).1);
+        forwarder.decide(ms(610), &request(caller, 1, token, 0));
+        forwarder.decide(ms(650), &acknowledgement(caller, 1, token, 0));
+        forwarder.targets.merge(ms(4_900), record(13, target(1, service)));
+        forwarder.targets.merge(ms(5_000), removal(14, 2));
+        assert_eq!(forwarder.take_orphaned_flows(ms(5_000)), [], "of {service}");
+        assert!(forwarded(forwarder.decide(ms(5_100), &request(caller, 1, token, 1))));
+        // Whether the successor runs is for a connection check to say.
+        let [check] = forwarder.take_connection_checks()[..] else { panic!("one check") };
+        forwarder.record_connection_check(ms(5_101), check, true);
+        assert!(forwarded(forwarder.decide(ms(5_300), &request(caller, 1, token, 1))));
+    }
+}
