Tests: the second check of an address begins after the first

check_of_predecessor expected both at once; the checks of an address follow each other now. What it asserts of flows is unchanged.

--- a/tests/steering_health.rs
+++ b/tests/steering_health.rs
@@ -310,9 +310,10 @@
     // The instance is slow, so the check takes longer than its limit.
     forwarder.decide(ms(1_180), &request(1, 2, token, 1));
     forwarder.decide(ms(1_380), &request(1, 2, token, 1));
-    assert_eq!(forwarder.take_connection_checks(), [check], "the target is checked by itself");
+    assert_eq!(forwarder.take_connection_checks(), [], "one at a time for an address");
     forwarder.record_connection_check(ms(1_400), check, false);
     assert_eq!(forwarder.take_orphaned_flows(ms(1_400)), [], "its flow is reset");
+    assert_eq!(forwarder.take_connection_checks(), [check], "the target is checked by itself");
     assert!(forwarded(forwarder.decide(ms(1_600), &request(1, 2, token, 0))));
     forwarder.record_connection_check(ms(1_601), check, true);
     assert!(forwarded(forwarder.decide(ms(1_700), &request(1, 2, token, 0))));
