--- a/src/steering/forwarder/eligibility.rs
+++ b/src/steering/forwarder/eligibility.rs
@@ -44,6 +44,16 @@
         target.is_some_and(|target| self.accepts_flows(&target.failure_domain))
     }
 
+    /// Returns whether a target is one of the given services, which those of its route may no longer be.
+    pub(super) fn is_of_services(
+        &self,
+        target: TargetIncarnation,
+        services: &[WeightedService],
+    ) -> bool {
+        let target = self.targets.get(target);
+        target.is_some_and(|target| services.iter().any(|s| s.service == target.service))
+    }
+
     /// Returns the verdict on a flow for which no target of its route's services is left.
     pub(super) fn no_target(
         &self,
--- a/src/steering/forwarder/opening.rs
+++ b/src/steering/forwarder/opening.rs
@@ -31,6 +31,7 @@
         let services = Arc::clone(&route.services);
         let reused = previous.filter(|&previous| !self.health.is_unresponsive(now, previous));
         let reused = reused.filter(|&previous| self.may_get_flow(previous));
+        let reused = reused.filter(|&previous| self.is_of_services(previous, &services));
         let reused = reused.filter(|&previous| self.may_repeat(now, packet.flow.id(), previous));
         let chosen = match reused {
             Some(reused) => reused,
--- a/tests/steering_routes.rs
+++ b/tests/steering_routes.rs
@@ -58,6 +58,16 @@
     assert_eq!(forwarder.decide(NOW, &opening(2, 2)), Verdict::Reset(ResetReason::NoRoute));
 }
 
+/// The first copy of an opening packet went to a target of the service that the route had before.
+#[test]
+fn copy_after_move() {
+    let mut forwarder = forwarder(&[STATION], &[target(1, STATION), target(2, FARES)]);
+    assert_eq!(place(&mut forwarder, NOW, &opening(1, 1)).0, 1);
+    forwarder.routes.adopt(routes(2, &[FARES])).expect("valid");
+    let copy = retransmitted_opening(1, 1, 1);
+    assert_eq!(place(&mut forwarder, NOW + Duration::from_millis(200), &copy).0, 2);
+}
+
 #[test]
 fn no_target() {
     let mut forwarder = forwarder(&[STATION], &[target(1, FARES)]);
