Targets: an earlier start at another address takes no flow over

Change: while the entry names an earlier start at another address or of another service, flows stay with the process that they are known to have. Where the clock was set back at the same address, the process there answers.

Evidence: unknown_entry_elsewhere failed before.

--- a/src/steering/forwarder/restarts.rs
+++ b/src/steering/forwarder/restarts.rs
@@ -52,9 +52,16 @@
             services.is_some_and(|s| s.iter().any(|routed| routed.service == successor.service))
         };
         let may_hold = match self.targets.get(named) {
-            Some(earlier) if earlier.service == successor.service => true,
-            Some(_) if !self.changed_service(named) => return Some(named),
-            Some(_) => false,
+            // The late write of a process that ended before this one, or an entry of another writer; where
+            // the clock was set back, the target is at its address.
+            Some(known)
+                if successor.incarnation < known.incarnation
+                    && (&successor.service, successor.address)
+                        != (&known.service, known.address) =>
+            {
+                return Some(named);
+            }
+            Some(earlier) => earlier.service == successor.service,
             None => is_routed(),
         };
         may_hold.then_some((successor.key, successor.incarnation))
--- a/tests/living_targets.rs
+++ b/tests/living_targets.rs
@@ -275,6 +275,20 @@
     assert_eq!(receiver(verdict), Ok(socket(present.address)));
 }
 
+/// As before, but the entry of the ended process was not known here.
+#[test]
+fn unknown_entry_elsewhere() {
+    let present = Target { key: 1, incarnation: 2_000, ..target(9, STATION) };
+    let mut forwarder = forwarder(&[STATION], std::slice::from_ref(&present));
+    let token = open_to(&mut forwarder, 1_100, &opening(1, 1), 1);
+    forwarder.decide(ms(1_110), &request(1, 1, token, 0));
+    forwarder.decide(ms(1_150), &acknowledgement(1, 1, token, 0));
+    forwarder.targets.merge(ms(1_500), record(12, target(1, STATION)));
+    assert_eq!(forwarder.take_orphaned_flows(ms(1_550)), []);
+    let verdict = forwarder.decide(ms(1_600), &request(1, 1, token, 1));
+    assert_eq!(receiver(verdict), Ok(socket(present.address)));
+}
+
 /// The present process is one of another service.
 #[test]
 fn late_entry_of_service() {
