Probes: a check in flight answers the probe of its address

Found in review of: targets with a check in flight were left out of the probes of their failure domain, and the packet that raises the doubt also begins a check. Two targets at one address were both probed, so that the second result could end a later check.

Change: each chosen target is probed; the result of a check in flight at its address is that of the probe.

--- a/src/steering/forwarder/reach.rs
+++ b/src/steering/forwarder/reach.rs
@@ -79,15 +79,19 @@
 
     fn start_probes(&mut self, now: Duration, due: &DueProbes) -> Vec<SocketAddr> {
         let targets = self.targets.eligible_in_domain(now, &due.domain);
-        let targets = targets.filter(|target| !self.health.is_checking(target.address.into()));
         let chosen = targets.choose_multiple(&mut self.rng, due.count);
         let chosen: Vec<_> = chosen.into_iter().map(|t| (t.key, t.address.into())).collect();
-        for &(target, address) in &chosen {
+        let mut started = Vec::new();
+        for (target, address) in chosen {
             let probe = Probe { domain: due.domain.clone(), target, started: now };
             self.domain_reach.start_probe(address, probe);
-            self.health.begin_probe(now, address);
+            // The result of a check in flight is that of the probe too.
+            if !self.health.is_checking(address) {
+                self.health.begin_probe(now, address);
+                started.push(address);
+            }
         }
-        chosen.into_iter().map(|(_, address)| address).collect()
+        started
     }
 
     /// Records the result of a connection check if it was a probe.
