Connection checks: repeat those that this process could not make

Change: the check is made again after a second, and its result is the first that says something of the target. local_errors now asks for an error of its own instead of an accepted check.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -35,6 +35,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two checks of the settings file, which may change without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
+/// Time until a connection check that could not be made is repeated.
+const CHECK_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Time limit for a probe of a target.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Size of the receive buffer, in bytes: no datagram is larger.
@@ -323,16 +325,20 @@
         let task = async move {
             let connect = || async move { TcpStream::connect(address).await.map(drop) };
             let began = Clock::now();
-            let result = check_connection(connect).await;
-            if let Err(e) = &result {
+            let accepts = loop {
+                let Err(e) = check_connection(connect).await else { break true };
                 log::info!(
                     address = address.to_string().as_str(),
                     error = e.to_string().as_str(),
                     ms = began.elapsed().as_millis() as u64;
                     "target_connect_failed"
                 );
-            }
-            daemon.handle(Event::ConnectionChecked(address, result.is_ok()));
+                if !matches!(e, CheckError::Local(_)) {
+                    break false;
+                }
+                smol::Timer::after(CHECK_RETRY_DELAY).await;
+            };
+            daemon.handle(Event::ConnectionChecked(address, accepts));
         };
         self.ex.spawn(task).detach();
     }
--- a/src/daemon/connection_check.rs
+++ b/src/daemon/connection_check.rs
@@ -24,6 +24,10 @@
     /// Both attempts failed; holds the error of the second one.
     #[display("{_0}")]
     Failed(#[error(not(source))] io::ErrorKind),
+    /// The second attempt failed within this process, for lack of descriptors or ports or without a
+    /// route, which says nothing about the target.
+    #[display("{_0}")]
+    Local(#[error(not(source))] io::ErrorKind),
     /// No attempt got an answer in time.
     #[display("timed out")]
     TimedOut,
@@ -59,21 +63,19 @@
     };
     match async { Some(first.as_mut().await.is_ok()) }.or(delay).await {
         Some(true) => Ok(()),
-        Some(false) => connect().await.or_else(judge),
+        Some(false) => connect().await.map_err(|e| classify(e.kind())),
         None => succeeds(first).or(succeeds(connect())).await,
     }
 }
 
-/// Returns the result of a check whose second attempt has failed too. An error of this process, such as
-/// a lack of descriptors, says nothing about the target, which passes.
-fn judge(e: io::Error) -> Result<(), CheckError> {
-    match e.kind() {
-        kind @ (io::ErrorKind::ConnectionRefused
+fn classify(kind: io::ErrorKind) -> CheckError {
+    match kind {
+        io::ErrorKind::ConnectionRefused
         | io::ErrorKind::ConnectionReset
         | io::ErrorKind::ConnectionAborted
         | io::ErrorKind::HostUnreachable
-        | io::ErrorKind::TimedOut) => Err(CheckError::Failed(kind)),
-        _ => Ok(()),
+        | io::ErrorKind::TimedOut => CheckError::Failed(kind),
+        _ => CheckError::Local(kind),
     }
 }
 
--- a/tests/connection_check.rs
+++ b/tests/connection_check.rs
@@ -115,6 +115,6 @@
     const ENETUNREACH: i32 = 101;
     for errno in [EMFILE, EADDRNOTAVAIL, ENETUNREACH] {
         let (result, ..) = check(&[Attempt::Failed(errno), Attempt::Failed(errno)]);
-        assert_eq!(result, Ok(()), "{}", io::Error::from_raw_os_error(errno));
+        assert!(matches!(result, Err(CheckError::Local(_))), "{result:?}");
     }
 }
