Flows: packets of an earlier flow of the port say nothing about the later one

Found in review: an attempt that never opened counted as an unanswered packet of a later flow, and a late closing packet ended the record of the later one. And the table held packets of a flow at a target whose late answer only the first of them named: all later ones went there.

Change: half-open entries, closing packets and resets count only if their sequence numbers fit; the table overrides a token only once the target has responded since the handshake.

--- a/src/steering/flows.rs
+++ b/src/steering/flows.rs
@@ -57,6 +57,8 @@
     waiting_since: Option<Duration>,
     /// Whether its response has been reported as overdue.
     overdue: bool,
+    /// Whether the caller has acknowledged a response since the handshake.
+    answered: bool,
 }
 
 impl Flow {
@@ -113,9 +115,18 @@
         continues.then_some(flow.target)
     }
 
+    /// Returns the target of the open flow to which a packet belongs, if the target has responded
+    /// since the handshake. Until then the token of a late answer may have misled this table.
+    pub(super) fn answered_at(&self, packet: &FlowPacket) -> Option<TargetIncarnation> {
+        let flow = self.flows.get(&packet.flow.id())?;
+        let is_answered = flow.answered || sequence_after(packet.ack, flow.ack);
+        self.open_at(packet).filter(|_| is_answered)
+    }
+
     /// Returns the target of a half-open flow and when its first opening packet was sent.
-    pub(super) fn half_open(&self, flow: FlowId) -> Option<(TargetIncarnation, Duration)> {
-        let flow = self.flows.get(&flow).filter(|flow| !flow.open)?;
+    pub(super) fn half_open(&self, packet: &FlowPacket) -> Option<(TargetIncarnation, Duration)> {
+        let is_same = |flow: &&Flow| !flow.open && !flow.is_far_from(packet);
+        let flow = self.flows.get(&packet.flow.id()).filter(is_same)?;
         Some((flow.target, flow.waiting_since?))
     }
 
@@ -153,6 +164,7 @@
         match packet.kind {
             PacketKind::Opening { repeats } => self.record_opening(now, packet, target, repeats),
             PacketKind::Within => self.record_within(now, packet, target),
+            PacketKind::Closing | PacketKind::Reset if !self.knows(packet) => FlowSignal::Nothing,
             PacketKind::Closing => {
                 self.close(now, id);
                 FlowSignal::Nothing
@@ -285,7 +297,8 @@
         let id = packet.flow.id();
         let previous = self.flows.get(&id).copied();
         self.remove(id);
-        let first_sent = previous.filter(|_| repeats > 0).and_then(|flow| flow.waiting_since);
+        let first_copy = previous.filter(|flow| repeats > 0 && !flow.is_far_from(packet));
+        let first_sent = first_copy.and_then(|flow| flow.waiting_since);
         let next_sequence = packet.sequence.wrapping_add(1);
         self.insert(
             id,
@@ -300,6 +313,7 @@
                 ack: 0,
                 waiting_since: Some(first_sent.unwrap_or(now)),
                 overdue: false,
+                answered: false,
             },
         );
         FlowSignal::Nothing
@@ -331,6 +345,7 @@
                 ack,
                 waiting_since,
                 overdue: false,
+                answered: false,
             };
             self.insert(id, flow);
             return FlowSignal::Nothing;
@@ -345,6 +360,7 @@
         let is_retransmission = packet.data_len > 0 && !has_new_data;
         let waited = flow.waiting_since.map(|since| now.saturating_sub(since));
         if has_response {
+            flow.answered = flow.open;
             flow.open = true;
             flow.ack = packet.ack;
             flow.waiting_since = None;
--- a/src/steering/forwarder/opening.rs
+++ b/src/steering/forwarder/opening.rs
@@ -19,7 +19,7 @@
         if self.flows.open_at(packet).is_some() {
             return Verdict::Drop(DropReason::LateCopy);
         }
-        let previous = self.flows.half_open(packet.flow.id()).filter(|_| repeats > 0);
+        let previous = self.flows.half_open(packet).filter(|_| repeats > 0);
         if let Some((previous, since)) = previous {
             let waited = now.saturating_sub(since);
             self.record_unanswered(now, previous, packet, waited);
--- a/src/steering/node/held_openings.rs
+++ b/src/steering/node/held_openings.rs
@@ -21,7 +21,7 @@
         // A flow that already has a target is not held back. An instance that stops holds nothing.
         self.leaving_since.is_none()
             && self.forwarder.ready()
-            && self.forwarder.flows.half_open(packet.flow.id()).is_none()
+            && self.forwarder.flows.half_open(packet).is_none()
             && self.forwarder.yields(now, packet.flow.service, now.saturating_sub(first_sent))
     }
 
--- a/tests/late_answers.rs
+++ b/tests/late_answers.rs
@@ -57,6 +57,22 @@
     assert!(matches!(verdict, Verdict::Forward(..)), "{verdict:?}");
 }
 
+/// The first packet of a flow carries the token of a late answer, the later ones that of the flow.
+#[test]
+fn first_packet_mistaken() {
+    let mut forwarder = two_targets();
+    let first = place(&mut forwarder, ms(0), &opening(PORT, 1));
+    place(&mut forwarder, ms(200), &retransmitted_opening(PORT, 1, 1));
+    let second = place(&mut forwarder, ms(600), &retransmitted_opening(PORT, 1, 2));
+    assert_ne!(second, first);
+    forwarder.decide(ms(610), &request(PORT, 1, first.1, 0));
+    for at in [800, 1_000, 1_400] {
+        let verdict = forwarder.decide(ms(at), &request(PORT, 1, second.1, 0));
+        let is_own = matches!(verdict, Verdict::Forward(target, _) if target.key == second.0);
+        assert!(is_own, "{verdict:?}");
+    }
+}
+
 /// A copy of the opening packet is read after the flow has opened, and its target no longer accepts
 /// others. The copy was refused with a reset, which ends the open flow.
 #[test]
--- a/tests/reused_ports.rs
+++ b/tests/reused_ports.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use limpetdeck::steering::{DropReason, FlowPacket, Forwarder, Target, Verdict};
+use limpetdeck::steering::{DropReason, FlowPacket, Forwarder, PacketKind, Target, Verdict};
 use support::*;
 
 /// Opens a flow until it is placed on a target, and returns its token.
@@ -93,3 +93,28 @@
     let verdict = forwarder.decide(ms(2_010), &request(1, 1, token, 1));
     assert!(matches!(verdict, Verdict::Reset(_)), "{verdict:?}");
 }
+
+/// A late closing packet of the port's earlier flow does not end the later one.
+#[test]
+fn late_close() {
+    let mut forwarder = two_targets();
+    let far = |packet: FlowPacket| FlowPacket { sequence: packet.sequence ^ 1 << 30, ..packet };
+    let (_, earlier) = place(&mut forwarder, ms(0), &opening(1, 1));
+    forwarder.decide(ms(10), &request(1, 1, earlier, 0));
+    let (_, later) = place(&mut forwarder, ms(5_000), &far(opening(1, 1)));
+    forwarder.decide(ms(5_010), &far(request(1, 1, later, 0)));
+    let closing = FlowPacket { kind: PacketKind::Closing, ..request(1, 1, earlier, 1) };
+    forwarder.decide(ms(5_020), &closing);
+    let verdict = forwarder.decide(ms(5_030), &far(opening(1, 1)));
+    assert_eq!(verdict, Verdict::Drop(DropReason::LateCopy));
+}
+
+/// An attempt on the port that never opened is no unanswered packet of a later one.
+#[test]
+fn earlier_attempt() {
+    let mut forwarder = two_targets();
+    open_to(&mut forwarder, ms(0), &opening(1, 1), 1);
+    let copy = FlowPacket { sequence: 1 << 30, ..retransmitted_opening(1, 1, 1) };
+    forwarder.decide(ms(9_000), &copy);
+    assert_eq!(forwarder.take_health_changes(), []);
+}
