Targets: a late record of the present one does not mark it, and dead ones end

Found in review: the record of a living target that arrives after the late write of an ended one still marked it as replaced. While an outdated entry stood under a target's key, its flows were renewed with each packet, so no failed check ended them.

Change: has_successor looks at when incarnations appeared, too; such flows stay in the table; records of ended incarnations are ignored for 10 s, longer than the platform may hold a write back.

--- a/src/steering/directory.rs
+++ b/src/steering/directory.rs
@@ -33,6 +33,9 @@
 /// during the outage are registered again within two seconds.
 const REMOVAL_GRACE: Duration = Duration::from_millis(2_300);
 
+/// Time for which writes of a process that has ended may still be executed.
+const MAX_WRITE_DELAY: Duration = Duration::from_secs(10);
+
 /// The platform's latest record of a target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetRecord {
@@ -153,7 +156,7 @@
 
     /// Merges a record. Returns whether it changed the directory.
     pub fn merge(&mut self, now: Duration, record: TargetRecord) -> bool {
-        if !self.is_newer(&record) {
+        if !self.is_newer(now, &record) {
             return false;
         }
         if record.target.is_none() && !self.entries.contains_key(&record.key) {
@@ -392,20 +395,20 @@
 
     /// Returns whether a record is of an incarnation that has ended: the platform may execute a
     /// write seconds after it was sent.
-    fn is_of_ended(&self, record: &TargetRecord, entry: &Entry) -> bool {
-        record.target.as_ref().is_some_and(|target| {
-            target.incarnation < entry.target.incarnation
-                && self.replaced.contains_key(&(record.key, target.incarnation))
-        })
+    fn is_of_ended(&self, now: Duration, record: &TargetRecord, entry: &Entry) -> bool {
+        let Some(target) = &record.target else { return false };
+        let ended = self.replaced.get(&(record.key, target.incarnation));
+        target.incarnation < entry.target.incarnation
+            && ended.is_some_and(|(_, at)| now < *at + MAX_WRITE_DELAY)
     }
 
     /// Returns whether a record is newer than what is known of its target.
-    fn is_newer(&self, record: &TargetRecord) -> bool {
+    fn is_newer(&self, now: Duration, record: &TargetRecord) -> bool {
         let Some(entry) = self.entries.get(&record.key) else {
             // A target without an entry was already removed at `complete_up_to`.
             return record.position > self.complete_up_to;
         };
-        if self.is_of_ended(record, entry) {
+        if self.is_of_ended(now, record, entry) {
             return false;
         }
         // So was a target that is known to be removed.
@@ -473,7 +476,7 @@
         if let Some(restarted) = self.mark_replaced(position, appeared, &target) {
             self.takeovers.record_restart(&restarted);
         }
-        let replaced = self.has_successor(position, &target);
+        let replaced = self.has_successor(position, appeared, &target);
         self.takeovers.insert(&target);
         let domains = self.by_service.entry(target.service.clone()).or_default();
         domains.entry(target.failure_domain.clone()).or_default().push(key);
--- a/src/steering/directory/takeovers.rs
+++ b/src/steering/directory/takeovers.rs
@@ -56,14 +56,21 @@
     }
 
     /// Returns whether a later target of the service is at the address of a target whose record has
-    /// arrived: records may arrive in any order.
-    pub(super) fn has_successor(&self, position: Position, target: &Target) -> bool {
+    /// arrived: records may arrive in any order. As in [`TargetDirectory::mark_replaced`], one that
+    /// `appeared` earlier is none.
+    pub(super) fn has_successor(
+        &self,
+        position: Position,
+        appeared: Position,
+        target: &Target,
+    ) -> bool {
         let keys = self.takeovers.by_address.get(&target.address).into_iter().flatten();
         let is_successor = |entry: &Entry| {
             !entry.removed
                 && entry.target.service == target.service
                 && entry.target.incarnation > target.incarnation
                 && entry.position > position.max(self.copied_up_to)
+                && (entry.appeared.era != appeared.era || entry.appeared > appeared)
         };
         keys.filter_map(|key| self.entries.get(key)).any(is_successor)
     }
@@ -73,8 +80,8 @@
     /// meanwhile. A record from a copy of the platform's data marks none: its position says nothing
     /// about entries of earlier eras.
     ///
-    /// A target whose incarnation `appeared` before another one did is not its successor, even if its clock
-    /// says so: the platform may execute a write of a target that has ended.
+    /// A target whose incarnation `appeared` before another one did is not its successor, even if
+    /// its clock says so: the platform may execute a write of a target that has ended.
     pub(super) fn mark_replaced(
         &mut self,
         position: Position,
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -306,7 +306,7 @@
             return Verdict::Drop(DropReason::EarlierFlow);
         }
         // A target that answers a copy of the opening packet late does not take the flow over.
-        let open_at = self.flows.open_at(packet).filter(|(key, _)| *key != named.0);
+        let open_at = self.flows.answered_at(packet).filter(|(key, _)| *key != named.0);
         let Some(incarnation) = self.possible_holder(service, open_at.unwrap_or(named)) else {
             return match packet.kind {
                 PacketKind::Reset => Verdict::Drop(DropReason::UnknownToken),
@@ -406,7 +406,9 @@
         for incarnation in targets {
             let (reason, before) = match () {
                 () if self.changed_service(incarnation) => (ResetReason::TargetRestarted, now),
-                () if self.targets.has_restarted(incarnation) => {
+                () if self.targets.has_restarted(incarnation)
+                    && !self.has_outdated_entry(incarnation) =>
+                {
                     // Those that the target holds are added again with their next packets.
                     self.flows.remove_flows(incarnation);
                     continue;
--- a/src/steering/forwarder/restarts.rs
+++ b/src/steering/forwarder/restarts.rs
@@ -39,6 +39,17 @@
         })
     }
 
+    /// Returns whether the entry of a target names an earlier start than a known one, elsewhere or of
+    /// another service. It is the late write of a process that had ended by then, or an entry of another
+    /// writer. Where the clock was set back, the target is at its address.
+    pub(super) fn has_outdated_entry(&self, known: TargetIncarnation) -> bool {
+        let entry = self.targets.successor(known);
+        self.targets.get(known).zip(entry).is_some_and(|(known, entry)| {
+            entry.incarnation < known.incarnation
+                && (&entry.service, entry.address) != (&known.service, known.address)
+        })
+    }
+
     /// Returns the incarnation of a target that may hold the flows whose token names `named`, or
     /// `None` if the target has restarted as one of another service.
     pub(super) fn possible_holder(
@@ -52,15 +63,7 @@
             services.is_some_and(|s| s.iter().any(|routed| routed.service == successor.service))
         };
         let may_hold = match self.targets.get(named) {
-            // The late write of a process that ended before this one, or an entry of another writer; where
-            // the clock was set back, the target is at its address.
-            Some(known)
-                if successor.incarnation < known.incarnation
-                    && (&successor.service, successor.address)
-                        != (&known.service, known.address) =>
-            {
-                return Some(named);
-            }
+            Some(_) if self.has_outdated_entry(named) => return Some(named),
             Some(earlier) => earlier.service == successor.service,
             None => is_routed(),
         };
--- a/tests/living_targets.rs
+++ b/tests/living_targets.rs
@@ -253,6 +253,44 @@
     assert!(receiver(verdict).is_ok(), "{verdict:?}");
 }
 
+/// As before, and the present target's own next record arrives only then.
+#[test]
+fn late_record_of_living() {
+    let ahead = Target { incarnation: 3_000, ..target(1, STATION) };
+    let mut forwarder = forwarder(&[STATION], std::slice::from_ref(&ahead));
+    forwarder.targets.merge(ms(1_000), removal(11, 1));
+    forwarder.targets.merge(ms(1_000), record(12, successor(9)));
+    let token = open_to(&mut forwarder, 1_100, &opening(1, 1), 9);
+    forwarder.decide(ms(1_110), &request(1, 1, token, 0));
+    forwarder.targets.merge(ms(2_000), record(14, ahead));
+    let draining = Target { state: TargetState::Draining, ..successor(9) };
+    forwarder.targets.merge(ms(2_010), record(13, draining));
+    assert_eq!(forwarder.take_orphaned_flows(ms(2_100)), []);
+}
+
+/// The flow of a target that is dead ends, although an odd entry has replaced the target's.
+#[test]
+fn dead_with_odd_entry() {
+    let mut forwarder = forwarder(&[STATION, FARES], &[target(1, STATION)]);
+    let (_, token) = place(&mut forwarder, ms(1_000), &opening(1, 1));
+    forwarder.decide(ms(1_010), &request(1, 1, token, 0));
+    forwarder.decide(ms(1_050), &acknowledgement(1, 1, token, 0));
+    let odd = Target { incarnation: 0, ..target(1, FARES) };
+    forwarder.targets.merge(ms(1_100), record(11, odd));
+    let request = FlowPacket { ack: 6_000, ..request(1, 1, token, 1) };
+    let mut told = false;
+    for at in (1_200..4_000).step_by(100) {
+        told |= !forwarder.take_orphaned_flows(ms(at)).is_empty();
+        if at % 400 == 0 {
+            told |= matches!(forwarder.decide(ms(at), &request), Verdict::Reset(_));
+        }
+        for address in forwarder.take_connection_checks() {
+            forwarder.record_connection_check(ms(at + 10), address, false);
+        }
+    }
+    assert!(told);
+}
+
 /// Opens a flow to a target that has started again under its key, and merges the entry of its ended
 /// process once more.
 fn late_entry_of_ended(present: &Target) -> (Forwarder, Token) {
