Drawn flows: judge without excuses (red)

Cause: the rule's excuses hid each reset of an open flow whose target was alive but disturbed, and connection checks in the drawn runs never failed for a living target. Change: held_flows_kept plays the same draws with more kinds (machines that stand still, failure domains that do not reach each other, short stalls of instances) and checks that mislead: no answer or a refusal over cut paths, full targets, late results, results after a stall, lost packets. It lists resets of flows that the target holds by reason, evidence and why the check failed, and how callers of lost flows learn of it. Flows of routes that a configuration removed are counted apart, as the rule allows their reset. sound_flows_kept draws as before.

--- a/tests/drawn_flows.rs
+++ b/tests/drawn_flows.rs
@@ -11,6 +11,8 @@
 mod flow_callers;
 #[path = "support/flow_targets.rs"]
 mod flow_targets;
+#[path = "support/flow_verdicts.rs"]
+mod flow_verdicts;
 #[path = "support/flow_world.rs"]
 mod flow_world;
 #[path = "support/losses.rs"]
@@ -27,6 +29,7 @@
 use std::ops::Range;
 use std::time::Duration;
 
+use flow_verdicts::Totals;
 use flow_world::FlowWorld;
 use limpetdeck::steering::{Target, TargetKey, TargetState};
 use losses::Loss;
@@ -65,6 +68,27 @@
     "routes",
     "stops",
 ];
+/// Kinds that are judged without excuses only.
+const ALL_KINDS: [&str; 18] = [
+    "restarts",
+    "moved",
+    "new_ids",
+    "reused",
+    "late_writes",
+    "slow",
+    "full",
+    "frozen",
+    "cuts",
+    "outages",
+    "restores",
+    "losses",
+    "drains",
+    "routes",
+    "stops",
+    "halted",
+    "splits",
+    "stalls",
+];
 /// The kinds that are planned work.
 const PLANNED: [&str; 3] = ["drains", "routes", "stops"];
 /// Unplanned losses of an instance.
@@ -91,6 +115,10 @@
     /// A write of a process that has ended reaches the platform.
     WriteLate(Target),
     Freeze(usize, Duration),
+    Halt(usize, Duration),
+    /// The failure domains do not reach each other, until they join.
+    Split,
+    Join,
     Cut(usize, Duration),
     Slow(usize, Duration),
     Full(usize, Duration),
@@ -122,17 +150,18 @@
 }
 
 impl Run {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, kinds: &'static [&'static str], without_excuses: bool) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let instances = rng.random_range(4..=8);
         let planned_only = rng.random_bool(0.2);
-        let all = if planned_only { &PLANNED[..] } else { &KINDS[..] };
+        let all = if planned_only { &PLANNED[..] } else { kinds };
         let without = std::env::var("DRAWN_WITHOUT").unwrap_or_default();
         let share = *[0.25, 0.5].choose(&mut rng).expect("not empty");
         let kinds = all.iter().copied().filter(|_| planned_only || rng.random_bool(share));
         let kinds: Vec<_> = kinds.filter(|kind| !without.split(',').any(|w| w == *kind)).collect();
         let mut flows = FlowWorld::new(seed, instances);
         flows.planned_only = planned_only;
+        flows.misleading = without_excuses;
         flows.duplicate = *[0.0, 0.02].choose(&mut rng).expect("not empty");
         flows.echo_any = std::env::var("DRAWN_ECHO").is_ok_and(|echo| echo == "any");
         for key in 1..=6 {
@@ -184,16 +213,21 @@
             "restarts" | "moved" | "new_ids" | "reused" | "late_writes" => {
                 self.draw_restart(kind, begin);
             }
-            "slow" | "full" | "frozen" | "cuts" => {
+            "slow" | "full" | "frozen" | "halted" | "cuts" => {
                 let Some(p) = self.pick_process() else { return };
                 let step = match kind {
                     "slow" => Step::Slow(p, long),
                     "full" => Step::Full(p, long),
                     "frozen" => Step::Freeze(p, long),
+                    "halted" => Step::Halt(p, long),
                     _ => Step::Cut(p, long),
                 };
                 self.plan(begin, step);
             }
+            "splits" => {
+                self.plan(begin, Step::Split);
+                self.plan(begin + long, Step::Join);
+            }
             "outages" => {
                 self.plan(begin, Step::StoreDown);
                 self.plan(begin + long, Step::StoreUp);
@@ -213,6 +247,7 @@
                     self.plan(begin + short * n, Step::Routes);
                 }
             }
+            "stalls" => self.draw_loss(Loss::Paused, begin, short),
             "losses" | "stops" => {
                 let loss = *LOSSES.choose(&mut self.rng).expect("not empty");
                 let is_stop = kind == "stops";
@@ -273,7 +308,7 @@
         let now = self.flows.world.now;
         self.flows.log(format!("{step:?}"));
         match step {
-            Step::Crash(p) => self.flows.processes[p].crash(),
+            Step::Crash(p) => self.flows.crash(p),
             Step::Start { entry, delay } => self.flows.start_process(entry, delay),
             Step::WriteLate(entry) => {
                 if !self.flows.world.store.down {
@@ -281,6 +316,12 @@
                 }
             }
             Step::Freeze(p, span) => self.flows.processes[p].frozen_until = now + span,
+            Step::Halt(p, span) => {
+                self.flows.processes[p].frozen_until = now + span;
+                self.flows.processes[p].halted_until = now + span;
+            }
+            Step::Split => self.flows.world.split = true,
+            Step::Join => self.flows.world.split = false,
             Step::Cut(p, span) => self.flows.processes[p].cut_until = now + span,
             Step::Slow(p, span) => self.flows.processes[p].slow_until = now + span,
             Step::Full(p, span) => self.flows.processes[p].full_until = now + span,
@@ -408,7 +449,7 @@
     let mut failed = Vec::new();
     let (mut opened, mut resets) = (0, BTreeMap::<String, u32>::new());
     for seed in seeds() {
-        let mut run = Run::new(seed);
+        let mut run = Run::new(seed, &KINDS, false);
         run.play();
         opened += run.flows.flows.len();
         for (reason, n) in &run.flows.resets {
@@ -428,3 +469,29 @@
     println!("flows={opened} resets={resets:?} failed={}", failed.len());
     assert!(failed.is_empty(), "{failed:?}");
 }
+
+/// No instance resets a flow that its target still holds, and no packets go to other targets only,
+/// whatever is disturbed. `DRAWN_VERBOSE=1` prints the first flow of each kind and seed.
+#[test]
+fn held_flows_kept() {
+    let verbose = std::env::var("DRAWN_VERBOSE").is_ok();
+    let mut failed = Vec::new();
+    let mut total = Totals::default();
+    let mut opened = 0;
+    for seed in seeds() {
+        let mut run = Run::new(seed, &ALL_KINDS, true);
+        run.play();
+        opened += run.flows.flows.len();
+        let verdicts = run.flows.end();
+        if !verdicts.held.is_empty() {
+            println!("seed={seed} kinds={:?} held={:?}", run.kinds, verdicts.held);
+            failed.push(seed);
+        }
+        if verbose {
+            verdicts.first.iter().for_each(|(name, first)| println!("{name}: {first}\n"));
+        }
+        total.add(verdicts);
+    }
+    println!("flows={opened} seeds with held flows: {}\n{total}", failed.len());
+    assert!(failed.is_empty(), "{failed:?}");
+}
--- a/tests/support/flow_callers.rs
+++ b/tests/support/flow_callers.rs
@@ -19,7 +19,7 @@
 /// Time after which a caller takes no acceptance any more.
 const MAX_OPENING: Duration = Duration::from_millis(1_400);
 /// Time after which a caller gives up a request.
-const DEADLINE: Duration = Duration::from_secs(6);
+pub(super) const DEADLINE: Duration = Duration::from_secs(6);
 /// Age at which a caller closes its flow.
 const MAX_AGE: Duration = Duration::from_secs(30);
 
@@ -36,13 +36,19 @@
     pub route: u8,
     begun: Duration,
     pub last_packet: Duration,
-    token: Token,
+    pub(super) token: Token,
     /// Process whose sequence number the caller has acknowledged, and the number.
     pub accepted: Option<(usize, u32)>,
     /// Whether the acknowledgement has reached the process.
     pub open: bool,
     /// Number of requests that were answered.
     answered: u32,
+    /// When the request that is not answered yet was first sent.
+    pub(super) requested: Option<Duration>,
+    /// When its target lost it.
+    pub lost: Option<Duration>,
+    /// Whether an instance has reset it, or its packets went to other targets only.
+    pub(super) counted: bool,
     pub ended: bool,
     /// Whether a configuration has dropped its route.
     pub dropped: bool,
@@ -127,6 +133,9 @@
             accepted: None,
             open: false,
             answered: 0,
+            requested: None,
+            lost: None,
+            counted: false,
             ended: false,
             dropped: !self.routes.contains(&route),
             strayed: Vec::new(),
@@ -158,8 +167,11 @@
         let waited = 200 * ((1 << tries.min(3)) - 1) + 1_600 * u64::from(tries.saturating_sub(3));
         if ms(waited) > DEADLINE {
             flow.ended = true;
+            self.count_notice(port, "time-out");
             return;
         }
+        let now = self.world.now;
+        flow.requested.get_or_insert(now);
         let packet = request(port, flow.route, flow.token, nth);
         self.send(&FlowPacket { ack: sequence + 1 + 1_000 * nth, ..packet });
         let wait = ms(200 << tries.min(3));
@@ -191,11 +203,17 @@
             }
             (Reply::Response { nth, closes }, _) if owner == Some(from) && nth == flow.answered => {
                 flow.answered += 1;
+                flow.requested = None;
                 flow.ended = closes || now > flow.begun + MAX_AGE;
                 let ended = flow.ended;
                 self.acknowledge(port, ended);
             }
             (Reply::Reset, _) => {
+                let by_target = matches!(from, Sender::Process(_));
+                self.count_notice(port, if by_target { "target's word" } else { reason });
+                if owner != Some(from) {
+                    self.count_reset(port, from, via, reason);
+                }
                 if owner != Some(from) {
                     self.check_reset(port, from, via, reason);
                 }
--- a/tests/support/flow_targets.rs
+++ b/tests/support/flow_targets.rs
@@ -29,6 +29,8 @@
     /// When it was last disturbed.
     pub disturbed: Duration,
     pub frozen_until: Duration,
+    /// Until when its whole machine stands still, so that connections are not accepted either.
+    pub halted_until: Duration,
     pub cut_until: Duration,
     /// Until when it drops opening packets.
     pub full_until: Duration,
@@ -62,6 +64,7 @@
             // The targets that are there before the instances count as undisturbed.
             disturbed: if now > ms(2_000) { now } else { Duration::ZERO },
             frozen_until: Duration::ZERO,
+            halted_until: Duration::ZERO,
             cut_until: Duration::ZERO,
             full_until: Duration::ZERO,
             slow_until: Duration::ZERO,
@@ -154,7 +157,7 @@
         let now = self.world.now;
         let Some(p) = self.processes.iter().position(|p| p.runs_at(to)) else { return };
         let process = &self.processes[p];
-        if now < process.cut_until {
+        if now < process.cut_until || self.is_split(via, process) {
             return;
         }
         if now < process.frozen_until {
--- a/tests/support/flow_world.rs
+++ b/tests/support/flow_world.rs
@@ -12,6 +12,7 @@
 
 use super::flow_callers::{Flow, Router, Sender};
 use super::flow_targets::{Process, Reply};
+use super::flow_verdicts::Verdicts;
 use super::support::*;
 use super::world::*;
 
@@ -21,9 +22,9 @@
 const FLOW_TIME: Duration = Duration::from_secs(2);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time after which a connection check without an answer has failed.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(350);
+pub(super) const CHECK_TIMEOUT: Duration = Duration::from_millis(350);
 /// Time before a break whose events are reported.
-const REPORTED: Duration = Duration::from_secs(12);
+pub(super) const REPORTED: Duration = Duration::from_secs(12);
 
 /// What happens outside the instances at a time.
 #[derive(Debug)]
@@ -73,12 +74,16 @@
     pub echo_any: bool,
     /// Share of the callers' packets that are duplicated.
     pub duplicate: f64,
-    events: Vec<(Duration, String)>,
+    pub(super) events: Vec<(Duration, String)>,
     pub breaks: Vec<String>,
     /// Refusals of each instance at its last event, by reason.
     refusals: Vec<BTreeMap<String, u64>>,
     /// Number of resets by instances, by reason.
     pub resets: BTreeMap<String, u32>,
+    /// Whether connection checks mislead: some results are late or lost.
+    pub misleading: bool,
+    /// What is judged without excuses.
+    pub verdicts: Verdicts,
 }
 
 impl FlowWorld {
@@ -106,6 +111,8 @@
             breaks: Vec::new(),
             refusals: vec![BTreeMap::new(); instances],
             resets: BTreeMap::new(),
+            misleading: false,
+            verdicts: Verdicts::new(seed),
         }
     }
 
@@ -155,6 +162,7 @@
         match scheduled {
             Scheduled::ToInstance(i, buf) => self.handle(i, Event::Packet(buf)),
             Scheduled::Checked(i, address, accepts) => {
+                let accepts = accepts && !self.is_stalled(i, address);
                 self.handle(i, Event::ConnectionChecked(address, accepts));
             }
             Scheduled::ToTarget(via, to, buf) => self.reach_target(via, to, buf),
@@ -177,7 +185,8 @@
             let refusals = self.world.node(i).status(self.world.now).refusals;
             let rose = refusals.into_iter().filter(|(k, n)| self.refusals[i].get(k) != Some(n));
             let reasons: Vec<_> = rose.map(|(reason, _)| reason).collect();
-            let reason = reasons.join("+");
+            let mut reason = reasons.join("+");
+            self.add_evidence(i, to.port(), &mut reason);
             *self.resets.entry(reason.clone()).or_default() += 1;
             let (port, from, reply) = (to.port(), Sender::Instance(i), Reply::Reset);
             let token = NO_TOKEN;
@@ -192,6 +201,9 @@
     }
 
     fn check_connection(&mut self, i: usize, address: SocketAddr) {
+        if self.misleading {
+            return self.check_misleadingly(i, address);
+        }
         let now = self.world.now;
         let process = self.processes.iter().find(|p| p.runs_at(address));
         let accepts = process.is_some_and(|p| now >= p.cut_until);
@@ -228,6 +240,7 @@
             flow.strayed.retain(|(at, _)| now < *at + FLOW_TIME);
             if flow.strayed.len() >= 3 {
                 let strayed = flow.strayed.clone();
+                self.count_stray(port, p);
                 let excused = strayed.iter().any(|(_, via)| !self.in_touch(*via));
                 self.judge(port, excused, &format!("strays to p{p} via i{via}"));
             }
--- a/tests/support/steering_world.rs
+++ b/tests/support/steering_world.rs
@@ -127,6 +127,8 @@
     pub exited: Vec<bool>,
     /// Instances whose messages to and from peers are lost.
     pub partitioned: Vec<usize>,
+    /// Whether the failure domains do not reach each other.
+    pub split: bool,
     /// Probability that a message to a peer is lost.
     pub loss: f64,
     /// Whether each instance obeys orders to drain failure domains from its next start on.
@@ -187,6 +189,7 @@
             datagrams: vec![Vec::new(); instances],
             exited: vec![false; instances],
             partitioned: Vec::new(),
+            split: false,
             loss: 0.0,
             domain_drains: domain_drains.to_vec(),
             keys: vec![KEY.into(); instances],
@@ -282,7 +285,10 @@
     }
 
     fn reaches(&self, from: usize, to: usize) -> bool {
-        to < self.nodes.len() && ![from, to].iter().any(|i| self.partitioned.contains(i))
+        let is_split = self.split && from % self.domains != to % self.domains;
+        to < self.nodes.len()
+            && !is_split
+            && ![from, to].iter().any(|i| self.partitioned.contains(i))
     }
 
     pub fn deliver_later(&mut self, to: usize, event: Event) {
