Drawn flows: print how long callers of lost flows waited

Cause: medians alone do not show what a kind of evidence is worth. Change: the total is printed; nothing is judged by it.

--- a/tests/support/flow_verdicts.rs
+++ b/tests/support/flow_verdicts.rs
@@ -262,6 +262,9 @@
             let (n, waiting) = (notices.len(), saved.len());
             writeln!(f, "  {name}: {n}, {after:.2}, {waiting}, {:.2}", median(saved))?;
         }
+        let saved = self.notices.values().flatten().filter_map(|notice| notice.saved);
+        let waited: Vec<_> = saved.map(|saved| (DEADLINE - saved).as_secs_f64()).collect();
+        writeln!(f, "callers of lost flows waited {:.0} s in all", waited.iter().sum::<f64>())?;
         Ok(())
     }
 }
