limpetdeck-entry: resets of open flows of living targets (red)

Cause: the daemon resets the flows of a target as dead when its two probers agree for three probes, though the target answers others, or answers them with an error; its own packets to callers do not count. The fleet of simulated targets can cut single paths, answer probes with errors and let instances stand still.

--- a/tests/support/target_fleet.rs
+++ b/tests/support/target_fleet.rs
@@ -1,7 +1,7 @@
 //! A fleet of [`Targets`] on a simulated network, with simulated targets.
 #![allow(dead_code, reason = "not every test file uses all helpers")]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -54,6 +54,14 @@
     pub target_partition: BTreeMap<TargetId, u32>,
     /// Index of an instance whose probes all fail.
     pub failing_prober: Option<usize>,
+    /// Instances, by index, and targets between which the path is cut.
+    pub cut: BTreeSet<(usize, TargetId)>,
+    /// Targets that answer each probe with an error.
+    pub errors: BTreeMap<TargetId, ProbeError>,
+    /// Time until a target answers a probe.
+    pub probe_delay: Duration,
+    /// Until when each instance stands still: its events wait.
+    pub stalled_until: Vec<Duration>,
     /// Placer of all services.
     pub placer: Option<InstanceId>,
     membership_due: Option<Duration>,
@@ -102,6 +110,10 @@
             instance_partition: vec![0; instances as usize],
             target_partition: (1..=targets).map(|id| (id, 0)).collect(),
             failing_prober: None,
+            cut: BTreeSet::new(),
+            errors: BTreeMap::new(),
+            probe_delay: DELAY,
+            stalled_until: vec![Duration::ZERO; instances as usize],
             placer: None,
             membership_due: None,
             events: BTreeMap::new(),
@@ -192,7 +204,15 @@
             if entry.key().0 > now {
                 break;
             }
-            match entry.remove() {
+            let event = entry.remove();
+            let (Event::Peer(node, _) | Event::ProbeFinished(node, ..)) = event;
+            if now < self.stalled_until[node] {
+                let wait = self.stalled_until[node] - now;
+                let event = self.late(event, wait);
+                self.schedule(wait, event);
+                continue;
+            }
+            match event {
                 Event::Peer(to, buf) => self.receive(to, &buf),
                 Event::ProbeFinished(to, target, result) => {
                     self.with_targets(to, |targets, now, out| {
@@ -202,7 +222,9 @@
             }
         }
         for node in 0..self.nodes.len() {
-            if self.nodes[node].next_tick <= now {
+            if self.nodes[node].next_tick <= now && now < self.stalled_until[node] {
+                self.nodes[node].next_tick = self.stalled_until[node];
+            } else if self.nodes[node].next_tick <= now {
                 self.nodes[node].next_tick += TICK;
                 let live = self.live(node);
                 let placer = self.placer;
@@ -254,10 +276,15 @@
             }
             Action::Probe(target, _) => {
                 let reachable = self.instance_partition[node] == self.target_partition[&target]
-                    && self.failing_prober != Some(node);
+                    && self.failing_prober != Some(node)
+                    && !self.cut.contains(&(node, target));
                 let result = self.reports[&target].filter(|_| reachable);
+                if let Some(error) = self.errors.get(&target).filter(|_| result.is_some()) {
+                    let event = Event::ProbeFinished(node, target, Err(error.clone()));
+                    return self.schedule(DELAY, event);
+                }
                 let failed = || ProbeError::NoAnswer("timed out".to_owned());
-                let delay = if result.is_some() { DELAY } else { PROBE_TIMEOUT };
+                let delay = if result.is_some() { self.probe_delay } else { PROBE_TIMEOUT };
                 let event = Event::ProbeFinished(node, target, result.ok_or_else(failed));
                 self.schedule(delay, event);
             }
@@ -265,6 +292,20 @@
         }
     }
 
+    /// Returns an event as an instance sees it that has stood still for so long: the time limit of a
+    /// probe may be over.
+    fn late(&mut self, event: Event, wait: Duration) -> Event {
+        match event {
+            Event::ProbeFinished(node, target, Ok(_))
+                if wait >= PROBE_TIMEOUT && self.rng.random_bool(0.5) =>
+            {
+                let error = ProbeError::NoAnswer("timed out".to_owned());
+                Event::ProbeFinished(node, target, Err(error))
+            }
+            other => other,
+        }
+    }
+
     fn schedule(&mut self, delay: Duration, event: Event) {
         self.sequence += 1;
         self.events.insert((self.now + delay, self.sequence), event);
