Connection checks: one that fails ends no flow by itself

Cause: a failed check was taken as proof that a target's flows are lost. It says that no connection came about, not why: the path may be cut, the network may refuse, packets may be lost, or this process had no time.

Change: it counts only beside other evidence. (1) The target refuses, and another one of its failure domain answers what was sent since, or there is no other. (2) A packet of an open flow and two checks in a row got no answer, and another target of the domain answers. (3) The same, the whole domain counts as unreachable, and a target elsewhere answers. Silence counts for 1 s from the start of the check. New flows avoid the target after one failed check, as before. The outcome of a check says whether it was refused; the connection that shows whether the path works says nothing about its own target.

Tests: misleading_checks, ten, failed before and pass.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -4,6 +4,7 @@
 mod datagram_sender;
 
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -20,7 +21,7 @@
 use self::datagram_sender::DatagramSender;
 use crate::http::{self, HandlerFuture, Request, Response};
 use crate::ids::{FlowId, Incarnation, TargetId};
-use crate::instance::{Action, Core, Event, ReloadableSettings};
+use crate::instance::{Action, CheckOutcome, Core, Event, ReloadableSettings};
 use crate::platform::{Call, Platform};
 use crate::rpc::Rpc;
 use crate::services::ReportAddress;
@@ -325,20 +326,24 @@
         let task = async move {
             let connect = || async move { TcpStream::connect(address).await.map(drop) };
             let began = Clock::now();
-            let accepts = loop {
-                let Err(e) = check_connection(connect).await else { break true };
+            let outcome = loop {
+                let Err(e) = check_connection(connect).await else { break CheckOutcome::Accepted };
                 log::info!(
                     address = address.to_string().as_str(),
                     error = e.to_string().as_str(),
                     ms = began.elapsed().as_millis() as u64;
                     "target_connect_failed"
                 );
-                if !matches!(e, CheckError::Local(_)) {
-                    break false;
+                match e {
+                    CheckError::Failed(io::ErrorKind::ConnectionRefused) => {
+                        break CheckOutcome::Refused;
+                    }
+                    CheckError::Failed(_) | CheckError::TimedOut => break CheckOutcome::NoAnswer,
+                    CheckError::Local(_) => {}
                 }
                 smol::Timer::after(CHECK_RETRY_DELAY).await;
             };
-            daemon.handle(Event::ConnectionChecked(address, accepts));
+            daemon.handle(Event::ConnectionChecked(address, outcome));
         };
         self.ex.spawn(task).detach();
     }
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -8,6 +8,6 @@
 mod status;
 
 pub use core::Core;
-pub use event::{Action, Event, ReloadableSettings};
+pub use event::{Action, CheckOutcome, Event, ReloadableSettings};
 pub use run::{Instance, InstanceConfig};
 pub use status::Status;
--- a/src/instance/event.rs
+++ b/src/instance/event.rs
@@ -3,11 +3,27 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use derive_more::Display;
+
 use crate::ids::{FlowId, TargetId};
 use crate::platform::{Call, Changes, PlatformError, Reply};
 use crate::services::ReportAddress;
 use crate::targets::ProbeResult;
 
+/// What a connection check of an address has shown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum CheckOutcome {
+    /// A process accepts connections there.
+    #[display("accepted")]
+    Accepted,
+    /// The connection was refused: no process listens there, or the network refuses it.
+    #[display("refused")]
+    Refused,
+    /// There was no answer in time, or the network reports that the address cannot be reached.
+    #[display("no_answer")]
+    NoAnswer,
+}
+
 /// An input of an instance.
 #[derive(Debug)]
 pub enum Event {
@@ -19,8 +35,8 @@
     Platform(Call, Result<Reply, PlatformError>),
     /// Part of the platform's reply to a call has arrived; the rest is on its way.
     PlatformPart(Call, Changes),
-    /// A connection check has ended; true if the address accepts connections.
-    ConnectionChecked(SocketAddr, bool),
+    /// A connection check of an address has ended.
+    ConnectionChecked(SocketAddr, CheckOutcome),
     /// A probe of a target has ended.
     ProbeFinished(TargetId, ProbeResult),
     /// Timer tick, about ten times a second.
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -19,6 +19,7 @@
 pub use self::loss::{Loss, LossEvidence};
 use self::token_lookup::find_target;
 pub use self::warm_up::ColdTargets;
+use super::policy::domain_answers::DomainAnswers;
 use super::policy::domain_reach::DomainReach;
 use super::policy::last_resort::LastResort;
 use super::policy::overdue::OverdueResponses;
@@ -31,6 +32,7 @@
 };
 use crate::hash::HashMap;
 use crate::ids::FailureDomain;
+use crate::instance::CheckOutcome;
 use crate::peer::KeyRing;
 
 /// Targets that may get a flow, with the inputs of the selection.
@@ -143,6 +145,7 @@
     /// Local slots of the services that share a route.
     local_slots: HashMap<String, u32>,
     domain_load: DomainLoad,
+    domain_answers: DomainAnswers,
     domain_reach: DomainReach,
     /// Failure domains found unreachable that peers do not know of yet.
     found_unreachable: Vec<FailureDomain>,
@@ -174,6 +177,7 @@
             unsteady: Vec::new(),
             local_slots: HashMap::default(),
             domain_load: DomainLoad::default(),
+            domain_answers: DomainAnswers::default(),
             domain_reach: DomainReach::default(),
             found_unreachable: Vec::new(),
             last_resort: LastResort::default(),
@@ -325,6 +329,7 @@
             FlowSignal::Response(waited) => self.record_response(now, incarnation, waited),
             FlowSignal::Unanswered(waited) => {
                 self.record_unanswered(now, incarnation, packet, waited);
+                self.health.record_open_flow_silent(incarnation, now.saturating_sub(waited));
             }
             FlowSignal::Nothing => {}
         }
@@ -349,11 +354,12 @@
     }
 
     /// Returns the time up to which flows are lost that were known by then, if a target is dead.
-    /// Requests a connection check if the platform has removed the target.
+    /// Requests a connection check if the platform has removed the target, or the last one failed.
     fn check_dead(&mut self, now: Duration, incarnation: TargetIncarnation) -> Option<Duration> {
         let loss = self.loss(now, incarnation);
-        if loss.is_none_or(|loss| loss.evidence == LossEvidence::CheckFailed)
-            && self.targets.is_removed(now, incarnation)
+        let is_certain = loss.is_some_and(|loss| !loss.evidence.needs_check());
+        if !is_certain
+            && (self.targets.is_removed(now, incarnation) || self.health.is_dead(now, incarnation))
         {
             let target = self.targets.get(incarnation)?;
             self.health.check_connection(now, incarnation, target.address.into());
@@ -367,12 +373,18 @@
         &mut self,
         now: Duration,
         address: SocketAddr,
-        accepted: bool,
+        outcome: CheckOutcome,
     ) -> Vec<TargetIncarnation> {
+        let accepted = outcome == CheckOutcome::Accepted;
         self.record_probe(now, address, accepted);
+        self.record_path(address, accepted);
+        let is_of_target = self.health.is_checking_target(address);
         let dead: Vec<_> =
-            self.health.record_connection_check(now, address, accepted).into_iter().collect();
+            self.health.record_connection_check(now, address, outcome).into_iter().collect();
         self.record_check(now, address, accepted, &dead);
+        if !accepted && is_of_target {
+            self.check_path(now, address);
+        }
         self.health_changes.extend(dead.iter().map(|&(key, _)| HealthChange::Dead(key)));
         dead
     }
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -37,7 +37,7 @@
     DomainDrains, DropReason, FlowPacket, Forwarder, Message, PacketFormat, PacketKind,
     ResetReason, TargetIncarnation, Verdict,
 };
-use crate::instance::{Action, Core, Event, Status};
+use crate::instance::{Action, CheckOutcome, Core, Event, Status};
 use crate::link::{Link, count_dropped_message};
 use crate::lists::ListVersions;
 use crate::membership::Membership;
@@ -355,12 +355,12 @@
         &mut self,
         now: Duration,
         address: SocketAddr,
-        accepted: bool,
+        outcome: CheckOutcome,
         out: &mut Vec<Action>,
     ) {
-        let name = address.to_string();
-        log::info!(address = name.as_str(), accepted = accepted; "target_connect");
-        let dead = self.forwarder.record_connection_check(now, address, accepted);
+        let (name, result) = (address.to_string(), outcome.to_string());
+        log::info!(address = name.as_str(), outcome = result.as_str(); "target_connect");
+        let dead = self.forwarder.record_connection_check(now, address, outcome);
         self.log_health_changes();
         self.gossip.announce_suspects(now, &dead, &mut self.link.outbox(now, out));
         if self.forwarder.has_reach_changes() {
@@ -444,8 +444,8 @@
             Event::PlatformPart(call, part) => self.handle_platform_part(now, &call, &part, out),
             // This core never probes targets: their flows show whether they respond.
             Event::ProbeFinished(..) => {}
-            Event::ConnectionChecked(address, accepted) => {
-                self.handle_connection_check(now, address, accepted, out);
+            Event::ConnectionChecked(address, outcome) => {
+                self.handle_connection_check(now, address, outcome, out);
             }
             Event::Tick => self.tick(now, out),
             Event::Stop => {
