Soak: judge open flows without excuses

The judge excuses the loss of an open flow by any recent fault of its server or of an instance that was not planned, so a reset during such a fault is not seen. Without the option the judge is as before. A lost flow is reported with the age of the last faults.

Connection checks don't pass the partitions of the soak, so it says nothing about checks across one.

--- a/lab/src/soak.rs
+++ b/lab/src/soak.rs
@@ -54,7 +54,7 @@
 const HELP: &str = "\
 usage: limpetdeck-lab soak --seed N [--minutes M] [--instances N] [--node FILE]
                            [--earlier-node FILE] [--cold-limit N]
-                           [--drill NAME] [--report FILE] [--keep]
+                           [--drill NAME] [--no-excuses] [--report FILE] [--keep]
 
   --seed N        seed of the random numbers; determines the faults
   --minutes M     length of the run (default 2)
@@ -72,6 +72,7 @@
                   servers drain; they are judged until the process is gone; needs 18 instances), or
                   flows (instances stop in series while others lack processor time, servers crash and
                   start again, routes come back and connections to the store go silent)
+  --no-excuses    judge open flows whatever fault is on: each one that a server holds has to be kept
   --report FILE   write an HTML report with a plot
   --keep          keep the logs even if no promise was broken
 
@@ -122,6 +123,7 @@
     earlier_node: Option<PathBuf>,
     cold_limit: f64,
     drill: Drill,
+    no_excuses: bool,
     report: Option<PathBuf>,
     keep: bool,
 }
@@ -143,6 +145,7 @@
         };
         let options = Self {
             drill,
+            no_excuses: args.flag("--no-excuses"),
             earlier_node: args
                 .value_or("--earlier-node", String::new())
                 .map(|f| (!f.is_empty()).then(|| f.into()))?,
@@ -303,6 +306,7 @@
         addresses,
         cold_flows_per_s: options.cold_limit,
         judges_stops: options.drill == Drill::Stops,
+        excuses_flows: !options.no_excuses,
         moves_all_flows: options.drill == Drill::Flows,
         stall_rng: SmallRng::seed_from_u64(options.seed),
     })));
--- a/lab/src/soak/environment.rs
+++ b/lab/src/soak/environment.rs
@@ -109,6 +109,8 @@
     pub last_openings: [Duration; DOMAINS.len()],
     /// Whether instances are judged while they stop.
     judges_stops: bool,
+    /// Whether faults excuse the loss of open flows.
+    excuses_flows: bool,
     /// Checks of the promises.
     pub checks: Checks,
     /// Request outcomes.
@@ -151,6 +153,8 @@
     pub cold_flows_per_s: f64,
     /// Whether instances are judged while they stop.
     pub judges_stops: bool,
+    /// Whether faults excuse the loss of open flows.
+    pub excuses_flows: bool,
     /// Whether nearly all flows move when an instance stops or starts.
     pub moves_all_flows: bool,
     /// Generator for the stalls of instances.
@@ -182,6 +186,7 @@
             cold_targets: ColdTargets::new(parts.cold_flows_per_s),
             last_openings: [Duration::ZERO; DOMAINS.len()],
             judges_stops: parts.judges_stops,
+            excuses_flows: parts.excuses_flows,
             checks: Checks::default(),
             tally: Tally::default(),
             max_lag: Duration::ZERO,
@@ -473,7 +478,11 @@
         let Some(server) = self.fleet.server_with(flow) else { return };
         if self.must_keep(server, instance, flow, since) {
             let key = server.entry.key;
-            let seen = format!("reset by instance {instance:?}, but server {key:x} is running");
+            let seen = format!(
+                "reset by instance {instance:?}, but server {key:x} is {:?}; {}",
+                server.run_state,
+                self.describe_faults(server, instance),
+            );
             self.checks.record_for_flow(self.now, "flow_broken", seen, flow);
         }
     }
@@ -505,9 +514,23 @@
         }
     }
 
+    /// Returns the faults that may excuse the loss of a flow, as text.
+    fn describe_faults(&self, server: &Server, instance: Option<usize>) -> String {
+        let age = |at: Duration| self.now.as_secs_f64() - at.as_secs_f64();
+        let instance = instance.map_or(Duration::ZERO, |i| self.instances[i].last_fault);
+        format!(
+            "last faults: server {:.2} s ago, instance {:.2} s ago, shared {:.2} s ago; partitions {:?}",
+            age(server.last_fault),
+            age(instance),
+            age(self.last_shared_fault),
+            self.partitions.iter().map(|partition| partition.domain).collect::<Vec<_>>(),
+        )
+    }
+
     /// Returns whether a flow has to be kept that has been open on a server since a time: not if
     /// the server was hit by a fault, the route was removed or the flow is old. A fault that is no
-    /// maintenance excuses the instances and servers that it hits, or all if it is shared.
+    /// maintenance excuses the instances and servers that it hits, or all if it is shared. Without
+    /// excuses, the flow has to be kept as long as the server holds it.
     fn must_keep(
         &self,
         server: &Server,
@@ -524,11 +547,14 @@
         let in_touch = settled(self.last_shared_fault)
             && settled(server.started)
             && instance.is_some_and(is_in_touch);
-        server.is_running()
-            && settled(server.last_fault)
-            && self.now < since + REQUIRED_FLOW_LIFETIME
+        let excused = || {
+            !server.is_running()
+                || !settled(server.last_fault)
+                || !(settled(self.last_fault) || in_touch)
+        };
+        self.now < since + REQUIRED_FLOW_LIFETIME
             && !self.checks.was_dropped_since(since, flow.1)
-            && (settled(self.last_fault) || in_touch)
+            && !(self.excuses_flows && excused())
     }
 
     /// Records a fault that is not confined to single instances and servers.
