Log: resets name the copy, the age of the packet and the sequence number

A refusal of an opening packet carries the sequence number 0, another reset the last acknowledgment of the caller.

--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -242,7 +242,7 @@
                 }
                 self.keep_last(now, packet, incarnation, buf);
             }
-            Verdict::Reset(reason) => self.send_reset(now, packet, reason, out),
+            Verdict::Reset(reason) => self.send_reset(now, arrived, packet, reason, out),
             Verdict::Drop(DropReason::NotReady | DropReason::Undecided) => {
                 self.startup_queue.push(arrived, buf);
             }
@@ -382,21 +382,24 @@
     /// Resets the flows whose targets have restarted or are dead.
     fn reset_orphaned_flows(&mut self, now: Duration, out: &mut Vec<Action>) {
         for (packet, reason) in self.forwarder.take_orphaned_flows(now) {
-            self.send_reset(now, &packet, reason, out);
+            self.send_reset(now, now, &packet, reason, out);
         }
     }
 
+    /// Resets a flow at its caller because of a packet that arrived at a time.
     fn send_reset(
         &mut self,
         now: Duration,
+        arrived: Duration,
         packet: &FlowPacket,
         reason: ResetReason,
         out: &mut Vec<Action>,
     ) {
         self.last_packets.remove(packet.flow.id());
         let (to, reset) = self.format.reset(packet);
+        let sequence = self.format.read(&reset).map_or(0, |reset| reset.sequence);
         out.push(Action::Datagram(SocketAddr::V4(to), reset));
-        self.log_reset(now, packet, reason);
+        self.log_reset(now, now.saturating_sub(arrived), packet, sequence, reason);
         let reason = reason.to_string();
         counter!("limpetdeck_flows_refused_total", "reason" => reason.clone()).increment(1);
         *self.refusals.entry(reason).or_default() += 1;
--- a/src/steering/node/logging.rs
+++ b/src/steering/node/logging.rs
@@ -5,7 +5,12 @@
 use metrics::counter;
 
 use super::Node;
-use crate::steering::{FlowPacket, HealthChange, ResetReason, Target, TargetIncarnation};
+use crate::steering::{
+    FlowPacket, HealthChange, PacketKind, ResetReason, Target, TargetIncarnation,
+};
+
+/// Highest number of a copy in a label; callers of the platform send two.
+const MAX_LABELLED_COPY: u32 = 3;
 
 impl Node {
     pub(super) fn record_placement(
@@ -38,7 +43,23 @@
         );
     }
 
-    pub(super) fn log_reset(&mut self, now: Duration, packet: &FlowPacket, reason: ResetReason) {
+    /// Logs a reset that carries a sequence number, for a packet that arrived some time ago.
+    pub(super) fn log_reset(
+        &mut self,
+        now: Duration,
+        packet_age: Duration,
+        packet: &FlowPacket,
+        sequence: u32,
+        reason: ResetReason,
+    ) {
+        let copy = match packet.kind {
+            PacketKind::Opening { repeats } => Some(repeats),
+            _ => None,
+        };
+        if let Some(copy) = copy {
+            let copy = copy.min(MAX_LABELLED_COPY).to_string();
+            counter!("limpetdeck_openings_refused_total", "copy" => copy).increment(1);
+        }
         let loss = match reason {
             ResetReason::TargetDead | ResetReason::TargetRestarted => {
                 self.forwarder.loss_of_flow(now, packet)
@@ -65,6 +86,9 @@
             evidence_age_ms = evidence_age.as_millis() as u64,
             known_ms = now.saturating_sub(known_since).as_millis() as u64,
             token = format!("{:08x}", packet.token).as_str(),
+            copy = copy.map_or_else(String::new, |copy| copy.to_string()).as_str(),
+            packet_age_ms = packet_age.as_millis() as u64,
+            sequence = sequence,
             routes_version = self.forwarder.routes.version(),
             targets_revision = self.forwarder.targets.complete_up_to().revision,
             unlogged = unlogged;
