--- a/lab/src/fuzz.rs
+++ b/lab/src/fuzz.rs
@@ -155,7 +155,7 @@
     let buf = apply_edits(segment(), &edits);
     let Ok(packet) = format.read(&buf) else { return true };
     let Ok(target) = Target::try_from(target()) else { return false };
-    let forwarded = format.forward(&buf, Some(NO_TOKEN), &target);
+    let forwarded = format.forward(&buf, Some(NO_TOKEN), target.key);
     forwarded.len() > buf.len() && !format.reset(&packet).1.is_empty()
 }
 
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -25,8 +25,8 @@
 pub use domain_drains::{DomainDrains, DrainOrders, DrainSnapshot, DrainedDomain};
 pub use flows::{FlowSignal, FlowTable, Load};
 pub use forwarder::{
-    ColdTargets, DropReason, Forwarder, HealthChange, Loss, LossEvidence, ResetReason,
-    UnsteadyTarget, Verdict,
+    ColdTargets, Doubt, DropReason, Forwarder, HealthChange, Inquiry, Loss, LossEvidence,
+    ResetReason, Successors, UnsteadyTarget, Verdict,
 };
 pub use gossip::Gossip;
 pub use list_watch::{
@@ -50,5 +50,5 @@
     Priority, RawRoute, RawRoutes, RequestClass, Route, RouteTable, ServiceWarmUp, WarmUp,
     WeightedService,
 };
-pub use target::{RawTarget, Target, TargetKey, TargetState};
+pub use target::{ANY_TARGET, RawTarget, Target, TargetKey, TargetState};
 pub use token::{NO_TOKEN, TargetIncarnation, Token, Tokens};
--- a/src/steering/directory/removals.rs
+++ b/src/steering/directory/removals.rs
@@ -21,18 +21,6 @@
         entry.is_some_and(|entry| entry.removed && now >= entry.grace_until)
     }
 
-    /// Returns whether the address of a removed target is now used by one that has not started before it. An
-    /// earlier one may be back by a late write, while the removed one runs.
-    pub fn is_address_reused(&self, removed: &Target) -> bool {
-        let is_later = |entry: &Entry| {
-            !entry.removed
-                && entry.target.address == removed.address
-                && entry.target.key != removed.key
-                && entry.target.incarnation >= removed.incarnation
-        };
-        self.entries.values().any(is_later)
-    }
-
     /// Returns the removed targets that may still have flows, in the order of their keys, and after
     /// them the earlier incarnations of targets that have restarted.
     pub fn removed(&self) -> impl Iterator<Item = &Target> {
--- a/src/steering/directory/takeovers.rs
+++ b/src/steering/directory/takeovers.rs
@@ -48,6 +48,15 @@
         std::mem::take(&mut self.takeovers.restarts)
     }
 
+    /// Returns the latest other target, of any service, whose record has a target's address. It may
+    /// have ended before: records may be late.
+    pub fn other_at_address(&self, target: &Target) -> Option<&Target> {
+        let keys = self.takeovers.by_address.get(&target.address)?;
+        let others = keys.iter().filter(|&&key| key != target.key);
+        let others = others.filter_map(|key| self.entries.get(key)).filter(|entry| !entry.removed);
+        others.max_by_key(|entry| entry.appeared).map(|entry| &entry.target)
+    }
+
     /// Returns whether a later target of the same service runs at this target's address. The
     /// platform takes seconds to remove the entry of a target that has failed.
     pub fn is_replaced(&self, (key, incarnation): TargetIncarnation) -> bool {
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -2,10 +2,10 @@
 
 mod eligibility;
 mod failures;
+mod inquiry;
 mod loss;
 mod opening;
 mod reach;
-mod restarts;
 mod token_lookup;
 mod warm_up;
 
@@ -16,6 +16,7 @@
 use rand::rngs::SmallRng;
 
 pub use self::failures::UnsteadyTarget;
+pub use self::inquiry::{Doubt, Inquiry, Successors};
 pub use self::loss::{Loss, LossEvidence};
 use self::token_lookup::find_target;
 pub use self::warm_up::ColdTargets;
@@ -63,11 +64,7 @@
     /// Only cold targets without an opening budget are left.
     #[display("cold_targets")]
     ColdTargets,
-    /// The target has restarted as one of another service.
-    #[display("target_restarted")]
-    TargetRestarted,
-    /// The target is dead: it neither responds nor accepts connections, or its address is now
-    /// used by another target.
+    /// The target is dead: it neither responds nor accepts connections.
     #[display("target_dead")]
     TargetDead,
 }
@@ -109,6 +106,9 @@
 pub enum Verdict<'a> {
     /// Forward it to the target, with a new token if there is one.
     Forward(&'a Target, Option<Token>),
+    /// Forward it to those that may answer for a target that may have ended, with a new token if there
+    /// is one.
+    Inquire(Inquiry<'a>, Option<Token>),
     /// Send a reset to the caller.
     Reset(ResetReason),
     /// Drop it.
@@ -249,9 +249,11 @@
         let loads = self.flows.loads().filter_map(|(incarnation, load)| {
             let target =
                 targets.get(incarnation).filter(|target| target.failure_domain == *local_domain)?;
-            Some((target.service.as_str(), load.waiting))
+            let is_current = self.doubt(target).is_none();
+            is_current.then_some((target.service.as_str(), load.waiting))
         });
-        self.domain_load.sample(now, loads);
+        let loads: Vec<_> = loads.collect();
+        self.domain_load.sample(now, loads.into_iter());
         self.record_restarts(now);
     }
 
@@ -311,12 +313,7 @@
         }
         // A target that answers a copy of the opening packet late does not take the flow over.
         let open_at = self.flows.answered_at(packet).filter(|(key, _)| *key != named.0);
-        let Some(incarnation) = self.possible_holder(service, open_at.unwrap_or(named)) else {
-            return match packet.kind {
-                PacketKind::Reset => Verdict::Drop(DropReason::UnknownToken),
-                _ => Verdict::Reset(ResetReason::TargetRestarted),
-            };
-        };
+        let incarnation = self.holder(open_at.unwrap_or(named));
         let id = packet.flow.id();
         let since = self.flows.since(packet, incarnation).unwrap_or(now);
         if self.check_dead(now, incarnation).is_some_and(|before| since <= before)
@@ -334,10 +331,8 @@
             FlowSignal::Nothing => {}
         }
         let token = self.changed_token(service, named, incarnation);
-        match self.targets.get(incarnation) {
-            Some(target) => Verdict::Forward(target, token),
-            None => Verdict::Drop(DropReason::UnknownToken),
-        }
+        let verdict = self.aim(incarnation, token);
+        verdict.unwrap_or(Verdict::Drop(DropReason::UnknownToken))
     }
 
     /// Decides about a packet of an open flow whose address has no route here. The flow may have been
@@ -357,10 +352,7 @@
     /// Requests a connection check if the platform has removed the target, or the last one failed.
     fn check_dead(&mut self, now: Duration, incarnation: TargetIncarnation) -> Option<Duration> {
         let loss = self.loss(now, incarnation);
-        let is_certain = loss.is_some_and(|loss| !loss.evidence.needs_check());
-        if !is_certain
-            && (self.targets.is_removed(now, incarnation) || self.health.is_dead(now, incarnation))
-        {
+        if self.targets.is_removed(now, incarnation) || self.health.is_dead(now, incarnation) {
             let target = self.targets.get(incarnation)?;
             self.health.check_connection(now, incarnation, target.address.into());
         }
@@ -409,29 +401,20 @@
         overdue
     }
 
-    /// Removes the flows whose targets are dead or have restarted as ones of another service. Returns
-    /// those to be reset, with the reason. An early reset lets the caller reconnect before it has a
-    /// request to send.
+    /// Removes the flows whose targets are dead. Returns those to be reset, with the reason. An early
+    /// reset lets the caller reconnect before it has a request to send.
     pub fn take_orphaned_flows(&mut self, now: Duration) -> Vec<(FlowPacket, ResetReason)> {
         let mut ended = Vec::new();
         let targets: Vec<_> = self.flows.targets().collect();
         for incarnation in targets {
-            let (reason, before) = match () {
-                () if self.changed_service(incarnation) => (ResetReason::TargetRestarted, now),
-                () if self.targets.has_restarted(incarnation)
-                    && !self.has_outdated_entry(incarnation) =>
-                {
-                    // Those that the target holds are added again with their next packets.
-                    self.flows.remove_flows(incarnation);
-                    continue;
-                }
-                () => match self.check_dead(now, incarnation) {
-                    Some(before) => (ResetReason::TargetDead, before),
-                    None => continue,
-                },
-            };
+            if self.holder(incarnation) != incarnation {
+                // Those that the target holds are added again with their next packets.
+                self.flows.remove_flows(incarnation);
+                continue;
+            }
+            let Some(before) = self.check_dead(now, incarnation) else { continue };
             let lost = self.flows.end_flows(now, incarnation, before);
-            ended.extend(lost.into_iter().map(|flow| (flow, reason)));
+            ended.extend(lost.into_iter().map(|flow| (flow, ResetReason::TargetDead)));
             if self.flows.load(incarnation).flows > 0 {
                 self.suspect_target(now, incarnation);
             }
--- a/src/steering/forwarder/loss.rs
+++ b/src/steering/forwarder/loss.rs
@@ -11,15 +11,6 @@
 /// Evidence that a target has lost flows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum LossEvidence {
-    /// The target has started again as one of another service.
-    #[display("service_changed")]
-    ServiceChanged,
-    /// A later target of the service runs at its address.
-    #[display("replaced")]
-    Replaced,
-    /// The platform has removed the target, and another one runs at its address.
-    #[display("address_reused")]
-    AddressReused,
     /// The target refuses connections, and another one of its failure domain answers if there is one.
     #[display("refused")]
     Refused,
@@ -33,13 +24,6 @@
     DomainUnreachable,
 }
 
-impl LossEvidence {
-    /// Returns whether it comes from a connection check, which has to be repeated.
-    pub(super) fn needs_check(self) -> bool {
-        matches!(self, Self::Refused | Self::NoAnswer | Self::DomainUnreachable)
-    }
-}
-
 /// A target that has lost flows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Loss {
@@ -54,12 +38,7 @@
 impl Forwarder {
     /// Returns the loss of the flows of a target, if there is evidence of one.
     pub fn loss(&self, now: Duration, target: TargetIncarnation) -> Option<Loss> {
-        let (evidence, before) = match () {
-            () if self.changed_service(target) => (LossEvidence::ServiceChanged, now),
-            () if self.targets.is_replaced(target) => (LossEvidence::Replaced, now),
-            () if self.is_removed_and_reused(now, target) => (LossEvidence::AddressReused, now),
-            () => self.failed_check(now, target)?,
-        };
+        let (evidence, before) = self.failed_check(now, target)?;
         Some(Loss { target, evidence, before })
     }
 
@@ -108,10 +87,4 @@
         let target = by_token.or_else(|| self.flows.target(packet.flow.id()))?;
         self.loss(now, target)
     }
-
-    /// Returns whether the platform has removed a target whose address another one uses now.
-    pub(super) fn is_removed_and_reused(&self, now: Duration, target: TargetIncarnation) -> bool {
-        let removed = self.targets.get(target).filter(|_| self.targets.is_removed(now, target));
-        removed.is_some_and(|target| self.targets.is_address_reused(target))
-    }
 }
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -4,13 +4,13 @@
 mod cold_targets;
 mod domain_drains;
 mod held_openings;
+mod inquiries;
 mod last_packets;
 mod last_resort;
 mod logging;
 mod members_log;
 mod platform_contact;
 mod platform_reply;
-mod restarts;
 mod shutdown;
 mod startup_queue;
 
@@ -23,6 +23,7 @@
 use rand::rngs::SmallRng;
 
 use self::cold_targets::ColdTargetsLog;
+use self::inquiries::inquire;
 use self::last_packets::LastPackets;
 use self::members_log::MembersLog;
 use self::platform_contact::{Poll, limit_removal_grace};
@@ -233,7 +234,7 @@
         match self.forwarder.decide(now, packet) {
             Verdict::Forward(target, token) => {
                 counter!("limpetdeck_packets_forwarded_total").increment(1);
-                let datagram = self.format.forward(&buf, token, target);
+                let datagram = self.format.forward(&buf, token, target.key);
                 out.push(Action::Datagram(SocketAddr::V4(target.address), datagram));
                 let incarnation = (target.key, target.incarnation);
                 if let (Some(token), PacketKind::Opening { repeats }) = (token, packet.kind) {
@@ -242,6 +243,12 @@
                 }
                 self.keep_last(now, packet, incarnation, buf);
             }
+            Verdict::Inquire(inquiry, token) => {
+                counter!("limpetdeck_packets_forwarded_total").increment(1);
+                inquire(self.format.as_ref(), &inquiry, token, &buf, out);
+                let target = (inquiry.target.key, inquiry.target.incarnation);
+                self.keep_last(now, packet, target, buf);
+            }
             Verdict::Reset(reason) => self.send_reset(now, packet, reason, out),
             Verdict::Drop(DropReason::NotReady | DropReason::Undecided) => {
                 self.startup_queue.push(arrived, buf);
@@ -379,7 +386,7 @@
         self.gossip.announce_overdue(now, &targets, &mut self.link.outbox(now, out));
     }
 
-    /// Resets the flows whose targets have restarted or are dead.
+    /// Resets the flows whose targets are dead.
     fn reset_orphaned_flows(&mut self, now: Duration, out: &mut Vec<Action>) {
         for (packet, reason) in self.forwarder.take_orphaned_flows(now) {
             self.send_reset(now, &packet, reason, out);
--- a/src/steering/node/last_packets.rs
+++ b/src/steering/node/last_packets.rs
@@ -5,7 +5,7 @@
 use crate::flow::FlowKey;
 use crate::hash::HashMap;
 use crate::ids::FlowId;
-use crate::steering::TargetIncarnation;
+use crate::steering::{Successors, TargetIncarnation};
 
 /// Largest number of bytes that are kept. The packets of further flows are not.
 const MAX_BYTES: usize = 8 << 20;
@@ -19,6 +19,8 @@
     pub buf: Vec<u8>,
     /// The target to which it was forwarded.
     pub target: TargetIncarnation,
+    /// The targets that records named in place of that one when the packet was last sent.
+    pub successors: Successors,
     /// When it arrived.
     pub arrived: Duration,
 }
@@ -28,7 +30,7 @@
 pub(super) struct LastPackets {
     packets: HashMap<FlowId, LastPacket>,
     bytes: usize,
-    /// Number of changes of the directory up to which restarts have been looked for.
+    /// Number of changes of the directory up to which successors have been looked for.
     checked_changes: u64,
 }
 
--- a/src/steering/node/logging.rs
+++ b/src/steering/node/logging.rs
@@ -40,9 +40,7 @@
 
     pub(super) fn log_reset(&mut self, now: Duration, packet: &FlowPacket, reason: ResetReason) {
         let loss = match reason {
-            ResetReason::TargetDead | ResetReason::TargetRestarted => {
-                self.forwarder.loss_of_flow(now, packet)
-            }
+            ResetReason::TargetDead => self.forwarder.loss_of_flow(now, packet),
             _ => None,
         };
         if let Some(loss) = loss {
--- a/src/steering/packet.rs
+++ b/src/steering/packet.rs
@@ -6,7 +6,7 @@
 
 use derive_more::{Display, Error};
 
-use super::{Target, Token};
+use super::{TargetKey, Token};
 use crate::flow::FlowKey;
 
 /// How a packet of a caller affects its flow.
@@ -67,9 +67,12 @@
     /// Returns an error if the datagram is not a valid packet of a caller.
     fn read(&self, buf: &[u8]) -> Result<FlowPacket, PacketError>;
 
-    /// Returns the datagram that forwards a packet to its target. `token` replaces the token of
-    /// the packet; `None` leaves it unchanged.
-    fn forward(&self, buf: &[u8], token: Option<Token>, target: &Target) -> Vec<u8>;
+    /// Returns the datagram that forwards a packet to a target, or with [`ANY_TARGET`] to whichever
+    /// one runs at the address that it is sent to. `token` replaces the token of the packet; `None`
+    /// leaves it unchanged.
+    ///
+    /// [`ANY_TARGET`]: super::ANY_TARGET
+    fn forward(&self, buf: &[u8], token: Option<Token>, target: TargetKey) -> Vec<u8>;
 
     /// Returns the time from a flow's first opening packet to the copy with this number of earlier
     /// ones.
--- a/src/steering/target.rs
+++ b/src/steering/target.rs
@@ -18,9 +18,12 @@
 /// Longest time until a target is warm.
 const MAX_WARM_UP: Duration = Duration::from_secs(24 * 60 * 60);
 
-/// Identifier of a target, carried in its packets; 0 stands for any target.
+/// Identifier of a target, carried in its packets.
 pub type TargetKey = u64;
 
+/// Key in packets to whichever target runs at an address.
+pub const ANY_TARGET: TargetKey = 0;
+
 /// Whether a target accepts new flows. A target that drains ends afterwards, so draining is later.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Display,
