--- a/src/steering/node/logging.rs
+++ b/src/steering/node/logging.rs
@@ -61,9 +61,7 @@
             counter!("limpetdeck_openings_refused_total", "copy" => copy).increment(1);
         }
         let loss = match reason {
-            ResetReason::TargetDead | ResetReason::TargetRestarted => {
-                self.forwarder.loss_of_flow(now, packet)
-            }
+            ResetReason::TargetDead => self.forwarder.loss_of_flow(now, packet),
             _ => None,
         };
         if let Some(loss) = loss {
