Soak: every reset of an open flow counts, and paused servers answer no connection

- A reset that the caller ignores by its sequence number was not seen at all.
- The soak's kernel accepted connections to paused servers, so that no connection check of a living server ever failed.
Their queue is full now, and the packets are dropped.
- New `--drill stalls`: instances stand still for up to 2.5 s beside lost packets, partitions, paused servers and stops.
- A packet of a flow that its paused server holds must not reach another one either, without excuses.

--- a/lab/src/emulator/caller.rs
+++ b/lab/src/emulator/caller.rs
@@ -38,6 +38,17 @@
     FlowPerFeed,
 }
 
+/// An open flow that got a reset.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OpenFlow {
+    /// Time at which it was established.
+    pub since: Duration,
+    /// Sequence number that the caller expects next.
+    pub expected: u32,
+    /// Whether the reset ends the flow: the caller ignores those whose sequence number is far off.
+    pub ends: bool,
+}
+
 /// An event that a caller reports.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CallerEvent {
@@ -58,8 +69,8 @@
         caller: SocketAddrV4,
         /// Address of the service.
         service: SocketAddrV4,
-        /// Time at which the flow was established, if it was.
-        open_since: Option<Duration>,
+        /// The flow, if it was established.
+        open: Option<OpenFlow>,
     },
     /// The caller received something invalid.
     Invalid {
@@ -311,23 +322,21 @@
         origin: PacketOrigin,
         events: &mut Vec<CallerEvent>,
     ) {
-        let open_since = match &self.flow {
+        let open = match &self.flow {
             Flow::Open { stream, since, .. } => {
-                let distance = segment.sequence.wrapping_sub(stream.expected());
+                let expected = stream.expected();
+                let distance = segment.sequence.wrapping_sub(expected);
                 let in_window = distance < RESET_WINDOW || distance.wrapping_neg() < RESET_WINDOW;
-                if origin == PacketOrigin::Instance && !in_window {
-                    return;
-                }
-                Some(*since)
+                let ends = origin != PacketOrigin::Instance || in_window;
+                Some(OpenFlow { since: *since, expected, ends })
             }
             _ => None,
         };
         if origin == PacketOrigin::Instance {
-            events.push(CallerEvent::Reset {
-                caller: segment.to,
-                service: segment.from,
-                open_since,
-            });
+            events.push(CallerEvent::Reset { caller: segment.to, service: segment.from, open });
+        }
+        if open.is_some_and(|open| !open.ends) {
+            return;
         }
         self.flow = Flow::None;
         self.fail_attempt(now, events);
--- a/lab/src/emulator/fleet.rs
+++ b/lab/src/emulator/fleet.rs
@@ -1,16 +1,18 @@
 //! The emulated servers, with their addresses, store entries and listeners.
 
+use std::cell::Cell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_lite::FutureExt;
 use limpetdeck::hash::HashMap;
 use limpetdeck::steering::{RawTarget, TargetKey, TargetState};
 use limpetdeck_platform::emulator::target_entry;
 use rand::Rng;
 use rand::rngs::SmallRng;
-use smol::net::TcpListener;
-use smol::{LocalExecutor, Task};
+use smol::net::{TcpListener, TcpStream};
+use smol::{LocalExecutor, Task, Timer};
 
 use super::server::{FlowKey, RunState, Server};
 use super::store::{SharedStore, fork_rng};
@@ -27,6 +29,10 @@
 const RESTART_DELAY: Duration = Duration::from_millis(400);
 /// Unix time at which a run begins, for the incarnations that servers publish.
 const EPOCH_MS: u64 = 1_800_000_000_000;
+/// Time between two looks at whether a server is paused.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Connections that the system completes before a server accepts them.
+const LISTEN_BACKLOG: i32 = 128;
 /// Slots of a server: few, so that a burst of requests fills the queue.
 const SLOTS_PER_SERVER: u32 = 1;
 
@@ -40,6 +46,8 @@
     address: SocketAddrV4,
     free_from: Duration,
     listener: Option<Task<()>>,
+    /// Whether the server is paused, so that connections to it get no answer.
+    silent: Rc<Cell<bool>>,
 }
 
 /// All emulated servers.
@@ -67,7 +75,12 @@
         domains: &[&str],
         rng: SmallRng,
     ) -> Self {
-        let host = |address| Host { address, free_from: Duration::ZERO, listener: None };
+        let host = |address| Host {
+            address,
+            free_from: Duration::ZERO,
+            listener: None,
+            silent: Rc::default(),
+        };
         let hosts = addresses.into_iter().map(host).collect();
         let mut fleet = Self {
             servers: Vec::new(),
@@ -148,6 +161,11 @@
         self.servers.iter().find(|server| server.has_flow(flow))
     }
 
+    /// Returns the server that may hold the flow of a caller that expects a sequence number.
+    pub fn holder(&self, flow: FlowKey, expected: u32) -> Option<&Server> {
+        self.servers.iter().find(|server| server.may_hold(flow, expected))
+    }
+
     /// Picks a random server that is running and not draining.
     pub fn pick_random(&mut self) -> Option<&mut Server> {
         let serving = |s: &Server| s.is_running() && s.draining_since.is_none();
@@ -290,10 +308,14 @@
     /// Accepts TCP connections at the addresses of servers that have not ended.
     fn update_listeners(&mut self) {
         for host in &mut self.hosts {
-            let in_use = self.servers.iter().any(|server| server.is_at(host.address));
-            match (in_use, &host.listener) {
-                (true, None) => host.listener = Some(self.ex.spawn(accept(host.address))),
-                (false, Some(_)) => host.listener = None,
+            let server = self.servers.iter().find(|server| server.is_at(host.address));
+            host.silent.set(server.is_some_and(|server| !server.is_running()));
+            match (server, &host.listener) {
+                (Some(_), None) => {
+                    let accepting = accept(host.address, Rc::clone(&host.silent));
+                    host.listener = Some(self.ex.spawn(accepting));
+                }
+                (None, Some(_)) => host.listener = None,
                 _ => {}
             }
         }
@@ -304,10 +326,37 @@
     format!("{}s-{key:x}", limpetdeck::steering::TARGETS_PREFIX)
 }
 
-async fn accept(address: SocketAddrV4) {
+async fn accept(address: SocketAddrV4, silent: Rc<Cell<bool>>) {
     let listener = match TcpListener::bind(address).await {
         Ok(listener) => listener,
         Err(e) => return log::error!(problem = e.to_string().as_str(); "not_listening"),
     };
-    while listener.accept().await.is_ok() {}
+    loop {
+        let waits = async {
+            Timer::after(SILENCE_CHECK_INTERVAL).await;
+            Ok(())
+        };
+        let accepts = async { listener.accept().await.map(drop) };
+        if accepts.or(waits).await.is_err() {
+            return;
+        }
+        if silent.get() {
+            be_silent(&listener, address, &silent).await;
+        }
+    }
+}
+
+/// Leaves connections unanswered: the system drops the packets of those that the queue has no room for.
+async fn be_silent(listener: &TcpListener, address: SocketAddrV4, silent: &Cell<bool>) {
+    let resized = rustix::net::listen(listener, 0);
+    let first = TcpStream::connect(address).await;
+    if resized.is_err() || first.is_err() {
+        log::error!("not_silent");
+    }
+    while silent.get() {
+        Timer::after(SILENCE_CHECK_INTERVAL).await;
+    }
+    if let Err(e) = rustix::net::listen(listener, LISTEN_BACKLOG) {
+        log::error!(problem = e.to_string().as_str(); "not_listening");
+    }
 }
--- a/lab/src/emulator/server.rs
+++ b/lab/src/emulator/server.rs
@@ -119,6 +119,13 @@
         self.flows.get(&flow_key).is_some_and(|flow| flow.stream.is_some())
     }
 
+    /// Returns whether the server may hold the flow of a caller that expects a sequence number: it is
+    /// open here, or the caller took the answer to its opening packet from here.
+    pub fn may_hold(&self, flow_key: FlowKey, expected: u32) -> bool {
+        let is_taken = |flow: &Flow| flow.server_seq.wrapping_add(1) == expected;
+        self.flows.get(&flow_key).is_some_and(|flow| flow.stream.is_some() || is_taken(flow))
+    }
+
     /// Returns the entry with the time for which the server is still cold.
     pub fn current_entry(&self, now: Duration) -> RawTarget {
         let cold_ms = self.cold_until.saturating_sub(now).as_millis() as u64;
--- a/lab/src/soak.rs
+++ b/lab/src/soak.rs
@@ -69,10 +69,12 @@
                   that watch the store are lost; needs 27 instances, so that others are left),
                   odd-entries (another writer leaves entries beside those of the servers),
                   stops (instances stop in turn where half of them are frozen, while routes grow and
-                  servers drain; they are judged until the process is gone; needs 18 instances), or
+                  servers drain; they are judged until the process is gone; needs 18 instances),
                   flows (instances stop in series while others lack processor time, servers crash and
-                  start again, routes come back and connections to the store go silent)
-  --no-excuses    judge open flows whatever fault is on: each one that a server holds has to be kept
+                  start again, routes come back and connections to the store go silent), or stalls
+                  (instances stand still for up to 2.5 s beside partitions and paused servers)
+  --no-excuses    judge open flows whatever fault is on: each one that a server holds has to be kept,
+                  and gets no reset, not even one that its caller ignores
   --report FILE   write an HTML report with a plot
   --keep          keep the logs even if no promise was broken
 
@@ -112,6 +114,7 @@
     OddEntries,
     Stops,
     Flows,
+    Stalls,
 }
 
 #[derive(Debug)]
@@ -141,6 +144,7 @@
             "odd-entries" => Drill::OddEntries,
             "stops" => Drill::Stops,
             "flows" => Drill::Flows,
+            "stalls" => Drill::Stalls,
             other => return Err(CommandError::new(format!("--drill {other} is not known"))),
         };
         let options = Self {
@@ -203,6 +207,7 @@
         Drill::OddEntries => odd_entries::odd_drill,
         Drill::Stops => plan::stop_drill,
         Drill::Flows => plan::flow_drill,
+        Drill::Stalls => plan::stall_drill,
     };
     let mut schedule = generate(options.length, &mut fork_rng(&mut rng));
     if options.drill == Drill::All {
@@ -307,7 +312,7 @@
         cold_flows_per_s: options.cold_limit,
         judges_stops: options.drill == Drill::Stops,
         excuses_flows: !options.no_excuses,
-        moves_all_flows: options.drill == Drill::Flows,
+        moves_all_flows: matches!(options.drill, Drill::Flows | Drill::Stalls),
         stall_rng: SmallRng::seed_from_u64(options.seed),
     })));
     for (at, socket) in sockets {
--- a/lab/src/soak/environment.rs
+++ b/lab/src/soak/environment.rs
@@ -23,7 +23,7 @@
 use super::instances::Instance;
 use super::proxy::{LinkMode, SharedLinkMode};
 use super::tally::{Outcome, Tally};
-use crate::emulator::caller::{Caller, CallerEvent};
+use crate::emulator::caller::{Caller, CallerEvent, OpenFlow};
 use crate::emulator::fleet::{Fleet, SERVICES};
 use crate::emulator::network::{Impairment, Network};
 use crate::emulator::router::Router;
@@ -418,9 +418,9 @@
                     );
                 }
                 ServerEvent::UnknownFlow(flow) => {
-                    if let Some(server) =
-                        self.fleet.server_with(flow).filter(|server| server.is_running())
-                    {
+                    let excuses = self.excuses_flows;
+                    let holder = self.fleet.server_with(flow);
+                    if let Some(server) = holder.filter(|s| s.is_running() || !excuses) {
                         let seen = format!(
                             "flow is open on server {:x}, packet reached another one",
                             server.entry.key
@@ -463,27 +463,32 @@
                     let seen = format!("{what}, request {id:x?}");
                     self.checks.record(self.now, "answer", seen, Some(caller));
                 }
-                CallerEvent::Reset { caller, service, open_since: Some(since) } => {
-                    self.check_reset(instance, (caller, service), since);
+                CallerEvent::Reset { caller, service, open: Some(open) } => {
+                    self.check_reset(instance, (caller, service), open);
                 }
-                CallerEvent::Reset { open_since: None, .. } => {
+                CallerEvent::Reset { open: None, .. } => {
                     self.tally.record(self.now, Outcome::Refused);
                 }
             }
         }
     }
 
-    /// Checks a reset of an open flow. It is allowed only if the flow does not have to be kept.
-    fn check_reset(&mut self, instance: Option<usize>, flow: FlowKey, since: Duration) {
-        let Some(server) = self.fleet.server_with(flow) else { return };
-        if self.must_keep(server, instance, flow, since) {
+    /// Checks a reset of an open flow. It is allowed only if the flow does not have to be kept, even if
+    /// the caller ignores it, which depends on the numbers that were drawn.
+    fn check_reset(&mut self, instance: Option<usize>, flow: FlowKey, open: OpenFlow) {
+        let Some(server) = self.fleet.holder(flow, open.expected) else { return };
+        if self.must_keep(server, instance, flow, open.since) {
             let key = server.entry.key;
+            let is_earlier = instance.is_some_and(|i| self.instances[i].earlier_release);
             let seen = format!(
-                "reset by instance {instance:?}, but server {key:x} is {:?}; {}",
+                "reset by instance {instance:?}{}, but server {key:x} is {:?}; open for {:.2} s; {}",
+                if is_earlier { " of an earlier release" } else { "" },
                 server.run_state,
+                (self.now - open.since).as_secs_f64(),
                 self.describe_faults(server, instance),
             );
-            self.checks.record_for_flow(self.now, "flow_broken", seen, flow);
+            let promise = if open.ends { "flow_broken" } else { "flow_refused" };
+            self.checks.record_for_flow(self.now, promise, seen, flow);
         }
     }
 
--- a/lab/src/soak/faults.rs
+++ b/lab/src/soak/faults.rs
@@ -200,9 +200,9 @@
             Fault::Crash => env.fleet.crash(now),
             Fault::Restart { renumbered } => env.fleet.restart(now, renumbered),
             Fault::LateEntries => env.fleet.write_late(now, &env.store),
-            Fault::Starve { share } => {
+            Fault::Starve { share, longest } => {
                 for i in self.random_instances(env, share) {
-                    env.instances[i].starve(until);
+                    env.instances[i].starve(until, longest);
                 }
             }
             Fault::SilentConnections => {
--- a/lab/src/soak/instances.rs
+++ b/lab/src/soak/instances.rs
@@ -23,8 +23,8 @@
 /// takes a few milliseconds.
 const SIGNAL_HANDLER_DELAY: Duration = Duration::from_millis(50);
 
-/// Time for which a process that lacks processor time stands still at once, in milliseconds.
-const STALL_MS: Range<u64> = 60..400;
+/// Shortest time for which a process that lacks processor time stands still.
+const MIN_STALL: Duration = Duration::from_millis(60);
 /// Time for which it runs between two stalls, in milliseconds.
 const RUN_MS: Range<u64> = 30..400;
 
@@ -65,6 +65,7 @@
     state: State,
     /// End of a lack of processor time, and the next stall.
     starved: (Duration, Duration),
+    longest_stall: Duration,
     child: Option<Child>,
 }
 
@@ -92,6 +93,7 @@
             settings_path: dir.join(format!("{name}.toml")),
             state: State::Down(Duration::ZERO),
             starved: (Duration::ZERO, Duration::ZERO),
+            longest_stall: MIN_STALL,
             child: None,
         }
     }
@@ -152,8 +154,7 @@
             }
             State::Running if now >= self.starved.1 && now < self.starved.0 => {
                 self.signal(Signal::STOP);
-                self.state =
-                    State::Stalled(now + Duration::from_millis(rng.random_range(STALL_MS)));
+                self.state = State::Stalled(now + rng.random_range(MIN_STALL..=self.longest_stall));
             }
             State::Terminating(until) if now >= until => self.kill(now, RESTART_DELAY),
             State::Down(until) if now >= until => self.start(now)?,
@@ -183,8 +184,9 @@
     }
 
     /// Stalls the process again and again, as if its machine had too little processor time.
-    pub fn starve(&mut self, until: Duration) {
+    pub fn starve(&mut self, until: Duration, longest_stall: Duration) {
         self.starved.0 = until;
+        self.longest_stall = longest_stall;
     }
 
     /// Pauses the process for a time.
--- a/lab/src/soak/plan.rs
+++ b/lab/src/soak/plan.rs
@@ -53,6 +53,10 @@
 const FLOW_ROUND: Duration = Duration::from_secs(15);
 /// Server faults in a round.
 const SERVER_FAULTS: usize = 6;
+/// Longest time for which an instance that lacks processor time stands still, and the same on a machine
+/// that is much too small.
+const SHORT_STALL: Duration = Duration::from_millis(400);
+const LONG_STALL: Duration = Duration::from_millis(2_500);
 /// Stops in a round; they overlap.
 const STOPS_PER_ROUND: usize = 4;
 
@@ -154,6 +158,8 @@
     Starve {
         /// Share of all instances.
         share: f64,
+        /// Longest of these moments.
+        longest: Duration,
     },
     /// A route that callers use is dropped, and comes back with many others.
     DropRoute,
@@ -410,7 +416,7 @@
             faults.push(ScheduledFault { at, duration, fault });
         };
         let share = [0.0, 0.3, 1.0][rng.random_range(0..3)];
-        push(0.0, 14.0, Fault::Starve { share });
+        push(0.0, 14.0, Fault::Starve { share, longest: SHORT_STALL });
         let back = rng.random_range(4.0..6.0);
         if rng.random_bool(0.7) {
             let dropped = rng.random_range(0.3..back);
@@ -441,6 +447,46 @@
     faults
 }
 
+/// Generates long stalls of most instances beside lost and late packets, partitions, paused servers and
+/// stops, so that packets arrive together with their copies, and what was asked is answered late or never.
+pub fn stall_drill(length: Duration, rng: &mut SmallRng) -> Vec<ScheduledFault> {
+    let end = length.saturating_sub(RECOVERY_TIME + RECOVERY_SAMPLE_TIME);
+    let seconds = Duration::from_secs_f64;
+    let mut faults = Vec::new();
+    let mut at = STARTUP_TIME;
+    while at + FLOW_ROUND <= end {
+        let mut push = |after: f64, time: f64, fault| {
+            let (at, duration) = (at + seconds(after), seconds(time));
+            faults.push(ScheduledFault { at, duration, fault });
+        };
+        let (loss, doubled) = (rng.random_range(0.0..0.05), rng.random_range(0.0..0.2));
+        let delay = Duration::from_millis(rng.random_range(1..80));
+        push(0.0, 14.0, Fault::Weather { loss, doubled, delay });
+        let (share, longest) = (rng.random_range(0.3..1.0), LONG_STALL);
+        push(0.0, 13.0, Fault::Starve { share, longest });
+        if rng.random() {
+            let cut = Fault::Cut { one_way: rng.random() };
+            push(rng.random_range(1.0..5.0), rng.random_range(1.0..6.0), cut);
+        }
+        for _ in 0..SERVER_FAULTS {
+            let fault = match rng.random_range(0..5) {
+                0 => Fault::Crash,
+                1 => Fault::LateEntries,
+                2 => Fault::Restart { renumbered: rng.random() },
+                _ => Fault::FreezeServer,
+            };
+            push(rng.random_range(0.0..10.0), rng.random_range(0.5..4.0), fault);
+        }
+        for _ in 0..STOPS_PER_ROUND {
+            push(rng.random_range(0.0..13.0), 0.0, Fault::Roll);
+            push(rng.random_range(0.0..13.0), 0.0, Fault::Drain);
+            push(rng.random_range(0.0..13.0), 0.0, Fault::Routes { times: 1 });
+        }
+        at += FLOW_ROUND;
+    }
+    faults
+}
+
 /// Generates the faults of a run of the given length.
 pub fn schedule(length: Duration, rng: &mut SmallRng) -> Vec<ScheduledFault> {
     let end = length.saturating_sub(RECOVERY_TIME + RECOVERY_SAMPLE_TIME);
