limpetdeck-entry: no refusal of a flow that may be open

Cause: an instance took each opening packet without a record for a new flow.

Why it works: the placer and the owner remember the opening packets that they have passed on for 60 to 120 s, and refuse only one that they have not, for whose flow they have no binding, while the owners are the same for 60 s and the process was not paused; else it is dropped, and the caller's next copy is decided anew. An opening packet for a binding whose own one is not known goes to the bound target.

What a kernel does with a refusal (RST, ACK, sequence 0): a caller in SYN-SENT takes it by the acknowledgment; an established one takes it only if 0 is its next expected number, answers by a challenge ACK if 0 is in its window, and ignores it otherwise; a stack older than RFC 5961 takes it anywhere in the window. So a refusal of an open flow hits rarely, but not never.

It counts only packets that are passed on, which is stricter; refusals_after_change and copies_not_refused are new. stale and target_leaving are no longer reasons of refusals.

--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -269,7 +269,7 @@
     fn detect_pause(&mut self, now: Duration) {
         if self.pause_detector.detect(now) {
             self.stale_until = Some(now + MIN_REFRESH);
-            self.pipeline.placement.set_stale(true);
+            self.pipeline.placement.set_stale(now, true);
         }
     }
 
@@ -281,7 +281,7 @@
         let refreshing = self.membership.is_refreshing(now);
         if !refreshing && self.stale_until.is_some_and(|until| now >= until) {
             self.stale_until = None;
-            self.pipeline.placement.set_stale(false);
+            self.pipeline.placement.set_stale(now, false);
         }
     }
 
--- a/src/pipeline/run.rs
+++ b/src/pipeline/run.rs
@@ -86,6 +86,9 @@
         let _ = Span::enter_with_parent("classify", &root);
         let outcome = match self.admit(now, &class, &segment, route, &root) {
             Ok(()) => self.place(now, &services, (&class, &segment), packet, route, &root),
+            Err(_) if self.placement.may_be_open(now, class.flow, &segment) => {
+                Outcome::Discarded(Discard::Placement(DropReason::MayBeOpen))
+            }
             Err(refusal) => refuse(&class, &segment, refusal),
         };
         (outcome, self.tracer.span_id(&root))
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -13,6 +13,7 @@
 mod load;
 mod lookup;
 mod message;
+mod openings;
 mod ranks;
 mod records;
 mod replication;
--- a/src/placement/core.rs
+++ b/src/placement/core.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use super::lookup::Lookups;
+use super::openings::Openings;
 use super::records::Rescan;
 use super::replication::Replicator;
 use super::route::MAX_HOPS;
 use super::{
-    DropReason, Epochs, FlowTable, LoadTable, Ranks, Role, Route, TargetState, TargetView,
+    DropReason, Epochs, FlowTable, LoadTable, Ranks, Role, Route, Stage, TargetState, TargetView,
     TargetViews, Verdict,
 };
 use crate::flow::ClassifiedPacket;
@@ -67,8 +68,9 @@
     pub(super) flows: FlowTable,
     pub(super) replicator: Replicator,
     pub(super) lookups: Lookups,
+    openings: Openings,
     pub(super) rescan: Rescan,
-    /// Whether this instance may have missed changes; it then refuses new flows.
+    /// Whether this instance may have missed changes; it then drops opening packets.
     pub(super) stale: bool,
 }
 
@@ -98,6 +100,7 @@
             flows: FlowTable::new(cfg.flow_capacity),
             replicator: Replicator::default(),
             lookups: Lookups::default(),
+            openings: Openings::default(),
             rescan: Rescan::default(),
             stale: false,
         }
@@ -129,7 +132,11 @@
         self.live.sort_unstable();
         self.replicator.retain_instances(&self.live);
         let ranks = Ranks::new(owners);
-        if ranks.members() == self.ranks.members() {
+        let unchanged = ranks.members() == self.ranks.members();
+        if !unchanged || !self.openings.has_started() {
+            self.openings.restart(now);
+        }
+        if unchanged {
             return;
         }
         let ranks = std::mem::replace(&mut self.ranks, ranks);
@@ -137,9 +144,10 @@
         self.rescan.restart();
     }
 
-    /// Sets whether this instance may have missed changes; new flows are refused meanwhile.
-    pub fn set_stale(&mut self, stale: bool) {
+    /// Sets whether this instance may have missed changes; opening packets are dropped meanwhile.
+    pub fn set_stale(&mut self, now: Duration, stale: bool) {
         self.stale = stale;
+        self.openings.restart(now);
     }
 
     /// Applies the state of a target. Returns whether it replaced the known state.
@@ -179,6 +187,7 @@
             self.previous = None;
         }
         self.tick_records(now, out);
+        self.openings.expire(now);
         let services = &self.services;
         let idle_timeout =
             |target| services.target(target).map_or(PROPAGATION_TIME, |(s, _)| s.idle_timeout);
@@ -236,8 +245,34 @@
             route,
         };
         match class.from_target {
+            None if segment.flags.opens_flow() => self.decide_opening(now, packet),
             None => self.decide_forward(now, packet),
             Some(target) => self.decide_reply(now, packet, target.id),
         }
     }
+
+    /// Returns whether the flow of an opening packet may be open: it must not be refused then.
+    pub fn may_be_open(&self, now: Duration, flow: FlowId, segment: &Segment) -> bool {
+        self.stale
+            || self.flows.contains(flow)
+            || self.openings.may_have_passed(now, flow, segment.sequence)
+    }
+
+    fn decide_opening(&mut self, now: Duration, packet: Packet<'_>) -> Verdict {
+        let verdict = self.decide_forward(now, packet);
+        let passed = match verdict {
+            Verdict::ToTarget(_) => true,
+            Verdict::ToInstance(_, route) => route.stage != Stage::Placer,
+            _ => false,
+        };
+        if passed {
+            self.openings.record(now, packet.flow, packet.segment.sequence);
+        }
+        match verdict {
+            Verdict::Refuse(..) if self.may_be_open(now, packet.flow, packet.segment) => {
+                Verdict::Drop(DropReason::MayBeOpen)
+            }
+            verdict => verdict,
+        }
+    }
 }
--- a/src/placement/forward_path.rs
+++ b/src/placement/forward_path.rs
@@ -219,28 +219,36 @@
         Some(Verdict::ToTarget(target))
     }
 
-    /// Decides on a new flow that reuses the port of an older one.
+    /// Decides on an opening packet that is not known to be the one of the flow's binding: a late
+    /// copy of it, or of an earlier one, or the first packet of a new flow from the same port.
     ///
-    /// Other instances may have learned the older binding, so the new flow goes to the same
-    /// target, or is refused if that target accepts no new flows. If the target is dead, the
-    /// binding is removed.
+    /// Other instances may have learned the binding, so a new flow goes to the same target, too. If
+    /// that target takes no new flows, it is still the one to decide about a flow that it may hold.
+    /// Only once the flow has begun to close does its port wait for the record to expire, and only a
+    /// flow whose opening packet is known and whose target is dead gives way to a new one.
     fn decide_port_reuse(&mut self, now: Duration, packet: Packet<'_>) -> Option<Verdict> {
-        let binding = *self.flows.get(packet.flow)?;
-        if self.views.get(binding.target).state == TargetState::Dead {
+        let accepted = self.accepts_new_flows(self.flows.get(packet.flow)?.target);
+        let binding = self.flows.get_mut(packet.flow)?;
+        let target = binding.target;
+        let is_known = binding.initial_sequence != 0;
+        if is_known && self.views.get(target).state == TargetState::Dead {
             self.flows.remove(packet.flow);
             return None;
         }
-        if !self.accepts_new_flows(binding.target) {
-            return Some(Verdict::Refuse(RefuseReason::TargetLeaving, RETRY_AFTER));
+        if accepted && (is_known || binding.closing()) {
+            self.insert_owned(now, packet, target);
+        } else if !accepted && binding.closing() {
+            return Some(Verdict::Drop(DropReason::MayBeOpen));
+        } else if !is_known {
+            binding.initial_sequence = packet.segment.sequence;
         }
-        self.insert_owned(now, packet, binding.target);
-        Some(Verdict::ToTarget(binding.target))
+        Some(Verdict::ToTarget(target))
     }
 
     /// Binds a new flow to a target.
     fn bind(&mut self, now: Duration, packet: Packet<'_>) -> Verdict {
         if self.stale {
-            return Verdict::Refuse(RefuseReason::Stale, RETRY_AFTER);
+            return Verdict::Drop(DropReason::Stale);
         }
         let suggested =
             packet.route.suggested_target.filter(|&target| self.accepts_new_flows(target));
--- a/src/placement/route.rs
+++ b/src/placement/route.rs
@@ -51,7 +51,7 @@
     }
 }
 
-/// Why a new flow is refused. No packet of it was sent to a target.
+/// Why a new flow is refused. No packet of it was sent to a target, so it cannot be open.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
 pub enum RefuseReason {
     /// No target of the service accepts new flows.
@@ -60,12 +60,6 @@
     /// The flow table is full.
     #[display("table_full")]
     TableFull,
-    /// The caller reuses the port of a flow whose target accepts no new flows.
-    #[display("target_leaving")]
-    TargetLeaving,
-    /// The instance may have missed changes and has not caught up yet.
-    #[display("stale")]
-    Stale,
     /// The customer's plan does not allow the service.
     #[display("not_in_plan")]
     NotInPlan,
@@ -92,6 +86,12 @@
     /// The reply packet is from a target that the flow is not bound to.
     #[display("wrong_target")]
     WrongTarget,
+    /// An opening packet may be a copy of one that was passed on, and its flow may be open.
+    #[display("may_be_open")]
+    MayBeOpen,
+    /// The instance may have missed changes and has not caught up yet.
+    #[display("stale")]
+    Stale,
     /// No instance is ranked, so the flow has no owner.
     #[display("no_owner")]
     NoOwner,
--- a/tests/admission_pipeline.rs
+++ b/tests/admission_pipeline.rs
@@ -15,9 +15,9 @@
 use limpetdeck::link::Link;
 use limpetdeck::packet::{Segment, decode};
 use limpetdeck::peer::Body;
-use limpetdeck::pipeline::{Outcome, Pipeline};
+use limpetdeck::pipeline::{Discard, Outcome, Pipeline};
 use limpetdeck::placement::{
-    FlowTable, Placement, PlacementConfig, Policy, Route, TargetState, TargetView,
+    DropReason, FlowTable, Placement, PlacementConfig, Policy, Route, TargetState, TargetView,
 };
 use limpetdeck::telemetry::Tracer;
 use rand::SeedableRng;
@@ -70,8 +70,39 @@
 }
 
 fn count_admitted(pipeline: &mut Pipeline, now: Duration, ports: std::ops::Range<u16>) -> usize {
-    let refused = |outcome: &Outcome| matches!(outcome, Outcome::Refused(..));
-    ports.filter(|&port| !refused(&send_from_caller(pipeline, now, port, PacketKind::Syn))).count()
+    let passed = |outcome| matches!(outcome, Outcome::Fabric(_) | Outcome::Instance(..));
+    ports.filter(|&port| passed(send_from_caller(pipeline, now, port, PacketKind::Syn))).count()
+}
+
+/// After a change of instances an opening packet may be a copy of one that another instance has passed
+/// on: the flow may be open, so the packet is dropped, not refused. Later it is refused.
+#[test]
+fn refusals_after_change() {
+    let mut pipeline = pipeline(1, &[1]);
+    assert_eq!(count_admitted(&mut pipeline, START, 1..20), 10);
+    let send = |pipeline: &mut Pipeline, at| {
+        send_from_caller(pipeline, START + Duration::from_secs(at), 100, PacketKind::Syn)
+    };
+    assert!(matches!(send(&mut pipeline, 1), Outcome::Refused(..)));
+    pipeline.placement.set_members(START, [1, 2], [1, 2]);
+    pipeline.placement.set_members(START + Duration::from_secs(1), [1], [1]);
+    let may_be_open = Outcome::Discarded(Discard::Placement(DropReason::MayBeOpen));
+    assert_eq!(send(&mut pipeline, 2), may_be_open);
+    assert_eq!(send(&mut pipeline, 60), may_be_open);
+    assert!(matches!(send(&mut pipeline, 61), Outcome::Refused(..)));
+}
+
+/// A copy of an opening packet that was passed on is never refused, even if the flow is no longer
+/// counted.
+#[test]
+fn copies_not_refused() {
+    let mut pipeline = pipeline(1, &[1]);
+    assert_eq!(count_admitted(&mut pipeline, START, 1..11), 10);
+    let (flow, id) = (new_flow(&services(), 0, 0, 1).flow, services().list()[0].id);
+    pipeline.admission.flow_ended(START, id, flow);
+    assert_eq!(count_admitted(&mut pipeline, START, 50..60), 1);
+    let copy = send_from_caller(&mut pipeline, START, 1, PacketKind::Syn);
+    assert_eq!(copy, Outcome::Discarded(Discard::Placement(DropReason::MayBeOpen)));
 }
 
 #[test]
--- a/tests/entry_resets.rs
+++ b/tests/entry_resets.rs
@@ -212,7 +212,6 @@
 /// An instance has learned a flow from its target's answers, and gets a late copy of its opening
 /// packet. The target has begun to drain, and keeps its flows.
 #[test]
-#[ignore = "KNOWN-RED 51"]
 fn late_copy_of_learned_flow() {
     let mut placement = placement();
     assert_eq!(decide(&mut placement, 60_000, 4_000, Some(1), DATA), Verdict::ToCaller);
