limpetdeck-entry: only the flow's own target ends it

What callers saw: an open flow was reset in the name of another target. A packet reached a target that did not hold the flow, by the record of an earlier flow from the same port, by a copy of the opening packet that the other side of a partition or a later owner had placed, or by a try for an unknown flow. That target's host answered with a reset, and instances without a record let it pass.

Cause: a host takes the number of such a reset from the caller's packet, so it fits the caller's connection with another target.

Why it works: a binding keeps the sequence number that its target has reached. A reset passes only if an instance on its way has a binding to its sender and a number within 65,536 of the reset's: another target's number is drawn, so that 1 in 32,768 would fit by chance. Else it is dropped, and the peers are queried. A binding grows by 4 bytes.

--- a/src/placement/flow_table.rs
+++ b/src/placement/flow_table.rs
@@ -5,7 +5,7 @@
 
 use crate::hash::HashMap;
 use crate::ids::{FlowId, TargetId};
-use crate::packet::TcpFlags;
+use crate::packet::{Segment, TcpFlags};
 
 /// Number of shards. One is swept at a time, so that a sweep does not delay packets.
 const SHARDS: usize = 64;
@@ -40,6 +40,8 @@
     opened: u32,
     /// When the binding was last confirmed, in milliseconds.
     confirmed: u32,
+    /// Sequence number of the target's next byte after its last reply packet seen here.
+    reply_sequence: u32,
     caller_ip: [u8; 4],
     caller_port: u16,
     /// How this instance came to hold the binding.
@@ -55,6 +57,11 @@
 const REPLICATED: u8 = 4;
 /// Flag: the record was learned, and its flow may have ended unnoticed.
 const PROVISIONAL: u8 = 8;
+/// Flag: a sequence number of the target is known.
+const SEQUENCE_KNOWN: u8 = 16;
+/// Maximum distance of a target's reset from the last sequence number seen: a window without
+/// scaling.
+const MAX_RESET_DISTANCE: u32 = 1 << 16;
 
 impl Binding {
     /// Creates a binding that is opened and confirmed at `now`.
@@ -64,6 +71,7 @@
             initial_sequence: 0,
             opened: millis(now),
             confirmed: millis(now),
+            reply_sequence: 0,
             caller_ip: caller.map_or([0; 4], |caller| caller.ip().octets()),
             caller_port: caller.map_or(0, |caller| caller.port()),
             role,
@@ -124,6 +132,22 @@
         self.state_flags |= REPLY_SEEN;
     }
 
+    /// Records the sequence numbers of a reply packet of the target.
+    pub fn set_reply_sequence(&mut self, reply: &Segment) {
+        let len = u32::from(reply.payload_len) + u32::from(reply.flags.syn || reply.flags.fin);
+        self.reply_sequence = reply.sequence.wrapping_add(len);
+        self.state_flags |= SEQUENCE_KNOWN;
+    }
+
+    /// Returns whether a reset has a sequence number that the target may have reached in this flow.
+    ///
+    /// A target without such a connection takes the number from the caller's packet, where it is
+    /// that of the target that the caller is connected to.
+    pub fn is_own_reset(&self, sequence: u32) -> bool {
+        let distance = sequence.wrapping_sub(self.reply_sequence) as i32;
+        self.state_flags & SEQUENCE_KNOWN != 0 && distance.unsigned_abs() <= MAX_RESET_DISTANCE
+    }
+
     /// Marks the flow as closing.
     pub fn mark_closing(&mut self) {
         self.state_flags |= CLOSING;
--- a/src/placement/reply_path.rs
+++ b/src/placement/reply_path.rs
@@ -5,15 +5,20 @@
 
 use super::core::Packet;
 use super::{Binding, DropReason, Placement, Policy, Role, Stage, Verdict};
-use crate::ids::TargetId;
+use crate::ids::{FlowId, TargetId};
 
 impl Placement {
     pub(super) fn decide_reply(
         &mut self,
         now: Duration,
-        packet: Packet<'_>,
+        mut packet: Packet<'_>,
         from: TargetId,
     ) -> Verdict {
+        let known = self.flows.get(packet.flow).filter(|binding| binding.target == from);
+        let sequence = packet.segment.sequence;
+        if packet.segment.flags.rst && known.is_some_and(|known| known.is_own_reset(sequence)) {
+            packet.route.suggested_target = Some(from);
+        }
         match packet.route.stage {
             Stage::Entry => self.reply_at_entry(now, packet, from),
             Stage::Placer => self.reply_at_placer(now, packet, from),
@@ -24,7 +29,9 @@
     fn reply_at_entry(&mut self, now: Duration, packet: Packet<'_>, from: TargetId) -> Verdict {
         let flags = packet.segment.flags;
         if flags.ends_flow() {
-            self.close_learned(packet.flow);
+            if self.flows.get(packet.flow).is_some_and(|binding| binding.target == from) {
+                self.close_learned(packet.flow);
+            }
             return self.pass_reply_to_placer(now, packet, from);
         }
         if flags.syn || self.policy == Policy::Owner {
@@ -37,6 +44,7 @@
         match self.flows.get_mut(packet.flow) {
             Some(binding) if binding.target == from => {
                 binding.confirm_by_reply(now);
+                binding.set_reply_sequence(packet.segment);
                 binding.set_caller_if_unknown(packet.caller);
                 if !binding.needs_refresh(now) {
                     return Verdict::ToCaller;
@@ -73,10 +81,8 @@
     }
 
     fn reply_at_placer(&mut self, now: Duration, packet: Packet<'_>, from: TargetId) -> Verdict {
-        let flags = packet.segment.flags;
-        if flags.rst && !flags.ack && self.lookups.reject_target(packet.flow) {
-            // The target was only tried, and a reset without ACK means that it has no such
-            // connection: this does not end the flow.
+        if is_unvouched(packet, from) && self.lookups.reject_target(packet.flow) {
+            // The target was only tried, and has no such connection: this does not end the flow.
             return Verdict::Drop(DropReason::WrongTarget);
         }
         if self.loads.counted_on(packet.flow) == Some(from) {
@@ -101,15 +107,17 @@
 
     /// Forwards a reply packet unless the flow is bound to another target.
     fn reply_at_owner(&mut self, now: Duration, packet: Packet<'_>, from: TargetId) -> Verdict {
-        if self.never_accepted(packet, from) {
-            self.flows.remove(packet.flow);
+        if is_unvouched(packet, from) {
+            self.doubt_binding(now, packet.flow, from);
             return Verdict::Drop(DropReason::WrongTarget);
         }
         match self.flows.get_mut(packet.flow) {
             Some(binding) if binding.target == from => {
                 binding.confirm_by_reply(now);
                 binding.set_caller_if_unknown(packet.caller);
-                if packet.segment.flags.rst {
+                if !packet.segment.flags.rst {
+                    binding.set_reply_sequence(packet.segment);
+                } else {
                     binding.mark_closing();
                     self.end_replica(packet.flow);
                 }
@@ -125,13 +133,20 @@
         }
     }
 
-    /// Returns whether the target reports by a reset that it has no such connection, and has
-    /// never replied before. The caller is then connected to another target, which instances
-    /// on the other side of a network partition have selected.
-    fn never_accepted(&self, packet: Packet<'_>, from: TargetId) -> bool {
-        let flags = packet.segment.flags;
-        let without_reply = |binding: &Binding| binding.target == from && !binding.reply_seen();
-        flags.rst && !flags.ack && self.flows.get(packet.flow).is_some_and(without_reply)
+    /// Handles the reset of a target that no instance on the route knows to have held the flow. The
+    /// caller may be connected to another target, which an earlier owner has selected, or instances
+    /// on the other side of a network partition: the peers are queried for it.
+    fn doubt_binding(&mut self, now: Duration, flow: FlowId, from: TargetId) {
+        if let Some(binding) = self.flows.get_mut(flow)
+            && binding.target == from
+        {
+            if binding.reply_seen() {
+                binding.mark_provisional();
+            } else {
+                self.flows.remove(flow);
+            }
+        }
+        self.lookups.search(now, flow);
     }
 
     fn learn(&mut self, now: Duration, packet: Packet<'_>, from: TargetId) {
@@ -142,6 +157,7 @@
         let role = if mine { Role::Owner } else { Role::Learned };
         let mut binding = Binding::new(now, from, role, Some(packet.caller));
         binding.mark_reply_seen();
+        binding.set_reply_sequence(packet.segment);
         self.lookups.resolve(packet.flow);
         // A full table is no error here: the owner still has the record.
         if self.flows.insert(packet.flow, binding) && role == Role::Owner {
@@ -150,3 +166,10 @@
         self.count_existing(packet.flow, from);
     }
 }
+
+/// Returns whether a packet is the reset of a target without such a connection, and no instance on
+/// the route knows its sequence number as one of that target.
+fn is_unvouched(packet: Packet<'_>, from: TargetId) -> bool {
+    let flags = packet.segment.flags;
+    flags.rst && !flags.ack && packet.route.suggested_target != Some(from)
+}
--- a/src/placement/route.rs
+++ b/src/placement/route.rs
@@ -37,7 +37,8 @@
     pub stage: Stage,
     /// Number of times that the packet was redirected between instances.
     pub hops: u8,
-    /// Target that the placer suggests.
+    /// Target that the placer suggests; of a reset, the target that has sent it, if an
+    /// instance on the route knows its sequence number as one of that target.
     pub suggested_target: Option<TargetId>,
 }
 
