limpetdeck-entry: a target that answers is not dead

Cause: each probe without a valid report counted as one without an answer; a probe without a result for 3 s counted as failed, and its late result ended the next probe.

Why it works: an answer without a valid report shows that the target lives; after three in a row it counts as shedding. A probe is waited for; a failure that is read after 3 s does not count, and a result that has not come after 30 s is given up.

The lab's target stand-in answered the probes of a dead target with status 503. It now reports the state `dead`, its own word.

--- a/lab/src/target/process.rs
+++ b/lab/src/target/process.rs
@@ -13,6 +13,7 @@
 use limpetdeck::placement::TargetState;
 use limpetdeck::services::{RawServices, Services};
 use limpetdeck::signals::Signals;
+use limpetdeck::targets::Report;
 use smol::LocalExecutor;
 use smol::net::TcpListener;
 
@@ -106,7 +107,8 @@
     };
     match req.route() {
         "/report" if server.state() == TargetState::Dead => {
-            Response::text(StatusCode::SERVICE_UNAVAILABLE, "dead\n")
+            let report = Report { state: TargetState::Dead, ..Report::default() };
+            Response::json(StatusCode::OK, &report)
         }
         "/report" => Response::json(StatusCode::OK, &server.report()),
         "/set" => match update_server(server, req) {
--- a/src/targets/probe_state.rs
+++ b/src/targets/probe_state.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{ProbeResult, Report};
+use super::{ProbeError, ProbeResult, Report};
 use crate::ids::{FailureDomain, InstanceId};
 use crate::placement::TargetState;
 use crate::services::ReportAddress;
@@ -12,8 +12,10 @@
 const FAILURE_THRESHOLD: u32 = 3;
 /// Time from a failed probe to the next.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
-/// Time after which a probe without a result counts as failed.
-const RESULT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which a failed probe does not count: the result was read too late.
+const LATE_RESULT: Duration = Duration::from_secs(3);
+/// Time after which the result of a probe is no longer waited for.
+const LOST_RESULT: Duration = Duration::from_secs(30);
 /// Time for which the opinion of another prober counts.
 const OPINION_TTL: Duration = Duration::from_secs(3);
 
@@ -31,6 +33,8 @@
     in_flight_since: Option<Duration>,
     last_finished: Option<Duration>,
     failures: u32,
+    /// Consecutive answers without a valid report.
+    errors: u32,
     /// Consecutive failures that are not attributed to a broken path.
     confirmed_failures: u32,
     path_suspect: bool,
@@ -60,6 +64,7 @@
             in_flight_since: None,
             last_finished: None,
             failures: 0,
+            errors: 0,
             confirmed_failures: 0,
             path_suspect: false,
             failing_since: Duration::ZERO,
@@ -71,9 +76,9 @@
     }
 
     /// Returns whether a probe is to be sent now, and if so marks it as in flight.
-    pub(super) fn try_start(&mut self, now: Duration, interval: Duration) -> bool {
-        if self.in_flight_since.is_some_and(|sent| now >= sent + RESULT_TIMEOUT) {
-            self.fail(now, interval);
+    pub(super) fn try_start(&mut self, now: Duration) -> bool {
+        if self.in_flight_since.is_some_and(|sent| now >= sent + LOST_RESULT) {
+            self.in_flight_since = None;
         }
         if self.in_flight_since.is_some() || now < self.next_probe {
             return false;
@@ -90,12 +95,35 @@
         result: &ProbeResult,
         interval: Duration,
     ) {
+        let late = self.in_flight_since.is_none_or(|sent| now >= sent + LATE_RESULT);
         match result {
-            Ok(report) if report.state != TargetState::Dead => self.succeed(now, *report, interval),
+            Ok(report) if report.state != TargetState::Dead => {
+                self.errors = 0;
+                self.succeed(now, *report, interval);
+            }
+            Err(ProbeError::Status(_) | ProbeError::InvalidReport(_)) => {
+                self.answer_with_error(now, interval);
+            }
+            _ if late => self.finish(now, RETRY_INTERVAL),
             _ => self.fail(now, interval),
         }
     }
 
+    /// Records an answer without a valid report: the target lives, and after several of them it
+    /// counts as one that takes no new work for now.
+    fn answer_with_error(&mut self, now: Duration, interval: Duration) {
+        self.errors = self.errors.saturating_add(1);
+        if self.errors >= FAILURE_THRESHOLD {
+            let report = Report { state: TargetState::Shedding, ..Report::default() };
+            return self.succeed(now, report, interval);
+        }
+        self.failures = 0;
+        self.confirmed_failures = 0;
+        self.path_suspect = false;
+        self.consistent_reports = 0;
+        self.finish(now, RETRY_INTERVAL);
+    }
+
     fn succeed(&mut self, now: Duration, report: Report, interval: Duration) {
         let same_state = self.last_report.is_some_and(|last| last.state == report.state);
         let outdated = self.in_flight_since.is_some_and(|sent| sent < self.last_update);
--- a/src/targets/prober.rs
+++ b/src/targets/prober.rs
@@ -88,7 +88,7 @@
         self.probes.retain(|_, probe| probe.expires_at.is_none_or(|expires_at| now < expires_at));
         self.update_paths(now, registers);
         for (&target, probe) in &mut self.probes {
-            if probe.try_start(now, self.probe_interval) {
+            if probe.try_start(now) {
                 out.charge(PROBE_BYTES);
                 out.push(Action::Probe(target, probe.report.clone()));
             }
--- a/tests/entry_resets.rs
+++ b/tests/entry_resets.rs
@@ -97,9 +97,16 @@
     assert_eq!(found, [], "seed, target, when");
 }
 
+/// The results of all probes of a target are read late: none of them has failed.
+#[test]
+fn overdue_results() {
+    let mut fleet = settled_fleet(18, 1);
+    fleet.slow.insert(4, Duration::from_secs(12));
+    assert_eq!(find_dead(&mut fleet, 4, MINUTE), None, "after, instances");
+}
+
 /// A target serves, and answers probes of its report with an error.
 #[test]
-#[ignore = "KNOWN-RED 51"]
 fn report_with_error() {
     let errors = [
         ProbeError::Status(503),
--- a/tests/support/target_fleet.rs
+++ b/tests/support/target_fleet.rs
@@ -60,6 +60,8 @@
     pub errors: BTreeMap<TargetId, ProbeError>,
     /// Time until a target answers a probe.
     pub probe_delay: Duration,
+    /// The same for some targets.
+    pub slow: BTreeMap<TargetId, Duration>,
     /// Until when each instance stands still: its events wait.
     pub stalled_until: Vec<Duration>,
     /// Placer of all services.
@@ -113,6 +115,7 @@
             cut: BTreeSet::new(),
             errors: BTreeMap::new(),
             probe_delay: DELAY,
+            slow: BTreeMap::new(),
             stalled_until: vec![Duration::ZERO; instances as usize],
             placer: None,
             membership_due: None,
@@ -284,7 +287,8 @@
                     return self.schedule(DELAY, event);
                 }
                 let failed = || ProbeError::NoAnswer("timed out".to_owned());
-                let delay = if result.is_some() { self.probe_delay } else { PROBE_TIMEOUT };
+                let answer_delay = self.slow.get(&target).copied().unwrap_or(self.probe_delay);
+                let delay = if result.is_some() { answer_delay } else { PROBE_TIMEOUT };
                 let event = Event::ProbeFinished(node, target, result.ok_or_else(failed));
                 self.schedule(delay, event);
             }
