--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -194,11 +194,6 @@
                 );
                 out.push(Action::Fabric(reset));
             }
-            Outcome::Reset(service, reset) => {
-                counter!("limpetdeck_flows_reset_total").increment(1);
-                log::info!(service = service; "flow_reset");
-                out.push(Action::Fabric(reset));
-            }
             Outcome::Discarded(reason) => {
                 count_dropped(reason);
                 self.drop_log.record(now, reason);
@@ -276,7 +271,7 @@
     fn detect_pause(&mut self, now: Duration) {
         if self.pause_detector.detect(now) {
             self.stale_until = Some(now + MIN_REFRESH);
-            self.pipeline.placement.set_stale(true);
+            self.pipeline.placement.set_stale(now, true);
         }
     }
 
@@ -288,7 +283,7 @@
         let refreshing = self.membership.is_refreshing(now);
         if !refreshing && self.stale_until.is_some_and(|until| now >= until) {
             self.stale_until = None;
-            self.pipeline.placement.set_stale(false);
+            self.pipeline.placement.set_stale(now, false);
         }
     }
 
--- a/src/pipeline/run.rs
+++ b/src/pipeline/run.rs
@@ -40,8 +40,6 @@
     Instance(InstanceId, Route, Vec<u8>),
     /// Refuse a new flow; the reset is for the caller.
     Refused(ServiceId, Refusal, Vec<u8>),
-    /// Reset a flow whose target is dead or unknown; the reset is for the caller.
-    Reset(ServiceId, Vec<u8>),
     /// Discard the packet.
     Discarded(Discard),
 }
@@ -88,6 +86,9 @@
         let _ = Span::enter_with_parent("classify", &root);
         let outcome = match self.admit(now, &class, &segment, route, &root) {
             Ok(()) => self.place(now, &services, (&class, &segment), packet, route, &root),
+            Err(_) if self.placement.may_be_open(now, class.flow, &segment) => {
+                Outcome::Discarded(Discard::Placement(DropReason::MayBeOpen))
+            }
             Err(refusal) => refuse(&class, &segment, refusal),
         };
         (outcome, self.tracer.span_id(&root))
@@ -160,10 +161,6 @@
                 self.admission.flow_ended(now, class.service.id, class.flow);
                 refuse(class, segment, Refusal { reason, retry_after })
             }
-            Verdict::Reset => match reply::reset(segment) {
-                Some(reset) => Outcome::Reset(class.service.id, reset),
-                None => Outcome::Discarded(Discard::Placement(DropReason::UnknownFlow)),
-            },
             Verdict::Drop(reason) => Outcome::Discarded(Discard::Placement(reason)),
         }
     }
--- a/src/placement/forward_path.rs
+++ b/src/placement/forward_path.rs
@@ -46,7 +46,7 @@
                     binding.confirm(now);
                 }
                 let target = binding.target;
-                return self.forward_or_reset(target);
+                return Verdict::ToTarget(target);
             }
             binding.mark_refreshed(now);
         }
@@ -142,7 +142,7 @@
         if let Some(target) = self.loads.counted_on(packet.flow)
             && self.lookups.may_try_target(now, packet.flow)
         {
-            return self.forward_or_reset(target);
+            return Verdict::ToTarget(target);
         }
         if packet.route.stage == Stage::PlacerLookup {
             return self.query_peers(now, packet);
@@ -164,9 +164,8 @@
             LookupStatus::Pending | LookupStatus::Full => unknown,
             LookupStatus::TryFallback => {
                 let choice = self.epochs.fallback(packet.service.id, packet.flow);
-                choice.map_or(unknown, |target| self.forward_or_reset(target))
+                choice.map_or(unknown, Verdict::ToTarget)
             }
-            LookupStatus::Lost => Verdict::Reset,
         }
     }
 
@@ -194,7 +193,7 @@
             return Verdict::Drop(DropReason::UnknownFlow);
         };
         self.loads.opened(now, packet.flow, packet.service.id, target);
-        self.forward_or_reset(target)
+        Verdict::ToTarget(target)
     }
 
     /// Returns the live instance that owned a flow before the last membership change.
@@ -217,31 +216,39 @@
             binding.mark_closing();
             self.end_replica(packet.flow);
         }
-        Some(self.forward_or_reset(target))
+        Some(Verdict::ToTarget(target))
     }
 
-    /// Decides on a new flow that reuses the port of an older one.
+    /// Decides on an opening packet that is not known to be the one of the flow's binding: a late
+    /// copy of it, or of an earlier one, or the first packet of a new flow from the same port.
     ///
-    /// Other instances may have learned the older binding, so the new flow goes to the same
-    /// target, or is refused if that target accepts no new flows. If the target is dead, the
-    /// binding is removed.
+    /// Other instances may have learned the binding, so a new flow goes to the same target, too. If
+    /// that target takes no new flows, it is still the one to decide about a flow that it may hold.
+    /// Only once the flow has begun to close does its port wait for the record to expire, and only a
+    /// flow whose opening packet is known and whose target is dead gives way to a new one.
     fn decide_port_reuse(&mut self, now: Duration, packet: Packet<'_>) -> Option<Verdict> {
-        let binding = *self.flows.get(packet.flow)?;
-        if self.views.get(binding.target).state == TargetState::Dead {
+        let accepted = self.accepts_new_flows(self.flows.get(packet.flow)?.target);
+        let binding = self.flows.get_mut(packet.flow)?;
+        let target = binding.target;
+        let is_known = binding.initial_sequence != 0;
+        if is_known && self.views.get(target).state == TargetState::Dead {
             self.flows.remove(packet.flow);
             return None;
         }
-        if !self.accepts_new_flows(binding.target) {
-            return Some(Verdict::Refuse(RefuseReason::TargetLeaving, RETRY_AFTER));
+        if accepted && (is_known || binding.closing()) {
+            self.insert_owned(now, packet, target);
+        } else if !accepted && binding.closing() {
+            return Some(Verdict::Drop(DropReason::MayBeOpen));
+        } else if !is_known {
+            binding.initial_sequence = packet.segment.sequence;
         }
-        self.insert_owned(now, packet, binding.target);
-        Some(Verdict::ToTarget(binding.target))
+        Some(Verdict::ToTarget(target))
     }
 
     /// Binds a new flow to a target.
     fn bind(&mut self, now: Duration, packet: Packet<'_>) -> Verdict {
         if self.stale {
-            return Verdict::Refuse(RefuseReason::Stale, RETRY_AFTER);
+            return Verdict::Drop(DropReason::Stale);
         }
         let suggested =
             packet.route.suggested_target.filter(|&target| self.accepts_new_flows(target));
@@ -268,11 +275,4 @@
         let removed = self.services.target(target).is_none_or(|(_, target)| target.removed);
         !removed && matches!(state, TargetState::Serving | TargetState::Cold)
     }
-
-    fn forward_or_reset(&self, target: TargetId) -> Verdict {
-        if self.views.get(target).state == TargetState::Dead {
-            return Verdict::Reset;
-        }
-        Verdict::ToTarget(target)
-    }
 }
