--- a/src/steering.rs
+++ b/src/steering.rs
@@ -25,8 +25,8 @@
 pub use domain_drains::{DomainDrains, DrainOrders, DrainSnapshot, DrainedDomain};
 pub use flows::{FlowSignal, FlowTable, Load};
 pub use forwarder::{
-    ColdTargets, Doubt, DropReason, Forwarder, HealthChange, Inquiry, Loss, LossEvidence,
-    ResetReason, Successors, UnsteadyTarget, Verdict,
+    ColdTargets, Doubt, DropReason, Forwarder, HealthChange, Inquiry, ResetReason, Successors,
+    UnsteadyTarget, Verdict,
 };
 pub use gossip::Gossip;
 pub use list_watch::{
--- a/src/steering/flows.rs
+++ b/src/steering/flows.rs
@@ -6,8 +6,7 @@
 use std::time::Duration;
 
 use super::token::TargetIncarnation;
-use super::{FlowPacket, NO_TOKEN, PacketKind};
-use crate::flow::FlowKey;
+use super::{FlowPacket, PacketKind};
 use crate::hash::HashMap;
 use crate::ids::FlowId;
 
@@ -38,10 +37,7 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Flow {
-    key: FlowKey,
     target: TargetIncarnation,
-    /// When its last opening packet arrived, or its first packet if it was not opened here.
-    since: Duration,
     /// When the last packet arrived.
     last_packet: Duration,
     /// Whether the handshake is complete.
@@ -143,11 +139,6 @@
         is_opening && flow.target != target && flow.is_far_from(packet)
     }
 
-    /// Returns the target of a flow, or `None` for an unknown flow.
-    pub(super) fn target(&self, flow: FlowId) -> Option<TargetIncarnation> {
-        self.flows.get(&flow).map(|flow| flow.target)
-    }
-
     /// Returns the load of a target.
     pub fn load(&self, target: TargetIncarnation) -> Load {
         self.loads.get(&target).copied().unwrap_or_default()
@@ -187,57 +178,21 @@
         self.loads.iter().map(|(&target, &load)| (target, load))
     }
 
-    /// Returns when the last opening packet of a packet's flow to a target arrived, or its first packet
-    /// if it was not opened here. Returns `None` for an unknown flow: an earlier one of the same
-    /// addresses, or an attempt to open it at another target, says nothing about it.
-    pub(super) fn since(&self, packet: &FlowPacket, target: TargetIncarnation) -> Option<Duration> {
-        let flow = self.flows.get(&packet.flow.id())?;
-        let is_same = flow.target == target && !flow.is_earlier_than(packet);
-        is_same.then_some(flow.since)
+    /// Forgets that the flows of a target wait for responses: it seems to be dead, so they are no load.
+    pub(super) fn forget_requests(&mut self, target: TargetIncarnation) {
+        for flow in self.flows.values_mut().filter(|flow| flow.target == target) {
+            flow.waiting_since = None;
+            flow.overdue = false;
+        }
+        if let Some(load) = self.loads.get_mut(&target) {
+            (load.waiting, load.overdue) = (0, 0);
+        }
     }
 
     /// Removes the flows of a target.
     pub(super) fn remove_flows(&mut self, target: TargetIncarnation) {
-        self.take_flows(target, Duration::MAX);
-    }
-
-    /// Ends the flows of a target that have been known since `before` or longer. For each open one,
-    /// returns the packet that its caller would send next. Those stay in the table as closed ones: the
-    /// caller may not get the reset, and send again.
-    pub(super) fn end_flows(
-        &mut self,
-        now: Duration,
-        target: TargetIncarnation,
-        before: Duration,
-    ) -> Vec<FlowPacket> {
-        let taken = self.take_flows(target, before).into_iter();
-        let open = taken.filter(|flow| flow.open && !flow.closed).map(|flow| {
-            let ended = Flow { closed: true, last_packet: now, ..flow };
-            self.flows.insert(flow.key.id(), ended);
-            FlowPacket {
-                flow: flow.key,
-                kind: PacketKind::Within,
-                token: NO_TOKEN,
-                sequence: flow.next_sequence,
-                ack: flow.ack,
-                data_len: 0,
-            }
-        });
-        open.collect()
-    }
-
-    fn take_flows(&mut self, target: TargetIncarnation, before: Duration) -> Vec<Flow> {
-        let is_taken = |flow: &Flow| flow.target == target && flow.since <= before;
-        let ids = self.flows.iter().filter(|(_, flow)| is_taken(flow)).map(|(id, _)| *id);
-        let ids: Vec<_> = ids.collect();
-        let mut taken = Vec::new();
-        for id in ids {
-            if let Some(flow) = self.flows.remove(&id) {
-                self.subtract_load(&flow);
-                taken.push(flow);
-            }
-        }
-        taken
+        self.flows.retain(|_, flow| flow.target != target);
+        self.loads.remove(&target);
     }
 
     /// Returns the target of each open flow whose response has become overdue since the last
@@ -303,9 +258,7 @@
         self.insert(
             id,
             Flow {
-                key: packet.flow,
                 target,
-                since: now,
                 last_packet: now,
                 open: false,
                 closed: false,
@@ -335,9 +288,7 @@
             let waiting_since = (packet.data_len > 0).then_some(now);
             let ack = packet.ack;
             let flow = Flow {
-                key: packet.flow,
                 target,
-                since: now,
                 last_packet: now,
                 open: true,
                 closed: false,
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -3,7 +3,6 @@
 mod eligibility;
 mod failures;
 mod inquiry;
-mod loss;
 mod opening;
 mod reach;
 mod token_lookup;
@@ -17,10 +16,8 @@
 
 pub use self::failures::UnsteadyTarget;
 pub use self::inquiry::{Doubt, Inquiry, Successors};
-pub use self::loss::{Loss, LossEvidence};
 use self::token_lookup::find_target;
 pub use self::warm_up::ColdTargets;
-use super::policy::domain_answers::DomainAnswers;
 use super::policy::domain_reach::DomainReach;
 use super::policy::last_resort::LastResort;
 use super::policy::overdue::OverdueResponses;
@@ -64,9 +61,6 @@
     /// Only cold targets without an opening budget are left.
     #[display("cold_targets")]
     ColdTargets,
-    /// The target is dead: it neither responds nor accepts connections.
-    #[display("target_dead")]
-    TargetDead,
 }
 
 /// Reason for dropping a packet.
@@ -145,7 +139,6 @@
     /// Local slots of the services that share a route.
     local_slots: HashMap<String, u32>,
     domain_load: DomainLoad,
-    domain_answers: DomainAnswers,
     domain_reach: DomainReach,
     /// Failure domains found unreachable that peers do not know of yet.
     found_unreachable: Vec<FailureDomain>,
@@ -177,7 +170,6 @@
             unsteady: Vec::new(),
             local_slots: HashMap::default(),
             domain_load: DomainLoad::default(),
-            domain_answers: DomainAnswers::default(),
             domain_reach: DomainReach::default(),
             found_unreachable: Vec::new(),
             last_resort: LastResort::default(),
@@ -314,19 +306,10 @@
         // A target that answers a copy of the opening packet late does not take the flow over.
         let open_at = self.flows.answered_at(packet).filter(|(key, _)| *key != named.0);
         let incarnation = self.holder(open_at.unwrap_or(named));
-        let id = packet.flow.id();
-        let since = self.flows.since(packet, incarnation).unwrap_or(now);
-        if self.check_dead(now, incarnation).is_some_and(|before| since <= before)
-            && packet.kind != PacketKind::Reset
-        {
-            self.flows.close(now, id);
-            return Verdict::Reset(ResetReason::TargetDead);
-        }
         match self.flows.record(now, packet, incarnation) {
             FlowSignal::Response(waited) => self.record_response(now, incarnation, waited),
             FlowSignal::Unanswered(waited) => {
                 self.record_unanswered(now, incarnation, packet, waited);
-                self.health.record_open_flow_silent(incarnation, now.saturating_sub(waited));
             }
             FlowSignal::Nothing => {}
         }
@@ -348,17 +331,6 @@
         }
     }
 
-    /// Returns the time up to which flows are lost that were known by then, if a target is dead.
-    /// Requests a connection check if the platform has removed the target, or the last one failed.
-    fn check_dead(&mut self, now: Duration, incarnation: TargetIncarnation) -> Option<Duration> {
-        let loss = self.loss(now, incarnation);
-        if self.targets.is_removed(now, incarnation) || self.health.is_dead(now, incarnation) {
-            let target = self.targets.get(incarnation)?;
-            self.health.check_connection(now, incarnation, target.address.into());
-        }
-        loss.map(|loss| loss.before)
-    }
-
     /// Records the result of a connection check. Returns the targets that count as dead from now
     /// on.
     pub fn record_connection_check(
@@ -369,14 +341,10 @@
     ) -> Vec<TargetIncarnation> {
         let accepted = outcome == CheckOutcome::Accepted;
         self.record_probe(now, address, accepted);
-        self.record_path(address, accepted);
-        let is_of_target = self.health.is_checking_target(address);
         let dead: Vec<_> =
-            self.health.record_connection_check(now, address, outcome).into_iter().collect();
+            self.health.record_connection_check(now, address, accepted).into_iter().collect();
         self.record_check(now, address, accepted, &dead);
-        if !accepted && is_of_target {
-            self.check_path(now, address);
-        }
+        dead.iter().for_each(|&target| self.flows.forget_requests(target));
         self.health_changes.extend(dead.iter().map(|&(key, _)| HealthChange::Dead(key)));
         dead
     }
@@ -401,25 +369,21 @@
         overdue
     }
 
-    /// Removes the flows whose targets are dead. Returns those to be reset, with the reason. An early
-    /// reset lets the caller reconnect before it has a request to send.
-    pub fn take_orphaned_flows(&mut self, now: Duration) -> Vec<(FlowPacket, ResetReason)> {
-        let mut ended = Vec::new();
+    /// Forgets the flows of targets that have started again in place. Requests connection checks of dead
+    /// ones that have flows and would get new ones; to be called about ten times per second.
+    pub fn check_flow_targets(&mut self, now: Duration) {
         let targets: Vec<_> = self.flows.targets().collect();
         for incarnation in targets {
             if self.holder(incarnation) != incarnation {
                 // Those that the target holds are added again with their next packets.
                 self.flows.remove_flows(incarnation);
-                continue;
-            }
-            let Some(before) = self.check_dead(now, incarnation) else { continue };
-            let lost = self.flows.end_flows(now, incarnation, before);
-            ended.extend(lost.into_iter().map(|flow| (flow, ResetReason::TargetDead)));
-            if self.flows.load(incarnation).flows > 0 {
+            } else if self.health.is_dead(now, incarnation)
+                && self.may_get_flow(incarnation)
+                && !self.targets.is_removed(now, incarnation)
+            {
                 self.suspect_target(now, incarnation);
             }
         }
-        ended
     }
 
     /// Removes and returns the addresses whose connection checks are to be started.
--- a/src/steering/forwarder/failures.rs
+++ b/src/steering/forwarder/failures.rs
@@ -167,7 +167,6 @@
     ) {
         if let Some(waited) = waited {
             histogram!("limpetdeck_answer_seconds").record(waited);
-            self.record_answer(now.saturating_sub(waited), target);
         }
         self.record_return(now, target);
         self.record_reached(now, target);
--- a/src/steering/forwarder/opening.rs
+++ b/src/steering/forwarder/opening.rs
@@ -37,7 +37,7 @@
             Some(reused) => reused,
             None => match self.select_for_flow(now, &packet.flow, &services) {
                 Ok(chosen) => chosen,
-                Err(Verdict::Reset(_)) if previous.is_some_and(|p| self.may_hold_flows(now, p)) => {
+                Err(Verdict::Reset(_)) if previous.is_some() => {
                     return Verdict::Drop(DropReason::AlreadyPlaced);
                 }
                 Err(refusal) => return refusal,
--- a/src/steering/forwarder/reach.rs
+++ b/src/steering/forwarder/reach.rs
@@ -110,45 +110,6 @@
         }
     }
 
-    /// Records that a target has answered what was sent to it at `sent`.
-    pub(super) fn record_answer(&mut self, sent: Duration, incarnation: TargetIncarnation) {
-        if let Some(target) = self.targets.get(incarnation) {
-            self.domain_answers.record(sent, &target.failure_domain);
-        }
-    }
-
-    /// Records that a connection check of an address has ended.
-    pub(super) fn record_path(&mut self, address: SocketAddr, accepted: bool) {
-        self.domain_answers.end_check(address);
-        let Some(began) = self.health.check_began(address).filter(|_| accepted) else { return };
-        if let Some(domain) = self.domain_at(address) {
-            self.domain_answers.record(began, &domain);
-        }
-    }
-
-    /// Checks another target of the failure domain of one that has not accepted a connection: the cause
-    /// may be the network.
-    pub(super) fn check_path(&mut self, now: Duration, failed: SocketAddr) {
-        let Some(domain) = self.domain_at(failed) else { return };
-        if self.domain_answers.is_checking(&domain) {
-            return;
-        }
-        let others = self.targets.eligible_in_domain(now, &domain).filter(|target| {
-            SocketAddr::V4(target.address) != failed
-                && !self.health.is_dead(now, (target.key, target.incarnation))
-        });
-        let Some(other) = others.choose(&mut self.rng) else { return };
-        let address = SocketAddr::V4(other.address);
-        self.domain_answers.begin_check(&domain, address);
-        self.health.check_path(now, address);
-    }
-
-    /// Returns the failure domain of the targets at an address.
-    fn domain_at(&self, address: SocketAddr) -> Option<FailureDomain> {
-        let target = self.targets.all().find(|target| SocketAddr::V4(target.address) == address);
-        target.map(|target| target.failure_domain.clone())
-    }
-
     /// Updates whether the drained local failure domain may be used. Returns whether the platform is
     /// to be asked for the order. `is_watcher` is set if this instance watches the platform for its
     /// failure domain.
@@ -186,6 +147,5 @@
     pub(super) fn expire_reach(&mut self) {
         let domains = self.targets.failure_domains();
         self.domain_reach.retain(|domain| domains.contains(domain));
-        self.domain_answers.retain(|domain| domains.contains(domain));
     }
 }
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -346,7 +346,7 @@
             gauge!("limpetdeck_targets_known").set(self.forwarder.targets.len() as f64);
             gauge!("limpetdeck_routes_version").set(self.forwarder.routes.version() as f64);
         }
-        self.reset_orphaned_flows(now, out);
+        self.forwarder.check_flow_targets(now);
         self.resend_last_packets(now, out);
         if now >= self.next_overdue_check {
             self.next_overdue_check = now + OVERDUE_CHECK_INTERVAL;
@@ -373,7 +373,6 @@
         if self.forwarder.has_reach_changes() {
             self.update_reach(now, out);
         }
-        self.reset_orphaned_flows(now, out);
     }
 
     /// Announces targets with overdue responses to peers.
@@ -386,13 +385,6 @@
         self.gossip.announce_overdue(now, &targets, &mut self.link.outbox(now, out));
     }
 
-    /// Resets the flows whose targets are dead.
-    fn reset_orphaned_flows(&mut self, now: Duration, out: &mut Vec<Action>) {
-        for (packet, reason) in self.forwarder.take_orphaned_flows(now) {
-            self.send_reset(now, &packet, reason, out);
-        }
-    }
-
     fn send_reset(
         &mut self,
         now: Duration,
--- a/src/steering/node/logging.rs
+++ b/src/steering/node/logging.rs
@@ -39,29 +39,11 @@
     }
 
     pub(super) fn log_reset(&mut self, now: Duration, packet: &FlowPacket, reason: ResetReason) {
-        let loss = match reason {
-            ResetReason::TargetDead => self.forwarder.loss_of_flow(now, packet),
-            _ => None,
-        };
-        if let Some(loss) = loss {
-            let evidence = loss.evidence.to_string();
-            counter!("limpetdeck_flows_lost_total", "evidence" => evidence).increment(1);
-        }
         let Some(unlogged) = self.log.try_acquire(now) else { return };
-        let (target, evidence, evidence_age) = loss.map_or_else(Default::default, |loss| {
-            let target = format!("{:x}", loss.target.0);
-            (target, loss.evidence.to_string(), now.saturating_sub(loss.before))
-        });
-        let known_since = loss.and_then(|loss| self.forwarder.flows.since(packet, loss.target));
-        let known_since = known_since.unwrap_or(now);
         log::info!(
             caller = packet.flow.caller.to_string().as_str(),
             service = packet.flow.service.to_string().as_str(),
             reason = reason.to_string().as_str(),
-            target = target.as_str(),
-            evidence = evidence.as_str(),
-            evidence_age_ms = evidence_age.as_millis() as u64,
-            known_ms = now.saturating_sub(known_since).as_millis() as u64,
             token = format!("{:08x}", packet.token).as_str(),
             routes_version = self.forwarder.routes.version(),
             targets_revision = self.forwarder.targets.complete_up_to().revision,
--- a/src/steering/policy.rs
+++ b/src/steering/policy.rs
@@ -5,7 +5,6 @@
 //! be tested, or used in a forwarder of one's own, without a network.
 
 mod connection_checks;
-pub(super) mod domain_answers;
 pub(super) mod domain_load;
 pub(super) mod domain_reach;
 pub(super) mod health;
--- a/src/steering/policy/connection_checks.rs
+++ b/src/steering/policy/connection_checks.rs
@@ -58,23 +58,6 @@
         self.in_flight.contains_key(&address)
     }
 
-    /// Requests a probe of an address, unless a check or a probe of it is in flight.
-    pub(super) fn request_probe(&mut self, now: Duration, address: SocketAddr) {
-        if !self.is_in_flight(address) {
-            self.begin(now, None, address, Vec::new());
-        }
-    }
-
-    /// Returns the target of the check of an address that is in flight.
-    pub(super) fn target(&self, address: SocketAddr) -> Option<TargetIncarnation> {
-        self.in_flight.get(&address)?.target
-    }
-
-    /// Returns when the check or the probe of an address began that is in flight, if there is one.
-    pub(super) fn began(&self, address: SocketAddr) -> Option<Duration> {
-        self.in_flight.get(&address).map(|check| check.began)
-    }
-
     /// Begins a probe, whose connection the caller starts.
     pub(super) fn begin_probe(&mut self, now: Duration, address: SocketAddr) {
         let probe = InFlight { began: now, target: None, waiting: Vec::new() };
--- a/src/steering/policy/health.rs
+++ b/src/steering/policy/health.rs
@@ -1,9 +1,8 @@
 //! Detects unresponsive targets from the flows through this instance (passive health checks).
 //!
 //! The platform takes seconds to remove a target that has failed. Until then, new flows must not
-//! be sent there, and callers must not be left waiting. An unresponsive target gets no new
-//! flows, which is harmless in case of a false positive. Its open flows are reset only if it refuses
-//! connections while the path works, or its whole failure domain cannot be reached.
+//! be sent there. An unresponsive target gets no new flows, which is harmless in case of a false
+//! positive. Its open flows stay: only the target knows whether it holds them.
 //!
 //! Load pattern: many targets fall silent at once, and each instance of a large fleet sees only a
 //! few flows of each. The first instance to find out tells the others. They send it no new flows
@@ -15,7 +14,6 @@
 use super::connection_checks::{ConnectionChecks, EndedCheck};
 use crate::hash::HashMap;
 use crate::ids::FlowId;
-use crate::instance::CheckOutcome;
 use crate::steering::token::TargetIncarnation;
 
 /// Number of flows without a response at which a target counts as unresponsive.
@@ -35,25 +33,9 @@
 const CONNECTION_CHECK_DELAY: Duration = Duration::from_millis(190);
 /// Time for which a target that another instance reports as dead gets no new flows.
 const DOUBT_TIME: Duration = Duration::from_millis(3_000);
-/// Time from the start of a connection check without an answer for which it is evidence that flows are
-/// lost. A check that has taken longer, as the process stood still, is none.
-const EVIDENCE_TIME: Duration = Duration::from_millis(1_000);
 /// Time for which a target counts as dead after a failed connection check.
 const DEAD_TIME: Duration = Duration::from_millis(2_500);
 
-/// A connection check that has failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct FailedCheck {
-    /// When it began.
-    pub began: Duration,
-    /// Whether the connection was refused.
-    pub refused: bool,
-    /// Whether the check before it had failed just before.
-    pub repeated: bool,
-    /// Whether a packet of an open flow has been repeated without an answer since the last response.
-    pub open_flow_silent: bool,
-}
-
 #[derive(Debug, Clone, Default)]
 struct TargetHealth {
     /// When the target last responded.
@@ -65,17 +47,9 @@
     /// When an unanswered packet was last repeated.
     last_repeat: Duration,
     unresponsive: bool,
-    /// Whether a packet of an open flow has been repeated without an answer since the last response.
-    open_flow_silent: bool,
     next_check: Duration,
     /// End of the time for which the target counts as dead.
     dead_until: Duration,
-    /// When the connection check began that failed last.
-    failed_check: Duration,
-    /// Whether that check was refused.
-    refused: bool,
-    /// Whether the check before it had failed just before.
-    repeated: bool,
     /// End of the time for which the target gets no new flows, as others report it as dead.
     doubted_until: Duration,
 }
@@ -95,7 +69,6 @@
         health.unanswered.clear();
         health.last_response = Some(now);
         health.unresponsive = false;
-        health.open_flow_silent = false;
         health.dead_until = Duration::ZERO;
         health.doubted_until = Duration::ZERO;
         was_unresponsive
@@ -132,13 +105,6 @@
         health.unresponsive && !was_unresponsive
     }
 
-    /// Records that a packet of an open flow, first sent at `sent`, has been repeated without an answer.
-    pub fn record_open_flow_silent(&mut self, target: TargetIncarnation, sent: Duration) {
-        if let Some(health) = self.targets.get_mut(&target) {
-            health.open_flow_silent |= health.last_response.is_none_or(|response| response < sent);
-        }
-    }
-
     /// Returns whether a target counts as unresponsive or dead, and so should get no new flows.
     pub fn is_unresponsive(&self, now: Duration, target: TargetIncarnation) -> bool {
         let unresponsive = |health: &TargetHealth| {
@@ -158,31 +124,6 @@
         self.targets.get(&target).is_some_and(|health| now < health.dead_until)
     }
 
-    /// Returns the last connection check of a target if it failed recently, and began just now unless the
-    /// connection was refused. It says nothing about flows that have been opened since it began.
-    pub fn failed_check(&self, now: Duration, target: TargetIncarnation) -> Option<FailedCheck> {
-        let health = self.targets.get(&target).filter(|health| now < health.dead_until)?;
-        let TargetHealth { failed_check: began, refused, repeated, open_flow_silent, .. } = *health;
-        let is_evidence = refused || now < began + EVIDENCE_TIME;
-        is_evidence.then_some(FailedCheck { began, refused, repeated, open_flow_silent })
-    }
-
-    /// Requests a connection to an address to see whether the path there works. Its failure says nothing
-    /// about the target.
-    pub fn check_path(&mut self, now: Duration, address: SocketAddr) {
-        self.checks.request_probe(now, address);
-    }
-
-    /// Returns whether the check of an address in flight is that of a target.
-    pub fn is_checking_target(&self, address: SocketAddr) -> bool {
-        self.checks.target(address).is_some()
-    }
-
-    /// Returns when the check of an address began that is in flight, if there is one.
-    pub fn check_began(&self, address: SocketAddr) -> Option<Duration> {
-        self.checks.began(address)
-    }
-
     /// Records that another instance reports a target as dead. Returns whether that is credible: the
     /// target has not responded here just now.
     pub fn doubt(&mut self, now: Duration, target: TargetIncarnation) -> bool {
@@ -234,22 +175,18 @@
         &mut self,
         now: Duration,
         address: SocketAddr,
-        outcome: CheckOutcome,
+        accepted: bool,
     ) -> Option<TargetIncarnation> {
         let EndedCheck { began, target } = self.checks.end(now, address)?;
         let health = self.targets.get_mut(&target)?;
-        let accepted = outcome == CheckOutcome::Accepted;
         if accepted || health.last_response.is_some_and(|response| response >= began) {
             health.dead_until = Duration::ZERO;
             health.doubted_until = Duration::ZERO;
             return None;
         }
         let was_dead = now < health.dead_until;
-        health.repeated = was_dead && began < health.failed_check + EVIDENCE_TIME;
         health.dead_until = now + DEAD_TIME;
-        health.failed_check = began;
-        health.refused = outcome == CheckOutcome::Refused;
-        if !health.repeated {
+        if !was_dead {
             // One check may fail for lack of time in this process, or as packets are lost.
             health.next_check = now + CONNECTION_CHECK_INTERVAL;
             self.checks.request(now, target, address);
