Resets: none for a late packet of an earlier flow on a port that is in use again

Callers saw: a late packet of an ended flow, whose target has started again for another service, was answered with a reset that carries the acknowledgment of that flow. The caller has opened a later flow on the same port, to another target, and 1 in 27,962 takes the reset for its end.

Cause: only later flows that were still being opened were looked for.

Evidence: late_refusals late_packet_of_earlier_flow failed before (1 reset) and passes. A packet that cannot be served is dropped (earlier_flow) if another flow is known between its addresses that has not ended and whose sequence numbers are far away, as nothing shows which of the two is the later one.

--- a/src/steering/flows.rs
+++ b/src/steering/flows.rs
@@ -108,6 +108,12 @@
         self.flows.get(&packet.flow.id()).is_some_and(|flow| !flow.is_far_from(packet))
     }
 
+    /// Returns whether another flow than a packet's is known between its addresses and has not ended.
+    pub(super) fn knows_other(&self, packet: &FlowPacket) -> bool {
+        let flow = self.flows.get(&packet.flow.id());
+        flow.is_some_and(|flow| !flow.closed && flow.is_far_from(packet))
+    }
+
     /// Returns the target of the open flow to which a packet belongs.
     pub(super) fn open_at(&self, packet: &FlowPacket) -> Option<TargetIncarnation> {
         let flow = self.flows.get(&packet.flow.id())?;
--- a/src/steering/forwarder.rs
+++ b/src/steering/forwarder.rs
@@ -101,8 +101,8 @@
     /// The flow cannot be served, but another copy of its opening packet may have opened it.
     #[display("may_be_open")]
     MayBeOpen,
-    /// The packet is a late one of an earlier flow: its caller is opening another one on the same
-    /// port, which it must not disturb.
+    /// The packet is a late one of an earlier flow: its caller has, or is opening, another one on the
+    /// same port, which it must not disturb.
     #[display("earlier_flow")]
     EarlierFlow,
 }
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -254,13 +254,10 @@
                 }
                 self.keep_last(now, packet, incarnation, buf);
             }
-            Verdict::Reset(reason) => {
-                if self.may_reset(now, packet) {
-                    self.send_reset(now, arrived, packet, reason, out);
-                } else {
-                    self.record_drop(now, Some(packet), &DropReason::MayBeOpen.to_string());
-                }
-            }
+            Verdict::Reset(reason) => match self.reset_objection(now, packet) {
+                None => self.send_reset(now, arrived, packet, reason, out),
+                Some(objection) => self.record_drop(now, Some(packet), &objection.to_string()),
+            },
             Verdict::Drop(DropReason::NotReady | DropReason::Undecided) => {
                 self.startup_queue.push(arrived, buf);
             }
@@ -268,12 +265,16 @@
         }
     }
 
-    /// Returns whether a packet that cannot be served may be answered with a reset: an opening packet
-    /// only if its flow cannot be open.
-    fn may_reset(&self, now: Duration, packet: &FlowPacket) -> bool {
+    /// Returns why a packet that cannot be served is not answered with a reset: the reset might end a flow
+    /// that the packet does not belong to, or that another copy of it has opened.
+    fn reset_objection(&self, now: Duration, packet: &FlowPacket) -> Option<DropReason> {
         let age = |copy| self.format.opening_age(copy);
-        !matches!(packet.kind, PacketKind::Opening { .. })
-            || self.opening_copies.may_refuse(now, packet.attempt(), age)
+        let is_opening = matches!(packet.kind, PacketKind::Opening { .. });
+        if is_opening && !self.opening_copies.may_refuse(now, packet.attempt(), age) {
+            return Some(DropReason::MayBeOpen);
+        }
+        let is_earlier = !is_opening && self.forwarder.flows.knows_other(packet);
+        is_earlier.then_some(DropReason::EarlierFlow)
     }
 
     /// Forwards the queued packets whose routes and targets are known by now.
--- a/tests/late_refusals.rs
+++ b/tests/late_refusals.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use limpetdeck::instance::{Core, Event};
-use limpetdeck::steering::{Target, TargetState, Token};
+use limpetdeck::steering::{FlowPacket, Target, TargetState, Token};
 use support::*;
 use world::*;
 
@@ -125,3 +125,31 @@
     let reset: Vec<_> = world.datagrams[1].iter().filter(|(_, buf)| buf == b"reset").collect();
     assert_eq!(reset, Vec::<&_>::new(), "the flow has been open for long");
 }
+
+/// A caller uses its port again for a flow to another target. A late packet of the earlier flow comes when
+/// its target has started again for another service. A reset for it would carry an acknowledgment of
+/// the earlier flow, and 1 caller in 27,962 would take it for the end of the later one.
+#[test]
+fn late_packet_of_earlier_flow() {
+    let mut world = running();
+    let port = 40_000;
+    let token = open(&mut world, 1, port);
+    world.store.put_target(&target(8, FARES));
+    world.store.put_target(&Target { state: TargetState::Draining, ..target(9, FARES) });
+    world.run(ms(500));
+    world.datagrams[1].clear();
+    let sequence = 1 << 31;
+    let again = FlowPacket { sequence, ..opening(port, 2) };
+    world.handle(1, Event::Packet(text(&again)));
+    let (to, buf) = world.datagrams[1].pop().expect("a datagram");
+    assert_eq!(to, socket(target(8, FARES).address));
+    let buf = String::from_utf8(buf).expect("text");
+    let later = buf.rsplit(' ').next().and_then(|token| token.parse().ok()).expect("a token");
+    let sequence = sequence + 1;
+    let packet = FlowPacket { sequence, ..acknowledgement(port, 2, later, 0) };
+    world.handle(1, Event::Packet(text(&packet)));
+    world.store.put_target(&Target { incarnation: 2_000, ..target(9, STATION) });
+    world.run(ms(500));
+    world.handle(1, Event::Packet(text(&request(port, 2, token, 1))));
+    assert_eq!(resets(&world, 1), 0, "the later flow is open");
+}
