--- a/tests/drawn_flows.rs
+++ b/tests/drawn_flows.rs
@@ -51,7 +51,7 @@
 const SEEDS: Range<u64> = 0..12;
 
 /// Kinds of trouble and planned work.
-const KINDS: [&str; 15] = [
+const KINDS: [&str; 17] = [
     "restarts",
     "moved",
     "new_ids",
@@ -67,9 +67,11 @@
     "drains",
     "routes",
     "stops",
+    "clocks",
+    "cold",
 ];
 /// Kinds that are judged without excuses only.
-const ALL_KINDS: [&str; 18] = [
+const ALL_KINDS: [&str; 20] = [
     "restarts",
     "moved",
     "new_ids",
@@ -88,6 +90,8 @@
     "halted",
     "splits",
     "stalls",
+    "clocks",
+    "cold",
 ];
 /// The kinds that are planned work.
 const PLANNED: [&str; 3] = ["drains", "routes", "stops"];
@@ -121,6 +125,7 @@
     Join,
     Cut(usize, Duration),
     Slow(usize, Duration),
+    Cold(usize, Duration),
     Full(usize, Duration),
     Drain(usize),
     StoreDown,
@@ -210,13 +215,14 @@
         let long = self.millis(500..5_000);
         let begin = now + self.millis(0..300);
         match kind {
-            "restarts" | "moved" | "new_ids" | "reused" | "late_writes" => {
+            "restarts" | "moved" | "new_ids" | "reused" | "late_writes" | "clocks" => {
                 self.draw_restart(kind, begin);
             }
-            "slow" | "full" | "frozen" | "halted" | "cuts" => {
+            "slow" | "cold" | "full" | "frozen" | "halted" | "cuts" => {
                 let Some(p) = self.pick_process() else { return };
                 let step = match kind {
                     "slow" => Step::Slow(p, long),
+                    "cold" => Step::Cold(p, long),
                     "full" => Step::Full(p, long),
                     "frozen" => Step::Freeze(p, long),
                     "halted" => Step::Halt(p, long),
@@ -282,19 +288,34 @@
                 entry.service = if entry.service == STATION { FARES } else { STATION }.to_owned();
             }
             "moved" => entry.address = self.fresh_address(),
-            "late_writes" if self.rng.random_bool(0.5) => entry.address = self.fresh_address(),
+            "late_writes" | "clocks" if self.rng.random_bool(0.5) => {
+                entry.address = self.fresh_address();
+            }
+            "clocks" if self.rng.random_bool(0.5) => entry.key = self.fresh_key(),
             _ => {}
         }
+        if kind == "clocks" && self.rng.random_bool(0.3) {
+            entry.service = if entry.service == STATION { FARES } else { STATION }.to_owned();
+        }
         entry.incarnation = up.as_millis() as u64;
+        if kind == "clocks" {
+            // The clock of the next start is ahead or behind.
+            entry.incarnation = entry.incarnation.saturating_add_signed(self.clock_error());
+        }
         let delay = self.millis(0..1_200);
         self.plan(begin, Step::Crash(p));
         self.plan(up, Step::Start { entry, delay });
-        if kind == "late_writes" {
+        if kind == "late_writes" || (kind == "clocks" && self.rng.random_bool(0.5)) {
             let at = up + delay + self.millis(0..7_000);
             self.plan(at, Step::WriteLate(earlier));
         }
     }
 
+    /// Returns by how much a clock is ahead, in milliseconds.
+    fn clock_error(&mut self) -> i64 {
+        *[-40_000, -4_000, 4_000, 40_000].choose(&mut self.rng).expect("not empty")
+    }
+
     fn fresh_key(&mut self) -> TargetKey {
         self.last_key += 1;
         self.last_key
@@ -323,6 +344,7 @@
             Step::Split => self.flows.world.split = true,
             Step::Join => self.flows.world.split = false,
             Step::Cut(p, span) => self.flows.processes[p].cut_until = now + span,
+            Step::Cold(p, span) => self.flows.processes[p].cold_until = now + span,
             Step::Slow(p, span) => self.flows.processes[p].slow_until = now + span,
             Step::Full(p, span) => self.flows.processes[p].full_until = now + span,
             Step::Drain(p) => {
--- a/tests/support/flow_callers.rs
+++ b/tests/support/flow_callers.rs
@@ -23,6 +23,10 @@
 /// Age at which a caller closes its flow.
 const MAX_AGE: Duration = Duration::from_secs(30);
 
+/// Largest distance of a reset's sequence number from the last acknowledged one for which a caller takes
+/// it on an open flow.
+const MAX_RESET_DISTANCE: u32 = 76_800;
+
 /// Who sent a packet to a caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Sender {
@@ -103,6 +107,23 @@
     }
 }
 
+/// Returns the sequence number that a caller expects next, given the target's first one.
+fn next_expected(first: u32, nth: u32) -> u32 {
+    first.wrapping_add(1 + 1_000 * nth)
+}
+
+/// Returns the sequence number of an instance's reset. One that refuses an opening packet has none; others
+/// repeat what the caller has acknowledged.
+fn reset_sequence(reason: &str, ack: u32) -> u32 {
+    if reason.contains("route_dropped") { ack } else { 0 }
+}
+
+/// Returns whether a caller takes a reset with a sequence number on an open flow.
+fn is_near(sequence: u32, ack: u32) -> bool {
+    let distance = sequence.wrapping_sub(ack);
+    distance.min(distance.wrapping_neg()) <= MAX_RESET_DISTANCE
+}
+
 impl FlowWorld {
     fn send(&mut self, packet: &FlowPacket) {
         let port = packet.flow.caller.port();
@@ -173,7 +194,7 @@
         let now = self.world.now;
         flow.requested.get_or_insert(now);
         let packet = request(port, flow.route, flow.token, nth);
-        self.send(&FlowPacket { ack: sequence + 1 + 1_000 * nth, ..packet });
+        self.send(&FlowPacket { ack: next_expected(sequence, nth), ..packet });
         let wait = ms(200 << tries.min(3));
         self.schedule(wait, Scheduled::SendRequest { port, nth, tries: tries + 1 });
     }
@@ -193,6 +214,8 @@
         flow.trace.push(format!("{now:?} <- {from:?} via i{via} {reply:?} t={token:08x} {reason}"));
         let owner = flow.accepted.map(|(owner, _)| Sender::Process(owner));
         let opens = owner.is_none() && now < flow.begun + MAX_OPENING;
+        let expected = flow.accepted.map(|(_, first)| next_expected(first, flow.answered));
+        let is_accepted = expected.is_none_or(|ack| is_near(reset_sequence(reason, ack), ack));
         if !matches!(reply, Reply::Reset) && (self.echo_any || owner == Some(from) || opens) {
             flow.token = token;
         }
@@ -208,6 +231,10 @@
                 let ended = flow.ended;
                 self.acknowledge(port, ended);
             }
+            (Reply::Reset, Sender::Instance(_)) if !is_accepted => {
+                let name = format!("not taken by the caller: {reason}");
+                *self.verdicts.dropped.entry(name).or_default() += 1;
+            }
             (Reply::Reset, _) => {
                 let by_target = matches!(from, Sender::Process(_));
                 self.count_notice(port, if by_target { "target's word" } else { reason });
@@ -228,7 +255,7 @@
         let flow = &self.flows[&port];
         let nth = flow.answered;
         let (_, sequence) = flow.accepted.expect("accepted");
-        let ack = sequence + 1 + 1_000 * nth;
+        let ack = next_expected(sequence, nth);
         let mut packet = request(port, flow.route, flow.token, nth);
         packet = FlowPacket { ack, data_len: 0, ..packet };
         if closes {
--- a/tests/support/flow_targets.rs
+++ b/tests/support/flow_targets.rs
@@ -19,6 +19,9 @@
 /// Responses that take longer are preceded by an acknowledgement.
 const DELAYED_ACK: Duration = Duration::from_millis(200);
 
+/// Time that a cold target takes for each packet.
+const COLD_DELAY: Duration = Duration::from_millis(350);
+
 /// A process of a target.
 #[derive(Debug)]
 pub struct Process {
@@ -36,6 +39,8 @@
     pub full_until: Duration,
     /// Until when it responds late, which is no disturbance.
     pub slow_until: Duration,
+    /// Until when each of its packets is late, as it has just started, which is no disturbance.
+    pub cold_until: Duration,
     /// Whether its end is planned.
     pub ends: bool,
     pub next_write: Duration,
@@ -68,6 +73,7 @@
             cut_until: Duration::ZERO,
             full_until: Duration::ZERO,
             slow_until: Duration::ZERO,
+            cold_until: Duration::ZERO,
             ends: false,
             next_write: now + write_delay,
             last_write: now,
@@ -179,10 +185,14 @@
     fn serve(&mut self, p: usize, via: usize, packet: &FlowPacket, token: Token) {
         let now = self.world.now;
         let port = packet.flow.caller.port();
-        let sequence = self.rng.random_range(10_000..2_000_000_000);
+        let sequence = self.rng.random();
         let late = ms(self.rng.random_range(150..1_000));
         let process = &mut self.processes[p];
-        let delay = if now < process.slow_until { late } else { ms(2) };
+        let delay = match () {
+            () if now < process.slow_until => late,
+            () if now < process.cold_until => COLD_DELAY,
+            () => ms(2),
+        };
         let is_handshake = matches!(packet.kind, PacketKind::Opening { .. });
         if !is_handshake && packet.kind != PacketKind::Closing && process.recognizes(packet) {
             let flow = self.flows.get_mut(&port).expect("a flow");
@@ -190,7 +200,8 @@
         }
         let Some(reply) = process.answer(packet, now, sequence) else { return };
         let from = Sender::Process(p);
-        if matches!(reply, Reply::Response { .. }) && delay > DELAYED_ACK {
+        let is_slow = now < process.slow_until && delay > DELAYED_ACK;
+        if matches!(reply, Reply::Response { .. }) && is_slow {
             self.reply(ms(2), port, from, via, Reply::Acknowledge, token);
         }
         self.reply(delay, port, from, via, reply, token);
