--- a/tests/support/entry_world.rs
+++ b/tests/support/entry_world.rs
@@ -197,9 +197,9 @@
         let isn = self.rng.random();
         let caller = Caller::new(self.now, address, service, isn, self.now + lifetime);
         if i < self.callers.len() {
-            self.callers[i] = caller
+            self.callers[i] = caller;
         } else {
-            self.callers.push(caller)
+            self.callers.push(caller);
         }
         self.schedule(DELAY, Due::Caller(i));
     }
