--- a/lab/tests/short_soak.rs
+++ b/lab/tests/short_soak.rs
@@ -52,6 +52,13 @@
     soak_fleet("18", &["--drill", "stops", "--seed", "931", "--minutes", "0.75"]);
 }
 
+/// No instance resets or refuses a flow that its server may hold, whatever else is disturbed. With silence
+/// as evidence against a target: `flow_broken`.
+#[test]
+fn stall_drill() {
+    soak_fleet("9", &["--drill", "stalls", "--no-excuses", "--seed", "14", "--minutes", "0.98"]);
+}
+
 /// Drains soon after the store has come back from an old copy are known in time.
 #[test]
 fn restore_drill() {
