--- a/tests/support/flow_verdicts.rs
+++ b/tests/support/flow_verdicts.rs
@@ -38,7 +38,8 @@
     rng: SmallRng,
     /// Number of held flows that were reset or led astray, by what happened.
     pub held: BTreeMap<String, u32>,
-    /// The same for flows whose routes a configuration has removed.
+    /// The same for flows whose routes a configuration has removed, and resets of open flows that their
+    /// callers did not take.
     pub dropped: BTreeMap<String, u32>,
     /// The first one of each, with what happened before.
     pub first: BTreeMap<String, String>,
@@ -224,7 +225,8 @@
         for (name, (flows, seeds)) in &self.held {
             writeln!(f, "  {name}: {flows}, {seeds}")?;
         }
-        writeln!(f, "the same on removed routes, which is allowed: {:?}", self.dropped)?;
+        let allowed = "the same on removed routes, and resets that callers did not take";
+        writeln!(f, "{allowed}: {:?}", self.dropped)?;
         writeln!(
             f,
             "lost flows: noticed by, flows, median s after the loss, waiting, median s saved"
