--- a/src/placement/openings.rs
+++ b/src/placement/openings.rs
@@ -9,7 +9,7 @@
 /// Time by which a copy of an opening packet may come later than another one.
 const MAX_COPY_DELAY: Duration = Duration::from_secs(60);
 /// Maximum number of opening packets in one generation, which bounds memory.
-const MAX_GENERATION_LEN: usize = 1 << 18;
+const MAX_GENERATION_LEN: usize = 1 << 19;
 
 /// The opening packets of the last [`MAX_COPY_DELAY`] to twice that time.
 #[derive(Debug, Clone, Default)]
