--- a/tests/idle_resets.rs
+++ b/tests/idle_resets.rs
@@ -40,6 +40,15 @@
     panic!("no flow goes to the target");
 }
 
+/// Asserts that an instance gives no new flow to the target.
+fn assert_avoided(world: &mut World, i: usize) {
+    for port in 300..320 {
+        world.handle(i, Event::Packet(text(&opening(port, 1))));
+        let (to, _) = world.datagrams[i].pop().expect("a datagram");
+        assert_ne!(to, socket(target(TARGET, STATION).address), "instance {i}");
+    }
+}
+
 /// The target refuses connections, and one caller sends a request there. Returns the time from its first
 /// packet until the last of the instances avoids the target.
 fn last_to_learn(instances: usize) -> Duration {
@@ -75,6 +84,7 @@
             world.handle(i, Event::ConnectionChecked(dead, Refused));
             if !std::mem::replace(&mut refused[i], true) {
                 last = waited;
+                assert_avoided(&mut world, i);
             }
         }
         world.run(TICK);
--- a/tests/living_targets.rs
+++ b/tests/living_targets.rs
@@ -268,6 +268,8 @@
     let draining = Target { state: TargetState::Draining, ..successor(9) };
     forwarder.targets.merge(ms(2_010), record(13, draining));
     forwarder.check_flow_targets(ms(2_100));
+    let verdict = forwarder.decide(ms(2_200), &request(1, 1, token, 1));
+    assert!(reaches(verdict, &successor(9)), "{verdict:?}");
 }
 
 /// Whoever runs at the address of a target gets the packets of its flows, although an odd entry has
--- a/tests/misleading_checks.rs
+++ b/tests/misleading_checks.rs
@@ -143,7 +143,8 @@
     assert_kept(&mut forwarder, 2_360, &request(1, 1, token, 2), &targets[0]);
 }
 
-/// The platform removes the entry of a target that could not write it. The flows of the target are idle.
+/// The platform removes the entry of a target that could not write it, and a check fails. The flows
+/// of the target are idle.
 #[test]
 fn entry_lapsed() {
     let targets = [target(1, STATION), target(2, STATION)];
@@ -151,6 +152,9 @@
     let token = open_to(&mut forwarder, 1_000, 1, 1);
     answered(&mut forwarder, 1_100, 1, token, 1);
     forwarder.targets.merge(ms(2_000), removal(11, 1));
+    forwarder.suspect_target(ms(2_010), (1, 1_000));
+    let address = only_check(&mut forwarder);
+    fail(&mut forwarder, 2_360, address, CheckOutcome::NoAnswer);
     assert_kept(&mut forwarder, 2_370, &request(1, 1, token, 2), &targets[0]);
 }
 
