--- a/lab/src/measure/instance_model.rs
+++ b/lab/src/measure/instance_model.rs
@@ -178,7 +178,7 @@
             | Event::ProbeFinished(..)
             | Event::ConnectionChecked(..)
             | Event::SettingsChanged(_)
-            | Event::PacketsRead
+            | Event::PacketsRead(_)
             | Event::TimeLost => {}
         }
     }
@@ -334,7 +334,7 @@
             | Event::ProbeFinished(..)
             | Event::ConnectionChecked(..)
             | Event::SettingsChanged(_)
-            | Event::PacketsRead
+            | Event::PacketsRead(_)
             | Event::TimeLost
             | Event::Tick => {}
         }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -181,10 +181,10 @@
         rpc: Rc::new(rpc),
         core: RefCell::new(core),
     });
-    let packets_read = |daemon: &Rc<Daemon>| daemon.handle(Event::PacketsRead);
+    let packets_read = |daemon: &Rc<Daemon>, at| daemon.handle(Event::PacketsRead(at));
     ex.spawn(read_datagrams(Rc::clone(&daemon), Arc::clone(&packets), Event::Packet, packets_read))
         .detach();
-    ex.spawn(read_datagrams(Rc::clone(&daemon), peers, Event::Peer, |_| {})).detach();
+    ex.spawn(read_datagrams(Rc::clone(&daemon), peers, Event::Peer, |_, _| {})).detach();
     ex.spawn(run_ticks(Rc::clone(&daemon), Arc::clone(&packets))).detach();
     ex.spawn(handle_signals(Rc::clone(&daemon), signals)).detach();
     let handler = Rc::new(http_handler(Rc::clone(&daemon), page, cfg.health_path));
@@ -368,12 +368,12 @@
     }
 }
 
-/// Handles the datagrams of a socket. Calls `on_empty` when none is left.
+/// Handles the datagrams of a socket. Calls `on_empty` with a time at which none was left.
 async fn read_datagrams(
     daemon: Rc<Daemon>,
     socket: Arc<Async<UdpSocket>>,
     event: fn(Vec<u8>) -> Event,
-    on_empty: impl Fn(&Rc<Daemon>),
+    on_empty: impl Fn(&Rc<Daemon>, Duration),
 ) {
     let mut buf = vec![0; MAX_DATAGRAM_LEN];
     loop {
@@ -386,26 +386,29 @@
             }
         }
         // Reads datagrams that are already queued without waiting for readiness again.
-        if read_batch(&daemon, socket.get_ref(), &mut buf, event) {
-            on_empty(&daemon);
+        if let Some(at) = read_batch(&daemon, socket.get_ref(), &mut buf, event) {
+            on_empty(&daemon, at);
         }
     }
 }
 
-/// Handles the datagrams that a socket has queued, up to a limit. Returns whether none is left.
+/// Handles the datagrams that a socket has queued, up to a limit. Returns a time at which none was left, if
+/// there was one.
 fn read_batch(
     daemon: &Rc<Daemon>,
     socket: &UdpSocket,
     buf: &mut [u8],
     event: fn(Vec<u8>) -> Event,
-) -> bool {
+) -> Option<Duration> {
     for _ in 0..MAX_READ_BATCH {
+        // The process may stand still after the attempt.
+        let at = daemon.started.elapsed();
         match socket.recv_from(buf) {
             Ok((len, _)) => daemon.handle(event(buf[..len].to_vec())),
-            Err(e) => return e.kind() == io::ErrorKind::WouldBlock,
+            Err(e) => return (e.kind() == io::ErrorKind::WouldBlock).then_some(at),
         }
     }
-    false
+    None
 }
 
 async fn run_ticks(daemon: Rc<Daemon>, packets: Arc<Async<UdpSocket>>) {
@@ -413,8 +416,8 @@
     loop {
         smol::Timer::after(TICK_INTERVAL).await;
         // Also shows an instance without packets that none is waiting.
-        if read_batch(&daemon, packets.get_ref(), &mut buf, Event::Packet) {
-            daemon.handle(Event::PacketsRead);
+        if let Some(at) = read_batch(&daemon, packets.get_ref(), &mut buf, Event::Packet) {
+            daemon.handle(Event::PacketsRead(at));
         }
         daemon.handle(Event::Tick);
         daemon.rpc.set_status(daemon.core.borrow().status(daemon.started.elapsed()));
--- a/src/instance/event.rs
+++ b/src/instance/event.rs
@@ -39,9 +39,9 @@
     ConnectionChecked(SocketAddr, CheckOutcome),
     /// A probe of a target has ended.
     ProbeFinished(TargetId, ProbeResult),
-    /// No packet is waiting to be read: those that are read later have arrived later. Comes about ten times
-    /// a second while the instance keeps up.
-    PacketsRead,
+    /// No packet was waiting to be read at a time: those that are read later have arrived later. Comes about
+    /// ten times a second while the instance keeps up.
+    PacketsRead(Duration),
     /// Time may have passed that the clock has not counted, as the machine was suspended.
     TimeLost,
     /// Timer tick, about ten times a second.
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -114,7 +114,7 @@
             // Only steering requests connection checks and uses partial replies.
             Event::ConnectionChecked(..) | Event::PlatformPart(..) => {}
             // Only steering refuses opening packets by their age.
-            Event::PacketsRead | Event::TimeLost => {}
+            Event::PacketsRead(_) | Event::TimeLost => {}
             Event::Tick => self.tick(now, out),
             Event::Stop => self.stop(now),
             Event::SettingsChanged(settings) => self.membership.set_seeds(settings.seeds),
--- a/src/steering/node.rs
+++ b/src/steering/node.rs
@@ -476,7 +476,7 @@
             Event::ConnectionChecked(address, outcome) => {
                 self.handle_connection_check(now, address, outcome, out);
             }
-            Event::PacketsRead => self.packets_read = now,
+            Event::PacketsRead(at) => self.packets_read = at,
             Event::TimeLost => {
                 log::info!("time_lost");
                 self.opening_copies.lose_time(now);
--- a/tests/support/steering_world.rs
+++ b/tests/support/steering_world.rs
@@ -259,13 +259,13 @@
         let is_tick = matches!(event, Event::Tick);
         self.handle_one(i, event);
         if is_tick {
-            self.handle_one(i, Event::PacketsRead);
+            self.handle_one(i, Event::PacketsRead(self.now));
         }
     }
 
     fn handle_one(&mut self, i: usize, event: Event) {
         if let Some(waiting) = self.paused.get_mut(&i) {
-            if !matches!(event, Event::Tick | Event::PacketsRead) {
+            if !matches!(event, Event::Tick | Event::PacketsRead(_)) {
                 waiting.push(event);
             }
             return;
